Lay out the workspace with its typed identifiers and error table

Cause: nothing stood yet. Ruled out: one crate with modules, since the embeddable part must not pull in tokio or hyper. Before: no code.

--- /dev/null
+++ b/core/src/admission.rs
@@ -0,0 +1,1 @@
+//! Admission by importance, with levels that travel up the chain.
--- /dev/null
+++ b/core/src/choice.rs
@@ -0,0 +1,1 @@
+//! Choice of the target that gets a call.
--- /dev/null
+++ b/core/src/ids.rs
@@ -0,0 +1,179 @@
+//! Typed identifiers, so that no function can be called with two of them swapped.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::{xxh3_64_with_seed, xxh3_128};
+
+/// Immutable string that is shared rather than copied; used for every name in the system.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Name(Arc<str>);
+
+impl Name {
+    /// Name with the given text.
+    pub fn new(text: &str) -> Self {
+        Self(Arc::from(text))
+    }
+
+    /// Text of the name.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl From<&str> for Name {
+    fn from(text: &str) -> Self {
+        Self::new(text)
+    }
+}
+
+/// Defines a newtype over an unsigned integer that prints as that integer.
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident, $repr:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize,
+            Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $repr);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    };
+}
+
+number! {
+    /// Number of one send of a request, unique within the node that sends.
+    ///
+    /// An answer is matched on request id and attempt, so that a late answer to an earlier send
+    /// is never taken for the answer to a later one.
+    AttemptId, u64
+}
+number! {
+    /// Importance of a request class; a larger number is more important.
+    Importance, u8
+}
+number! {
+    /// Number that grows each time an instance starts; it decides between reports about it.
+    Incarnation, u64
+}
+number! {
+    /// Position of a record in a stream of the platform's log.
+    Offset, u64
+}
+number! {
+    /// Revision of a customer's contract; zero means that none has been accepted yet.
+    Revision, u64
+}
+
+/// Name of one instance: a machine slot with a target and the node beside it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct InstanceId(pub Name);
+
+impl fmt::Display for InstanceId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl From<&str> for InstanceId {
+    fn from(text: &str) -> Self {
+        Self(Name::new(text))
+    }
+}
+
+/// Defines a newtype over 128 bits that prints and reads as 32 hexadecimal digits.
+macro_rules! token {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(into = "String", try_from = "String")]
+        pub struct $name(pub u128);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:032x}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = TokenError;
+
+            fn from_str(text: &str) -> Result<Self, TokenError> {
+                let digits = text.len() == 32 && text.bytes().all(|b| b.is_ascii_hexdigit());
+                if !digits {
+                    return Err(TokenError);
+                }
+                u128::from_str_radix(text, 16).map(Self).map_err(|_| TokenError)
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(token: $name) -> Self {
+                token.to_string()
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = TokenError;
+
+            fn try_from(text: String) -> Result<Self, TokenError> {
+                text.parse()
+            }
+        }
+    };
+}
+
+/// Error of reading a 128-bit identifier from text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("expected 32 hexadecimal digits")]
+pub struct TokenError;
+
+token! {
+    /// Identifier of one request, chosen by the caller or by the node that takes the call in.
+    RequestId
+}
+token! {
+    /// Identifier of one act of publishing; repeated when an append is repeated, so that the fold
+    /// ignores the second record.
+    PublishId
+}
+
+impl RequestId {
+    /// Identifier of the `ordinal`-th call that a run of this request makes.
+    ///
+    /// It is derived, not drawn, so that each hop computes the same identifier.
+    pub fn child(self, ordinal: u32) -> Self {
+        let mut bytes = [0; 20];
+        bytes[..16].copy_from_slice(&self.0.to_le_bytes());
+        bytes[16..].copy_from_slice(&ordinal.to_le_bytes());
+        Self(xxh3_128(&bytes))
+    }
+
+    /// Point on the scale 0..=65535 at which this request stands; equal at every hop.
+    ///
+    /// Admission within one importance compares this point with the level, so that whole
+    /// requests survive rather than random parts of them.
+    pub fn lot(self) -> u16 {
+        (xxh3_64_with_seed(&self.0.to_le_bytes(), 0) >> 48) as u16
+    }
+}
+
+/// Weight of `owner` for `key` in rendezvous hashing; the largest weight owns the key.
+pub fn rendezvous_weight(key: u128, owner: &str) -> u64 {
+    xxh3_64_with_seed(owner.as_bytes(), (key as u64) ^ ((key >> 64) as u64))
+}
--- /dev/null
+++ b/core/src/membership.rs
@@ -0,0 +1,1 @@
+//! Members of a service, as one node sees them.
--- /dev/null
+++ b/core/src/suspects.rs
@@ -0,0 +1,1 @@
+//! Requests suspected of crashing their targets.
--- /dev/null
+++ b/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/kernel/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/wire/src/message.rs
@@ -0,0 +1,145 @@
+//! Messages between nodes, and the records on the platform's log.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use poplar_core::{
+    AttemptId, Binding, Contract, Importance, Incarnation, InstanceId, Name, Offset, Outcome,
+    PublishId, RequestId, Revision,
+};
+use serde::{Deserialize, Serialize};
+
+/// Terms under which a call travels, from the entry to the last hop.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallMeta {
+    /// Customer whose contract governs the call.
+    pub customer: Name,
+    /// Contract revision that the sender has in force; the receiver pulls it if it lacks it.
+    pub revision: Revision,
+    /// Request as it came to the entry; decides admission alike at every hop.
+    pub root: RequestId,
+    /// This call.
+    pub request: RequestId,
+    /// This send of the call.
+    pub attempt: AttemptId,
+    /// Class of this call.
+    pub class: Name,
+    /// Importance of the root request.
+    pub importance: Importance,
+    /// Whether the root request or any hop above may not be repeated.
+    pub once: bool,
+    /// Time left until the answer is of no use.
+    pub left: Duration,
+    /// Time since the entry took the root request in.
+    pub age: Duration,
+    /// Hops between the entry and this call.
+    pub depth: u8,
+    /// Retry units lent to this call.
+    pub units: u32,
+    /// Binding, for a once-only call.
+    pub binding: Option<Binding>,
+}
+
+/// Call from one node to the node beside a chosen target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallRequest {
+    /// Terms of the call.
+    pub meta: CallMeta,
+    /// Body for the target.
+    pub body: Bytes,
+}
+
+/// Answer of the node beside the target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallReply {
+    /// Call that this answers.
+    pub request: RequestId,
+    /// Send that this answers.
+    pub attempt: AttemptId,
+    /// What became of it.
+    pub outcome: Outcome<Answer>,
+    /// Retry units that come back unspent.
+    pub units: u32,
+    /// Admission level of the service as the answering node sees it.
+    pub level: u32,
+}
+
+/// Whole answer of a target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// HTTP status of the target.
+    pub status: u16,
+    /// Body.
+    pub body: Bytes,
+    /// Hash of the body, so that a short or foreign body is never forwarded.
+    pub checksum: u64,
+}
+
+/// What a target tells its own node about itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// Service of the target.
+    pub service: Name,
+    /// Address of the target, `ip:port`.
+    pub address: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Connections that it takes.
+    pub connections: u32,
+}
+
+/// State of a member of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MemberState {
+    /// Takes work.
+    Serving,
+    /// Finishes what it has and takes nothing new.
+    Draining,
+    /// Gone by its own word or by confirmed loss.
+    Left,
+}
+
+/// Record on the stream of members.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Instance.
+    pub instance: InstanceId,
+    /// Incarnation that the record speaks of.
+    pub incarnation: Incarnation,
+    /// Sequence of the record within the incarnation; a lower one is ignored.
+    pub sequence: u64,
+    /// Service of the target.
+    pub service: Name,
+    /// Availability zone.
+    pub zone: Name,
+    /// Address for calls from other nodes, `ip:port`.
+    pub address: String,
+    /// Requests that the target runs at once.
+    pub slots: u32,
+    /// State.
+    pub state: MemberState,
+}
+
+/// Record on the stream of contracts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+pub enum ContractRecord {
+    /// A revision that an operator publishes.
+    Publish {
+        /// Act of publishing.
+        id: PublishId,
+        /// Revision that the operator revised.
+        base: Revision,
+        /// Contract.
+        contract: Box<Contract>,
+    },
+    /// The state of the fold up to an offset, so that older records may expire.
+    Snapshot {
+        /// First offset that the state does not cover.
+        next: Offset,
+        /// State of the fold, encoded by `poplar-core`.
+        state: serde_json::Value,
+    },
+}
