Add the node's thin path, the kernel and the codecs

Cause: until a call goes through two nodes nothing else can be judged. Ruled out: HTTP/1.1 between nodes, since one silent connection per waiting call would have to be found; HTTP/2 carries every call of a pair of nodes and its ping finds a silent connection. Before: no process. Conclusion: the limit is the announced slots; the decisions of poplar-core replace it next.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -1,1 +1,14 @@
-//! Placeholder.
+//! Micro-kernel of each process: life cycle, clock, service registry, state dump and logs.
+//!
+//! It knows no service by type. Services register under a fixed name, find each other by that
+//! name, and each tells its own state on request. See [the shape](../../docs/design/shape.md).
+
+mod clock;
+mod life;
+mod logs;
+mod registry;
+
+pub use clock::Clock;
+pub use life::{Draining, Life, Serving, Starting, Stopped};
+pub use logs::{LogFormat, part, root_logger};
+pub use registry::{Registry, RegistryError, Service};
--- /dev/null
+++ b/kernel/src/life.rs
@@ -0,0 +1,69 @@
+//! Life cycle of a process as a typestate, so that no step can be skipped or taken twice.
+//!
+//! `Starting -> Serving -> Draining -> Stopped`; each step consumes the one before. The stage is
+//! also published on a watch channel, because services that run concurrently must see it.
+
+use std::marker::PhantomData;
+
+use tokio::sync::watch;
+
+/// Stage before the process serves.
+#[derive(Debug)]
+pub struct Starting;
+
+/// Stage in which the process takes work.
+#[derive(Debug)]
+pub struct Serving;
+
+/// Stage in which the process finishes what it has and takes nothing new.
+#[derive(Debug)]
+pub struct Draining;
+
+/// Last stage.
+#[derive(Debug)]
+pub struct Stopped;
+
+/// Life of a process in stage `S`.
+#[derive(Debug)]
+pub struct Life<S> {
+    stage: watch::Sender<&'static str>,
+    marker: PhantomData<S>,
+}
+
+impl Life<Starting> {
+    /// Begins a life.
+    pub fn begin() -> Self {
+        Self { stage: watch::Sender::new("starting"), marker: PhantomData }
+    }
+
+    /// Takes work from now on.
+    pub fn serve(self) -> Life<Serving> {
+        self.step("serving")
+    }
+}
+
+impl Life<Serving> {
+    /// Takes nothing new from now on.
+    pub fn drain(self) -> Life<Draining> {
+        self.step("draining")
+    }
+}
+
+impl Life<Draining> {
+    /// Ends; to be called when nothing is in flight any more.
+    pub fn stop(self) -> Life<Stopped> {
+        self.step("stopped")
+    }
+}
+
+impl<S> Life<S> {
+    /// Channel on which every service sees the stage.
+    pub fn watch(&self) -> watch::Receiver<&'static str> {
+        self.stage.subscribe()
+    }
+
+    fn step<T>(self, name: &'static str) -> Life<T> {
+        self.stage.send_replace(name);
+        Life { stage: self.stage, marker: PhantomData }
+    }
+}
--- /dev/null
+++ b/kernel/src/logs.rs
@@ -0,0 +1,55 @@
+//! Structured logs: text for people or JSON, with a fixed prefix for each part.
+
+use std::str::FromStr;
+use std::sync::Mutex;
+
+use slog::{Drain, Level, Logger, o};
+
+/// Shape of the log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Lines for people.
+    Text,
+    /// One JSON document per line.
+    Json,
+}
+
+impl FromStr for LogFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            other => Err(format!("log format {other} is not one of text, json")),
+        }
+    }
+}
+
+/// Logger that writes to standard error in the given shape, from level `info` up.
+pub fn root_logger(format: LogFormat) -> Logger {
+    match format {
+        LogFormat::Text => {
+            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let lines = slog_term::FullFormat::new(decorator).build();
+            logger(Mutex::new(lines).fuse())
+        }
+        LogFormat::Json => {
+            let lines = slog_json::Json::default(std::io::stderr());
+            logger(Mutex::new(lines).fuse())
+        }
+    }
+}
+
+/// Logger of one part; `name` is its fixed prefix.
+pub fn part(root: &Logger, name: &'static str) -> Logger {
+    root.new(o!("part" => name))
+}
+
+fn logger<D>(drain: D) -> Logger
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    let queue = slog_async::Async::new(drain).build().fuse();
+    Logger::root(slog::LevelFilter::new(queue, Level::Info).fuse(), o!())
+}
--- /dev/null
+++ b/node/src/announce.rs
@@ -0,0 +1,108 @@
+//! Announcements: what the target beside this node says of itself, told on to the members' stream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use poplar_core::{Incarnation, InstanceId, Moment, Name};
+use poplar_kernel::{Clock, Registry, RegistryError, Service};
+use poplar_wire::{Announcement, MemberRecord, MemberState};
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+
+use crate::directory::Directory;
+use crate::target::{Stage, Target};
+
+/// Who this node is, as other nodes see it.
+#[derive(Debug, Clone)]
+pub(crate) struct Identity {
+    pub(crate) instance: InstanceId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) zone: Name,
+    pub(crate) peer_address: SocketAddr,
+}
+
+/// Service that tells on what the target announces.
+pub(crate) struct Announcer {
+    clock: Clock,
+    identity: Identity,
+    directory: Arc<Directory>,
+    target: Arc<Target>,
+    sequence: AtomicU64,
+    records: mpsc::UnboundedSender<MemberRecord>,
+}
+
+impl Announcer {
+    /// Service that hands records for the log to `records`.
+    pub(crate) fn new(
+        clock: Clock,
+        identity: Identity,
+        registry: &Registry,
+        records: mpsc::UnboundedSender<MemberRecord>,
+    ) -> Result<Self, RegistryError> {
+        Ok(Self {
+            clock,
+            identity,
+            directory: registry.find("directory")?,
+            target: registry.find("target")?,
+            sequence: AtomicU64::new(0),
+            records,
+        })
+    }
+
+    /// Takes an announcement in; a repeated one only renews.
+    pub(crate) fn announce(&self, announcement: Announcement) {
+        let now = self.clock.now();
+        let known = self.target.serving(now).is_some_and(|known| known == announcement);
+        self.target.announce(now, announcement);
+        if !known {
+            self.tell(MemberState::Serving);
+        }
+    }
+
+    /// Renews the target's lease; says whether a target had announced itself.
+    pub(crate) fn renew(&self) -> bool {
+        self.target.renew(self.clock.now())
+    }
+
+    /// Changes the target's stage; says whether a target had announced itself.
+    pub(crate) fn change(&self, stage: Stage, state: MemberState) -> bool {
+        let known = self.target.set_stage(stage);
+        if known {
+            self.tell(state);
+        }
+        known
+    }
+
+    fn tell(&self, state: MemberState) {
+        let Some(announced) = self.target.announced() else { return };
+        let record = MemberRecord {
+            instance: self.identity.instance.clone(),
+            incarnation: self.identity.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+            service: announced.service,
+            zone: self.identity.zone.clone(),
+            address: self.identity.peer_address.to_string(),
+            slots: announced.slots,
+            state,
+        };
+        self.directory.learn(record.clone());
+        // The receiver lives as long as the process; after it nothing is left to tell.
+        let _ = self.records.send(record);
+    }
+}
+
+impl Service for Announcer {
+    fn name(&self) -> &'static str {
+        "announcer"
+    }
+
+    fn dump(&self, _now: Moment) -> Value {
+        json!({
+            "instance": self.identity.instance,
+            "incarnation": self.identity.incarnation,
+            "zone": self.identity.zone,
+            "peer_address": self.identity.peer_address,
+        })
+    }
+}
--- /dev/null
+++ b/node/src/ends/caller.rs
@@ -0,0 +1,153 @@
+//! HTTP/1.1 end for callers and for the node's own target.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use poplar_core::{ErrorKind, Name, Outcome};
+use poplar_wire::{binding_text, header, parse_binding};
+use tokio::net::TcpStream;
+
+use crate::entry::{Entry, Inbound, Outbound};
+
+/// Largest body of a call, in bytes.
+const BODY_LIMIT_BYTES: usize = 1 << 20;
+/// Largest head of a call, in bytes.
+const HEAD_LIMIT_BYTES: usize = 16 << 10;
+/// Time within which the head of a call must have come in.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time within which the body of a call must have come in.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Serves one connection.
+pub(crate) fn connection(
+    socket: TcpStream,
+    graceful: &GracefulShutdown,
+    entry: Arc<Entry>,
+) -> impl Future<Output = ()> + Send + use<> {
+    let service = service_fn(move |req| {
+        let entry = entry.clone();
+        async move { Ok::<_, std::convert::Infallible>(answer(&entry, req).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_LIMIT_BYTES)
+        .serve_connection(TokioIo::new(socket), service);
+    let watched = graceful.watch(connection);
+    async move {
+        // An error here is the caller's: it left, or it sent no HTTP.
+        let _ = watched.await;
+    }
+}
+
+async fn answer(entry: &Entry, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    if req.method() != Method::POST || req.uri().path() != "/call" {
+        return plain(StatusCode::NOT_FOUND, "calls go to POST /call\n");
+    }
+    let (head, body) = req.into_parts();
+    let body = Limited::new(body, BODY_LIMIT_BYTES).collect();
+    let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(_)) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is not whole\n"),
+        Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in\n"),
+    };
+    match inbound(&head.headers, body) {
+        Ok(call) => outbound(entry.serve(call).await),
+        Err(name) => {
+            let mut resp =
+                plain(StatusCode::BAD_REQUEST, &format!("header {name} is not usable\n"));
+            label(&mut resp, header::OUTCOME, "not-run");
+            label(&mut resp, header::ERROR, ErrorKind::BadRequest.label());
+            resp
+        }
+    }
+}
+
+/// Call that the headers speak of, or the name of the header that is missing or malformed.
+fn inbound(headers: &HeaderMap, body: Bytes) -> Result<Inbound, &'static str> {
+    Ok(Inbound {
+        customer: Name::new(required(headers, header::CUSTOMER)?),
+        class: Name::new(required(headers, header::CLASS)?),
+        request: parsed(headers, header::REQUEST, |text| text.parse().ok())?,
+        left: parsed(headers, header::DEADLINE, |text| text.parse().ok())?
+            .map(Duration::from_millis),
+        parent: parsed(headers, header::PARENT, |text| text.parse().ok())?,
+        binding: parsed(headers, header::BINDING, parse_binding)?,
+        body,
+    })
+}
+
+fn required<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<&'a str, &'static str> {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.filter(|text| !text.is_empty()).ok_or(name)
+}
+
+fn parsed<T>(
+    headers: &HeaderMap,
+    name: &'static str,
+    parse: impl Fn(&str) -> Option<T>,
+) -> Result<Option<T>, &'static str> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let text = value.to_str().map_err(|_| name)?;
+    parse(text).map(Some).ok_or(name)
+}
+
+fn outbound(out: Outbound) -> Response<Full<Bytes>> {
+    let mut resp = match out.outcome {
+        Outcome::Done(answer) => {
+            let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            let mut resp = Response::new(Full::new(answer.body));
+            *resp.status_mut() = status;
+            label(&mut resp, header::OUTCOME, "done");
+            resp
+        }
+        Outcome::NotRun { kind, retry_after } => {
+            let mut resp = failure("not-run", kind);
+            if kind.reply().retryable {
+                come_back(&mut resp, retry_after);
+            }
+            resp
+        }
+        Outcome::Unknown { kind } => failure("unknown", kind),
+    };
+    if let Some(binding) = out.binding {
+        label(&mut resp, header::BINDING, &binding_text(&binding));
+    }
+    resp
+}
+
+fn failure(outcome: &str, kind: ErrorKind) -> Response<Full<Bytes>> {
+    let reply = kind.reply();
+    let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut resp = plain(status, &format!("{}\n", reply.text));
+    label(&mut resp, header::OUTCOME, outcome);
+    label(&mut resp, header::ERROR, kind.label());
+    resp
+}
+
+/// Tells when to come back, both in the standard header's whole seconds and in milliseconds.
+fn come_back(resp: &mut Response<Full<Bytes>>, retry_after: Duration) {
+    let seconds = retry_after.as_millis().div_ceil(1_000);
+    label(resp, "retry-after", &seconds.to_string());
+    label(resp, header::RETRY_AFTER, &retry_after.as_millis().to_string());
+}
+
+fn plain(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
+    let mut resp = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
+    *resp.status_mut() = status;
+    resp
+}
+
+fn label(resp: &mut Response<Full<Bytes>>, name: &'static str, value: &str) {
+    if let Ok(value) = value.parse() {
+        resp.headers_mut().insert(name, value);
+    }
+}
--- /dev/null
+++ b/node/src/links.rs
@@ -0,0 +1,147 @@
+//! Links to other nodes: one HTTP/2 connection each, pinged while calls wait on it.
+//!
+//! A connection that went silent fails within [`PING_EVERY`] + [`PING_TIMEOUT`], and the next use
+//! opens a new one. See [silent connections](../../docs/design/silent-connections.md).
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http2::{self, SendRequest};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use poplar_core::Moment;
+use poplar_kernel::Service;
+use poplar_wire::MESSAGE_LIMIT_BYTES;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use tokio::net::TcpStream;
+
+/// Pause between pings while calls wait on a connection.
+const PING_EVERY: Duration = Duration::from_millis(700);
+/// Time within which a ping must be answered.
+const PING_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time within which a connection must be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Flow-control window of one connection, in bytes.
+const WINDOW_BYTES: u32 = 1 << 20;
+
+/// Why an exchange with another node failed.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum LinkError {
+    /// No connection was made, so the other node has seen nothing.
+    #[error("no connection to {0}")]
+    Unreached(SocketAddr),
+    /// The connection failed after the message may have been sent.
+    #[error("connection to {0} failed")]
+    Broken(SocketAddr),
+    /// A message could not be encoded or decoded.
+    #[error(transparent)]
+    Codec(#[from] poplar_wire::CodecError),
+}
+
+impl LinkError {
+    /// Whether the other node certainly saw nothing of the message.
+    pub(crate) fn unseen(&self) -> bool {
+        matches!(self, Self::Unreached(_))
+    }
+}
+
+/// Slot of one peer; the lock is held while connecting, so that one connection is made at a time.
+type Slot = Arc<tokio::sync::Mutex<Option<SendRequest<Full<Bytes>>>>>;
+
+/// Service that exchanges messages with other nodes.
+#[derive(Default)]
+pub(crate) struct Links {
+    slots: Mutex<HashMap<SocketAddr, Slot>>,
+}
+
+impl Links {
+    /// Sends `message` to `path` at `peer` and waits for the whole answer.
+    pub(crate) async fn exchange<M, A>(
+        &self,
+        peer: SocketAddr,
+        path: &'static str,
+        message: &M,
+    ) -> Result<A, LinkError>
+    where
+        M: Serialize,
+        A: DeserializeOwned,
+    {
+        let body = poplar_wire::encode(message)?;
+        let mut sender = self.sender(peer).await?;
+        let uri = Uri::builder()
+            .scheme("http")
+            .authority(peer.to_string())
+            .path_and_query(path)
+            .build()
+            .map_err(|_| LinkError::Unreached(peer))?;
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(uri)
+            .body(Full::new(body))
+            .map_err(|_| LinkError::Unreached(peer))?;
+        let resp = sender.send_request(req).await.map_err(|_| LinkError::Broken(peer))?;
+        let bytes = Limited::new(resp.into_body(), MESSAGE_LIMIT_BYTES)
+            .collect()
+            .await
+            .map_err(|_| LinkError::Broken(peer))?
+            .to_bytes();
+        Ok(poplar_wire::decode(&bytes)?)
+    }
+
+    async fn sender(&self, peer: SocketAddr) -> Result<SendRequest<Full<Bytes>>, LinkError> {
+        let slot = self.slot(peer);
+        let mut held = slot.lock().await;
+        if let Some(sender) = held.as_ref().filter(|sender| !sender.is_closed()) {
+            return Ok(sender.clone());
+        }
+        let sender = connect(peer).await?;
+        *held = Some(sender.clone());
+        Ok(sender)
+    }
+
+    fn slot(&self, peer: SocketAddr) -> Slot {
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        slots.entry(peer).or_default().clone()
+    }
+}
+
+async fn connect(peer: SocketAddr) -> Result<SendRequest<Full<Bytes>>, LinkError> {
+    let unreached = || LinkError::Unreached(peer);
+    let socket = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(peer))
+        .await
+        .map_err(|_| unreached())?
+        .map_err(|_| unreached())?;
+    socket.set_nodelay(true).map_err(|_| unreached())?;
+    let handshake = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .keep_alive_interval(PING_EVERY)
+        .keep_alive_timeout(PING_TIMEOUT)
+        .initial_stream_window_size(WINDOW_BYTES)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .handshake(TokioIo::new(socket));
+    let (sender, connection) = handshake.await.map_err(|_| unreached())?;
+    tokio::spawn(async move {
+        // The error reaches each waiting call through its own sender.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+impl Service for Links {
+    fn name(&self) -> &'static str {
+        "links"
+    }
+
+    fn dump(&self, _now: Moment) -> Value {
+        let slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut peers: Vec<_> = slots.keys().map(ToString::to_string).collect();
+        peers.sort();
+        json!({ "connections": peers })
+    }
+}
--- /dev/null
+++ b/node/src/platform.rs
@@ -0,0 +1,127 @@
+//! HTTP client of the platform's log service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use poplar_core::Offset;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+/// Time a read may wait at the log for new records.
+pub(crate) const READ_WAIT: Duration = Duration::from_secs(5);
+/// Records asked for in one read, which bounds the memory that one answer takes.
+const READ_RECORDS: usize = 256;
+/// Largest answer of the log, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 8 << 20;
+/// Time after which an append counts as unconfirmed.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Client of the log at one address.
+#[derive(Debug, Clone)]
+pub(crate) struct Platform {
+    address: SocketAddr,
+    http: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// Records that one read brought.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Batch {
+    /// Oldest offset that the log still keeps.
+    pub(crate) start: Offset,
+    /// Records in order of their offsets.
+    pub(crate) records: Vec<LogRecord>,
+}
+
+/// One record as the log holds it.
+#[derive(Debug, Deserialize)]
+pub(crate) struct LogRecord {
+    /// Position in the stream.
+    pub(crate) offset: Offset,
+    /// Content; its shape is for the stream's reader to judge.
+    pub(crate) body: serde_json::Value,
+}
+
+/// Answer to an append.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Appended {
+    /// Position that the record got.
+    pub(crate) offset: Offset,
+}
+
+/// Why the log did not serve; an append may have taken effect all the same.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum PlatformError {
+    #[error("log did not answer in time")]
+    Timeout,
+    #[error("log cannot be reached: {0}")]
+    Connect(#[from] hyper_util::client::legacy::Error),
+    #[error("log answered with status {0}")]
+    Status(u16),
+    #[error("log's answer cannot be read: {0}")]
+    Body(String),
+}
+
+impl Platform {
+    /// Client of the log at `address`; connects on first use.
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        let http =
+            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build_http();
+        Self { address, http }
+    }
+
+    /// Reads records of `stream` from `from` on, waiting for the first one.
+    pub(crate) async fn read(&self, stream: &str, from: Offset) -> Result<Batch, PlatformError> {
+        let wait_ms = READ_WAIT.as_millis();
+        let path =
+            format!("/streams/{stream}/records?from={from}&wait_ms={wait_ms}&limit={READ_RECORDS}");
+        self.exchange(Method::GET, &path, Bytes::new(), READ_WAIT + APPEND_TIMEOUT).await
+    }
+
+    /// Appends one record to `stream`.
+    pub(crate) async fn append(&self, stream: &str, body: Bytes) -> Result<Offset, PlatformError> {
+        let path = format!("/streams/{stream}/records");
+        let done: Appended = self.exchange(Method::POST, &path, body, APPEND_TIMEOUT).await?;
+        Ok(done.offset)
+    }
+
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<T, PlatformError> {
+        let work = self.exchange_unbounded(method, path, body);
+        tokio::time::timeout(timeout, work).await.map_err(|_| PlatformError::Timeout)?
+    }
+
+    async fn exchange_unbounded<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T, PlatformError> {
+        let uri = format!("http://{}{path}", self.address);
+        let req = Request::builder()
+            .method(method)
+            .uri(uri)
+            .body(Full::new(body))
+            .map_err(|error| PlatformError::Body(error.to_string()))?;
+        let resp = self.http.request(req).await?;
+        if !resp.status().is_success() {
+            return Err(PlatformError::Status(resp.status().as_u16()));
+        }
+        let body = Limited::new(resp.into_body(), ANSWER_LIMIT_BYTES)
+            .collect()
+            .await
+            .map_err(|error| PlatformError::Body(error.to_string()))?
+            .to_bytes();
+        serde_json::from_slice(&body).map_err(|error| PlatformError::Body(error.to_string()))
+    }
+}
--- /dev/null
+++ b/node/src/process.rs
@@ -0,0 +1,217 @@
+//! The process as a whole: its services, its ends and its life cycle.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use poplar_core::Incarnation;
+use poplar_kernel::{
+    Clock, Draining, Life, LogFormat, Registry, RegistryError, Serving, part, root_logger,
+};
+use poplar_wire::MemberState;
+use slog::{Logger, info, warn};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+use crate::announce::{Announcer, Identity};
+use crate::contracts::Contracts;
+use crate::directory::Directory;
+use crate::ends::{admin, caller, listener, peer};
+use crate::entry::Entry;
+use crate::follow;
+use crate::links::Links;
+use crate::platform::Platform;
+use crate::route::Route;
+use crate::runs::Runs;
+use crate::settings::Settings;
+use crate::target::{Stage, Target};
+use crate::work::Work;
+
+/// Longest time that a graceful stop waits for calls in flight.
+const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+/// Pause between looks at the calls in flight while draining.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time for which a draining node goes on refusing, so that no member still sends to it.
+const DRAIN_LINGER: Duration = Duration::from_millis(500);
+
+/// Why the process could not start.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum StartError {
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    #[error("{0}")]
+    Registry(#[from] RegistryError),
+    #[error("{0}")]
+    Format(String),
+}
+
+/// Sockets of the three ends, bound before anything is announced.
+struct Sockets {
+    caller: TcpListener,
+    peer: TcpListener,
+    admin: TcpListener,
+}
+
+/// Services that the shell itself speaks to.
+struct Services {
+    registry: Arc<Registry>,
+    entry: Arc<Entry>,
+    work: Arc<Work>,
+    announcer: Arc<Announcer>,
+}
+
+/// Runs the node until it is told to stop.
+pub(crate) fn run(settings: Settings) -> Result<(), StartError> {
+    let format: LogFormat = settings.log_format.parse().map_err(StartError::Format)?;
+    let root = root_logger(format);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(live(settings, root))
+}
+
+async fn live(settings: Settings, root: Logger) -> Result<(), StartError> {
+    let logger = part(&root, "process");
+    let life = Life::begin();
+    let sockets = bind(&settings).await?;
+    let clock = Clock::start();
+    let (records, appends) = mpsc::unbounded_channel();
+    let services = build(clock, &settings, &sockets, records)?;
+    spawn_followers(&settings, &services, appends, &root)?;
+    print_ready(&sockets)?;
+    let life = life.serve();
+    info!(logger, "serving"; "instance" => %settings.instance);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let ends = spawn_ends(sockets, &life, &services, clock);
+    terminate.recv().await;
+    info!(logger, "draining");
+    let life = drain(life.drain(), &services, clock, &logger).await;
+    let _stopped = life.stop();
+    for end in ends {
+        // A cancelled end has nothing left to say.
+        let _ = end.await;
+    }
+    info!(logger, "stopped");
+    Ok(())
+}
+
+async fn bind(settings: &Settings) -> Result<Sockets, StartError> {
+    Ok(Sockets {
+        caller: TcpListener::bind(settings.caller_address).await?,
+        peer: TcpListener::bind(settings.peer_address).await?,
+        admin: TcpListener::bind(settings.admin_address).await?,
+    })
+}
+
+fn build(
+    clock: Clock,
+    settings: &Settings,
+    sockets: &Sockets,
+    records: mpsc::UnboundedSender<poplar_wire::MemberRecord>,
+) -> Result<Services, StartError> {
+    let identity = Identity {
+        instance: settings.instance.clone(),
+        incarnation: first_incarnation(),
+        zone: settings.zone.clone(),
+        peer_address: sockets.peer.local_addr()?,
+    };
+    let registry = Arc::new(Registry::default());
+    registry.register(Arc::new(Contracts::default()));
+    registry.register(Arc::new(Directory::default()));
+    registry.register(Arc::new(Links::default()));
+    registry.register(Arc::new(Runs::default()));
+    registry.register(Arc::new(Target::new()));
+    let work = Arc::new(Work::new(clock, &registry)?);
+    registry.register(work.clone());
+    registry.register(Arc::new(Route::new(clock, settings.instance.clone(), &registry)?));
+    let entry = Arc::new(Entry::new(clock, &registry)?);
+    registry.register(entry.clone());
+    let announcer = Arc::new(Announcer::new(clock, identity, &registry, records)?);
+    registry.register(announcer.clone());
+    Ok(Services { registry, entry, work, announcer })
+}
+
+/// Incarnation of a new process: an instance keeps nothing, so the wall clock stands in.
+fn first_incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(since.as_micros() as u64)
+}
+
+fn spawn_followers(
+    settings: &Settings,
+    services: &Services,
+    appends: mpsc::UnboundedReceiver<poplar_wire::MemberRecord>,
+    root: &Logger,
+) -> Result<(), StartError> {
+    let platform = Platform::new(settings.log_address);
+    let logger = part(root, "log");
+    let directory = services.registry.find("directory")?;
+    let contracts = services.registry.find("contracts")?;
+    tokio::spawn(follow::follow_members(platform.clone(), directory, logger.clone()));
+    tokio::spawn(follow::follow_contracts(platform.clone(), contracts, logger.clone()));
+    tokio::spawn(follow::append_members(platform, appends, logger));
+    Ok(())
+}
+
+fn print_ready(sockets: &Sockets) -> Result<(), StartError> {
+    let caller = sockets.caller.local_addr()?;
+    let peer = sockets.peer.local_addr()?;
+    let admin = sockets.admin.local_addr()?;
+    println!("ready caller={caller} peer={peer} admin={admin}");
+    Ok(())
+}
+
+fn spawn_ends(
+    sockets: Sockets,
+    life: &Life<Serving>,
+    services: &Services,
+    clock: Clock,
+) -> Vec<tokio::task::JoinHandle<()>> {
+    let entry = services.entry.clone();
+    let callers = listener::accept(sockets.caller, life.watch(), move |socket, graceful| {
+        caller::connection(socket, graceful, entry.clone())
+    });
+    let work = services.work.clone();
+    let peers = listener::accept(sockets.peer, life.watch(), move |socket, graceful| {
+        peer::connection(socket, graceful, work.clone())
+    });
+    let admin = admin::Admin {
+        clock,
+        registry: services.registry.clone(),
+        announcer: services.announcer.clone(),
+    };
+    let routes = admin::routes(admin);
+    let admin = async move {
+        if let Ok(acceptor) = poem::listener::TcpAcceptor::from_tokio(sockets.admin) {
+            // The admin end lives as long as the process; its error ends nothing else.
+            let _ = poem::Server::new_with_acceptor(acceptor).run(routes).await;
+        }
+    };
+    tokio::spawn(admin);
+    vec![tokio::spawn(callers), tokio::spawn(peers)]
+}
+
+/// Refuses new work, tells the members, and waits until nothing is in flight.
+async fn drain(
+    life: Life<Draining>,
+    services: &Services,
+    clock: Clock,
+    logger: &Logger,
+) -> Life<Draining> {
+    services.announcer.change(Stage::Draining, MemberState::Draining);
+    services.work.seal();
+    services.entry.seal();
+    let limit = clock.now() + DRAIN_LIMIT;
+    tokio::time::sleep(DRAIN_LINGER).await;
+    while busy(services) && clock.now() < limit {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+    if busy(services) {
+        warn!(logger, "calls cut off by the drain limit"; "calls" => services.work.in_flight());
+    }
+    services.announcer.change(Stage::Left, MemberState::Left);
+    tokio::time::sleep(DRAIN_POLL).await;
+    life
+}
+
+fn busy(services: &Services) -> bool {
+    services.work.in_flight() + services.entry.in_flight() > 0
+}
--- /dev/null
+++ b/node/src/runs.rs
@@ -0,0 +1,105 @@
+//! Runs at the target beside this node that have not ended, by the token that names each.
+//!
+//! A further call that the target makes carries the token, and from it this node knows the root
+//! request, the deadline and the retry units that the call may use.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use poplar_core::{Moment, RequestId};
+use poplar_kernel::Service;
+use poplar_wire::CallMeta;
+use serde_json::{Value, json};
+
+/// One run that has not ended.
+#[derive(Debug)]
+pub(crate) struct Run {
+    /// Terms under which the request came.
+    pub(crate) meta: CallMeta,
+    /// Moment after which its answer is of no use.
+    pub(crate) deadline: Moment,
+    /// Moment at which it came.
+    pub(crate) since: Moment,
+    token: RequestId,
+    ordinal: AtomicU32,
+    units: Mutex<u32>,
+}
+
+/// Service that knows the runs.
+#[derive(Debug, Default)]
+pub(crate) struct Runs {
+    open: Mutex<HashMap<RequestId, Arc<Run>>>,
+}
+
+/// Keeps a run open; closing happens on drop, so that a cancelled run is closed as well.
+pub(crate) struct OpenRun {
+    runs: Arc<Runs>,
+    pub(crate) run: Arc<Run>,
+}
+
+impl Run {
+    /// Identifier of the next call that this run makes.
+    ///
+    /// It derives from the token rather than from the request: a second run of the same request
+    /// may make its calls in another order, and must not be given the first run's answers.
+    pub(crate) fn next_child(&self) -> RequestId {
+        self.token.child(self.ordinal.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Takes every unit that is not lent at present.
+    pub(crate) fn take_units(&self) -> u32 {
+        std::mem::take(&mut *self.units.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts back what a child call did not spend.
+    pub(crate) fn return_units(&self, units: u32) {
+        *self.units.lock().unwrap_or_else(PoisonError::into_inner) += units;
+    }
+}
+
+impl Runs {
+    /// Opens a run named `token`.
+    pub(crate) fn open(self: &Arc<Self>, token: RequestId, meta: CallMeta, now: Moment) -> OpenRun {
+        let run = Arc::new(Run {
+            deadline: now + meta.left,
+            since: now,
+            token,
+            ordinal: AtomicU32::new(0),
+            units: Mutex::new(meta.units),
+            meta,
+        });
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).insert(token, run.clone());
+        OpenRun { runs: self.clone(), run }
+    }
+
+    /// Run named `token`, if it has not ended.
+    pub(crate) fn find(&self, token: RequestId) -> Option<Arc<Run>> {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).get(&token).cloned()
+    }
+}
+
+impl Drop for OpenRun {
+    fn drop(&mut self) {
+        let mut open = self.runs.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.remove(&self.run.token);
+    }
+}
+
+impl Service for Runs {
+    fn name(&self) -> &'static str {
+        "runs"
+    }
+
+    fn dump(&self, now: Moment) -> Value {
+        let open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        let rows = open.values().map(|run| {
+            json!({
+                "request": run.meta.request,
+                "class": run.meta.class,
+                "age_ms": now.since(run.since).as_millis() as u64,
+            })
+        });
+        Value::Array(rows.collect())
+    }
+}
--- /dev/null
+++ b/node/src/work.rs
@@ -0,0 +1,127 @@
+//! Calls that this node has its own target run: the callee's half of a hop.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use poplar_core::{ErrorKind, Moment, Outcome, RequestId};
+use poplar_kernel::{Clock, Registry, RegistryError, Service};
+use poplar_wire::{Answer, CallMeta, CallReply, CallRequest};
+use serde_json::{Value, json};
+
+use crate::contracts::Contracts;
+use crate::runs::Runs;
+use crate::target::{Ran, Target};
+
+/// Time to come back that a refusal names while nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_millis(200);
+
+/// Service that admits calls and has the target run them.
+#[derive(Debug)]
+pub(crate) struct Work {
+    clock: Clock,
+    contracts: Arc<Contracts>,
+    runs: Arc<Runs>,
+    target: Arc<Target>,
+    sealed: std::sync::atomic::AtomicBool,
+    in_flight: AtomicU32,
+}
+
+/// One unit of concurrency, given back on drop.
+struct Slot<'a>(&'a AtomicU32);
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Work {
+    /// Service that finds what it needs in `registry`.
+    pub(crate) fn new(clock: Clock, registry: &Registry) -> Result<Self, RegistryError> {
+        Ok(Self {
+            clock,
+            contracts: registry.find("contracts")?,
+            runs: registry.find("runs")?,
+            target: registry.find("target")?,
+            sealed: false.into(),
+            in_flight: AtomicU32::new(0),
+        })
+    }
+
+    /// Takes nothing new from now on.
+    pub(crate) fn seal(&self) {
+        self.sealed.store(true, Ordering::Release);
+    }
+
+    /// Calls that have not ended.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Serves one call; a once-only call goes on even if the sender's connection is lost.
+    pub(crate) async fn serve(self: &Arc<Self>, call: CallRequest) -> CallReply {
+        let CallRequest { meta, body } = call;
+        let (request, attempt) = (meta.request, meta.attempt);
+        let (outcome, units) = if meta.once {
+            let (this, spent) = (self.clone(), (unknown(ErrorKind::Connection), 0));
+            let work = tokio::spawn(async move { this.admit(meta, body).await });
+            work.await.unwrap_or(spent)
+        } else {
+            self.admit(meta, body).await
+        };
+        CallReply { request, attempt, outcome, units, level: 0 }
+    }
+
+    async fn admit(&self, meta: CallMeta, body: Bytes) -> (Outcome<Answer>, u32) {
+        let units = meta.units;
+        if self.sealed.load(Ordering::Acquire) {
+            return (not_run(ErrorKind::Draining), units);
+        }
+        let Some(terms) = self.contracts.current(&meta.customer).and_then(|c| c.terms(&meta.class))
+        else {
+            return (not_run(ErrorKind::NoContract), units);
+        };
+        let Some(announced) = self.target.serving(self.clock.now()) else {
+            return (not_run(ErrorKind::NoTarget), units);
+        };
+        let slot = Slot(&self.in_flight);
+        if self.in_flight.fetch_add(1, Ordering::AcqRel) >= announced.slots {
+            return (not_run(ErrorKind::Overload), units);
+        }
+        let token = RequestId(fastrand::u128(..));
+        let left = meta.left;
+        let open = self.runs.open(token, meta, self.clock.now());
+        let meta = &open.run.meta;
+        let largest = terms.class.largest_answer;
+        let run = self.target.run(&announced.address, meta, token, largest, body);
+        let ran = tokio::time::timeout(left, run).await;
+        drop(slot);
+        let outcome = match ran {
+            Ok(Ran::Answer(answer)) => Outcome::Done(answer),
+            Ok(Ran::NotRun(kind)) => not_run(kind),
+            Ok(Ran::Unknown(kind)) => unknown(kind),
+            Err(_) => unknown(ErrorKind::Deadline),
+        };
+        (outcome, open.run.take_units())
+    }
+}
+
+fn not_run(kind: ErrorKind) -> Outcome<Answer> {
+    Outcome::NotRun { kind, retry_after: RETRY_AFTER }
+}
+
+fn unknown(kind: ErrorKind) -> Outcome<Answer> {
+    Outcome::Unknown { kind }
+}
+
+impl Service for Work {
+    fn name(&self) -> &'static str {
+        "work"
+    }
+
+    fn dump(&self, _now: Moment) -> Value {
+        json!({ "in_flight": self.in_flight(), "sealed": self.sealed.load(Ordering::Acquire) })
+    }
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -2,13 +2,18 @@
 //!
 //! This crate holds shapes and codecs only; it opens no socket.
 
+mod codec;
 mod message;
+mod text;
 
+pub use codec::{CodecError, MESSAGE_LIMIT_BYTES, decode, encode};
 pub use message::{
     Announcement, Answer, CallMeta, CallReply, CallRequest, ContractRecord, MemberRecord,
     MemberState,
 };
 
+pub use text::{binding_text, parse_binding};
+
 /// Names of the HTTP headers that callers, targets and nodes exchange.
 pub mod header {
     /// Customer whose contract governs the call.
