Add the fold of the stream of contracts

Cause: node, operator's command and model need one function that judges contract records, so that equal prefixes of the log give equal states. Ruled out: a starting point in the middle of the log (it could accept the loser of a race); unbounded memory of publish ids (the revision has passed the base of all that was accepted, so a forgotten id can't be accepted again). Before: a provisional record type in wire, no fold. Conclusion: Fold, ContractRecord, Verdict, InForce and Word are the interface to build on.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -18,6 +18,10 @@
 
 pub use binding::Binding;
 pub use contract::{ClassTerms, Contract, ContractError, Goal};
+pub use fold::{
+    ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, MAX_REFUSED,
+    RecordFault, Verdict, Word,
+};
 pub use ids::{
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
     rendezvous_weight,
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -5,9 +5,9 @@
 mod message;
 
 pub use message::{
-    Announcement, Answer, CallMeta, CallReply, CallRequest, ContractRecord, MemberRecord,
-    MemberState,
+    Announcement, Answer, CallMeta, CallReply, CallRequest, MemberRecord, MemberState,
 };
+pub use poplar_core::ContractRecord;
 
 /// Names of the HTTP headers that callers, targets and nodes exchange.
 pub mod header {
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -4,8 +4,7 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    AttemptId, Binding, Contract, Importance, Incarnation, InstanceId, Name, Offset, Outcome,
-    PublishId, RequestId, Revision,
+    AttemptId, Binding, Importance, Incarnation, InstanceId, Name, Outcome, RequestId, Revision,
 };
 use serde::{Deserialize, Serialize};
 
@@ -121,25 +120,3 @@
     /// State.
     pub state: MemberState,
 }
-
-/// Record on the stream of contracts.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "kind", rename_all = "kebab-case")]
-pub enum ContractRecord {
-    /// A revision that an operator publishes.
-    Publish {
-        /// Act of publishing.
-        id: PublishId,
-        /// Revision that the operator revised.
-        base: Revision,
-        /// Contract.
-        contract: Box<Contract>,
-    },
-    /// The state of the fold up to an offset, so that older records may expire.
-    Snapshot {
-        /// First offset that the state does not cover.
-        next: Offset,
-        /// State of the fold, encoded by `poplar-core`.
-        state: serde_json::Value,
-    },
-}
