--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -8,9 +8,9 @@
 
 pub use codec::{CodecError, MESSAGE_LIMIT_BYTES, decode, encode};
 pub use message::{
-    Announcement, Answer, CallMeta, CallReply, CallRequest, ContractRecord, MemberRecord,
-    MemberState,
+    Announcement, Answer, CallMeta, CallReply, CallRequest, MemberRecord, MemberState,
 };
+pub use poplar_core::ContractRecord;
 
 pub use text::{binding_text, parse_binding};
 
