Add the retry budget that is moved through the chain

Cause: retries multiply at each hop when every hop has its own bound. Ruled out: a copied counter (parallel children spend it twice), a ratio per node (bounds load, not one request), free calls in reruns (bound times the size of the tree). Before: nothing. Conclusion: sends beyond the first of each call stay within the contract's bound. ErrorKind gains RetriesSpent (429).

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,6 +17,10 @@
 mod time;
 
 pub use binding::Binding;
+pub use budget::{
+    Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
+    RetriesSpent, Run, come_back_after, keeper, next_step,
+};
 pub use contract::{ClassTerms, Contract, ContractError, Goal};
 pub use ids::{
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
--- a/core/src/outcome.rs
+++ b/core/src/outcome.rs
@@ -46,6 +46,8 @@
     Draining,
     /// The request crashed its targets and is not run again.
     CrashSuspect,
+    /// The retry bound of the request is reached.
+    RetriesSpent,
     /// The deadline passed.
     Deadline,
     /// The caller is gone or cancelled.
@@ -75,7 +77,7 @@
 
 impl ErrorKind {
     /// Every kind, in the order of the table in the operators' page.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::BadRequest,
         Self::UnknownClass,
         Self::OnceInRepeatable,
@@ -84,6 +86,7 @@
         Self::Overload,
         Self::Draining,
         Self::CrashSuspect,
+        Self::RetriesSpent,
         Self::Deadline,
         Self::Cancelled,
         Self::Connection,
@@ -106,6 +109,7 @@
             Self::Overload => (503, true, "refused in favour of other work"),
             Self::Draining => (503, true, "the target is leaving"),
             Self::CrashSuspect => (422, false, "the request crashed its targets"),
+            Self::RetriesSpent => (429, false, "the retries of the request are spent"),
             Self::Deadline => (504, true, "the deadline passed"),
             Self::Cancelled => (499, false, "the caller is gone"),
             Self::Connection => (502, true, "a connection failed"),
@@ -128,6 +132,7 @@
             Self::Overload => "overload",
             Self::Draining => "draining",
             Self::CrashSuspect => "crash-suspect",
+            Self::RetriesSpent => "retries-spent",
             Self::Deadline => "deadline",
             Self::Cancelled => "cancelled",
             Self::Connection => "connection",
--- /dev/null
+++ b/core/tests/budget.rs
@@ -0,0 +1,326 @@
+//! Retry budget over random call trees with losses, and the decision to re-send.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use poplar_core::{
+    Budget, Call, CallTerms, ErrorKind, Grant, InstanceId, Ledger, Loan, Moment, Next, OpenRequest,
+    Opening, Outcome, RequestId, Run, come_back_after, keeper, next_step, rendezvous_weight,
+};
+
+const SEED: u64 = 0x9E37;
+const TREES: u64 = 4_000;
+const DEADLINE: Duration = Duration::from_secs(2);
+const WINDOW: Duration = Duration::from_secs(60);
+
+/// Even random numbers; those of quickcheck's `Gen` favour the ends of the scale.
+struct Random(u64);
+
+impl Random {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(1);
+        rendezvous_weight(u128::from(self.0), "random")
+    }
+
+    fn below(&mut self, bound: u32) -> u32 {
+        (self.next() % u64::from(bound)) as u32
+    }
+}
+
+/// Random call tree whose sends are counted by request id.
+struct Tree {
+    random: Random,
+    depth: u32,
+    faults: u32,
+    sends: HashMap<RequestId, u32>,
+}
+
+impl Tree {
+    fn below(&mut self, bound: u32) -> u32 {
+        self.random.below(bound)
+    }
+
+    fn fails(&mut self) -> bool {
+        self.below(100) < self.faults
+    }
+
+    /// The shape depends on the request id alone, so that a rerun makes the same calls.
+    fn children(&self, request: RequestId, depth: u32) -> u32 {
+        let widest = if depth < 4 { 3 } else { 1 };
+        if depth >= self.depth { 0 } else { 1 + u32::from(request.lot()) % widest }
+    }
+
+    fn run(&mut self, request: RequestId, depth: u32, grant: Grant) -> (Outcome<()>, u32) {
+        let mut budget = Budget::receive(grant);
+        let children = self.children(request, depth);
+        let parallel = request.lot().is_multiple_of(2);
+        let mut out = Vec::new();
+        for ordinal in 0..children {
+            let siblings = if parallel { children - ordinal } else { 1 };
+            let child = request.child(ordinal);
+            let mut call = Call::new();
+            let share = budget.share(siblings);
+            let Ok(loan) = self.send(&mut call, &mut budget, child, share) else { continue };
+            if parallel {
+                out.push((child, call, loan));
+            } else {
+                self.finish(child, call, loan, &mut budget, depth);
+            }
+            if self.faults > 0 && self.below(60) == 0 {
+                return (Outcome::Unknown { kind: ErrorKind::Connection }, 0);
+            }
+        }
+        for (child, call, loan) in out {
+            self.finish(child, call, loan, &mut budget, depth);
+        }
+        (Outcome::Done(()), budget.close())
+    }
+
+    fn send(
+        &mut self,
+        call: &mut Call,
+        budget: &mut Budget,
+        request: RequestId,
+        units: u32,
+    ) -> Result<Loan, poplar_core::RetriesSpent> {
+        let loan = call.send(budget, units)?;
+        *self.sends.entry(request).or_default() += 1;
+        Ok(loan)
+    }
+
+    /// Follows a call that was sent once until its final outcome.
+    fn finish(
+        &mut self,
+        request: RequestId,
+        mut call: Call,
+        mut loan: Loan,
+        budget: &mut Budget,
+        depth: u32,
+    ) -> (Outcome<()>, Call) {
+        loop {
+            let outcome = self.deliver(request, &mut call, loan, budget, depth);
+            let terms = CallTerms {
+                once: false,
+                ran: call.may_have_run(),
+                suspect: false,
+                elsewhere: true,
+                units: budget.left(),
+                left: DEADLINE,
+            };
+            let last = match next_step(outcome, &terms, 1) {
+                Next::Final { outcome, .. } => outcome,
+                Next::Resend => {
+                    let share = budget.share(1);
+                    loan = self.send(&mut call, budget, request, share).expect("a unit is at hand");
+                    continue;
+                }
+            };
+            return (last, call);
+        }
+    }
+
+    fn deliver(
+        &mut self,
+        request: RequestId,
+        call: &mut Call,
+        loan: Loan,
+        budget: &mut Budget,
+        depth: u32,
+    ) -> Outcome<()> {
+        let grant = loan.grant();
+        let fault = if self.fails() { self.below(3) } else { 3 };
+        let lost = Outcome::Unknown { kind: ErrorKind::Connection };
+        match fault {
+            0 => {
+                let refused =
+                    Outcome::NotRun { kind: ErrorKind::Overload, retry_after: Duration::ZERO };
+                call.answered(budget, loan, grant.units, &refused);
+                refused
+            }
+            1 => {
+                call.lost(loan);
+                lost
+            }
+            2 => {
+                // The run goes on and spends what it was lent; its answer comes too late.
+                call.lost(loan);
+                self.run(request, depth + 1, grant);
+                lost
+            }
+            _ => {
+                let (outcome, returned) = self.run(request, depth + 1, grant);
+                call.answered(budget, loan, returned, &outcome);
+                outcome
+            }
+        }
+    }
+
+    /// One entry's whole run of the request.
+    fn enter(&mut self, request: RequestId, run: Run) -> Run {
+        let Run { number, mut budget, mut call } = run;
+        let share = budget.share(1);
+        if let Ok(loan) = self.send(&mut call, &mut budget, request, share) {
+            call = self.finish(request, call, loan, &mut budget, 0).1;
+        }
+        Run { number, budget, call }
+    }
+
+    fn excess(&self) -> u32 {
+        self.sends.values().map(|sends| sends - 1).sum()
+    }
+}
+
+fn ask(request: RequestId, retries: u32) -> OpenRequest {
+    OpenRequest { request, retries, first: false, deadline: DEADLINE }
+}
+
+/// Lets a caller send `request` up to seven times through changing entries; some are lost with
+/// their run, some are frozen and run it long after.
+fn hammer(tree: &mut Tree, request: RequestId, retries: u32) {
+    let mut now = Moment::from_millis(100_000);
+    let mut ledger = Ledger::new(Moment::default(), WINDOW, 4);
+    let mut frozen = Vec::new();
+    for _ in 0..1 + tree.below(7) {
+        if let Opening::Run(run) = ledger.open(now, &ask(request, retries)) {
+            match tree.below(if tree.faults > 0 { 4 } else { 1 }) {
+                0 | 1 => {
+                    let run = tree.enter(request, run);
+                    ledger.close(now, request, run);
+                }
+                2 => drop(tree.enter(request, run)),
+                _ => frozen.push(run),
+            }
+        }
+        now = now + Duration::from_millis(u64::from(tree.below(3_000)));
+        ledger.verify().expect("ledger is consistent");
+    }
+    for run in frozen {
+        let run = tree.enter(request, run);
+        ledger.close(now, request, run);
+    }
+}
+
+#[test]
+fn sends_beyond_the_first_never_exceed_the_bound() {
+    let (mut resent, mut reached) = (0, 0);
+    for seed in 0..TREES {
+        let mut random = Random((SEED + seed) << 32);
+        let retries = random.below(25);
+        let depth = 1 + random.below(18);
+        let faults = [0, 5, 20, 60][seed as usize % 4];
+        let mut tree = Tree { random, depth, faults, sends: HashMap::new() };
+        hammer(&mut tree, RequestId(u128::from(seed)), retries);
+        let excess = tree.excess();
+        assert!(excess <= retries, "seed {seed}: {excess} re-sends, bound {retries}");
+        resent += u32::from(excess > 0);
+        reached += u32::from(excess > 0 && excess == retries);
+    }
+    println!("trees={TREES} with_resends={resent} bound_reached={reached}");
+    assert!(resent > 1_000 && reached > 100, "the trees are too tame to test the bound");
+}
+
+#[test]
+fn an_answer_cannot_bring_back_more_than_was_lent() {
+    let (mut budget, mut call) = (Budget::grant(5), Call::new());
+    let loan = call.send(&mut budget, 2).expect("the first send is free");
+    call.answered(&mut budget, loan, u32::MAX, &Outcome::Done(()));
+    assert_eq!(budget.close(), 5);
+}
+
+#[test]
+fn a_run_that_is_out_bars_a_second_one_and_its_loss_leaves_one_unit() {
+    let mut ledger = Ledger::new(Moment::default(), WINDOW, 4);
+    let (now, id) = (Moment::from_millis(100_000), RequestId(7));
+    let Opening::Run(first) = ledger.open(now, &ask(id, 3)) else { panic!("first send refused") };
+    assert_eq!(first.budget.left(), 2);
+    assert_eq!(ledger.open(now, &ask(id, 3)), Opening::Running);
+    let later = now + DEADLINE;
+    let Opening::Run(second) = ledger.open(later, &ask(id, 3)) else { panic!("no reserve") };
+    assert_eq!((second.budget.left(), second.call.may_have_run()), (1, true));
+    ledger.close(later, id, first);
+    assert_eq!(ledger.open(later, &ask(id, 3)), Opening::Running, "a late close ended the run");
+    let end = later + DEADLINE;
+    assert_eq!(ledger.open(end, &ask(id, 3)), Opening::Spent { ran: true });
+}
+
+#[test]
+fn an_id_that_was_refused_before_any_send_starts_afresh() {
+    let mut ledger = Ledger::new(Moment::default(), WINDOW, 4);
+    let (now, id) = (Moment::from_millis(100_000), RequestId(7));
+    for _ in 0..9 {
+        let Opening::Run(run) = ledger.open(now, &ask(id, 2)) else { panic!("charged unsent") };
+        ledger.close(now, id, run);
+    }
+}
+
+#[test]
+fn a_new_keeper_grants_unknown_ids_no_retries_for_one_window() {
+    let now = Moment::from_millis(100_000);
+    let mut ledger = Ledger::new(now, WINDOW, 2);
+    let units = |ledger: &mut Ledger, at, ask: &OpenRequest| match ledger.open(at, ask) {
+        Opening::Run(run) => run.budget.left(),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(units(&mut ledger, now, &ask(RequestId(1), 3)), 0);
+    let marked = OpenRequest { first: true, ..ask(RequestId(2), 3) };
+    assert_eq!(units(&mut ledger, now, &marked), 2);
+    assert_eq!(ledger.open(now, &ask(RequestId(3), 3)), Opening::Full);
+    let later = now + WINDOW + DEADLINE;
+    assert_eq!(units(&mut ledger, later, &ask(RequestId(3), 3)), 2, "expired ids are forgotten");
+    assert_eq!(ledger.len(), 1);
+}
+
+#[test]
+fn the_loss_of_a_member_moves_only_the_ids_it_kept() {
+    let members: Vec<InstanceId> = (0..9).map(|n| format!("i{n}").as_str().into()).collect();
+    for id in (0..500).map(RequestId) {
+        let before = keeper(id, &members).unwrap();
+        let after = keeper(id, &members[1..]).unwrap();
+        assert!(before == after || *before == members[0]);
+    }
+}
+
+#[test]
+fn decisions_are_final_at_once_unless_another_send_is_safe_and_paid() {
+    let open = CallTerms {
+        once: false,
+        ran: false,
+        suspect: false,
+        elsewhere: true,
+        units: 1,
+        left: DEADLINE,
+    };
+    let refused =
+        Outcome::<()>::NotRun { kind: ErrorKind::Overload, retry_after: Duration::from_secs(1) };
+    let lost = Outcome::<()>::Unknown { kind: ErrorKind::Connection };
+    let resends = |outcome: &Outcome<()>, terms: CallTerms| {
+        matches!(next_step(outcome.clone(), &terms, 9), Next::Resend)
+    };
+    assert!(resends(&refused, open) && resends(&lost, open));
+    assert!(resends(&refused, CallTerms { once: true, ..open }));
+    assert!(!resends(&lost, CallTerms { once: true, ..open }));
+    for closed in [
+        CallTerms { suspect: true, ..open },
+        CallTerms { elsewhere: false, ..open },
+        CallTerms { units: 0, ..open },
+        CallTerms { left: Duration::ZERO, ..open },
+    ] {
+        assert!(!resends(&refused, closed) && !resends(&lost, closed), "{closed:?}");
+    }
+    let ran = CallTerms { ran: true, units: 0, ..open };
+    let Next::Final { outcome, retry_after } = next_step(refused, &ran, 9) else { panic!() };
+    assert_eq!(outcome, Outcome::Unknown { kind: ErrorKind::Overload }, "an earlier send may run");
+    assert!(retry_after >= Some(Duration::from_secs(1)));
+}
+
+#[test]
+fn refused_callers_come_back_spread_over_the_span() {
+    let base = Duration::from_secs(1);
+    let mut random = Random(SEED);
+    let mut slots = [0_u32; 10];
+    for _ in 0..10_000 {
+        let after = come_back_after(base, random.next());
+        slots[((after - base).as_millis() / 100) as usize] += 1;
+    }
+    assert!(slots.iter().all(|&n| (800..1_200).contains(&n)), "{slots:?}");
+}
