--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,6 +17,10 @@
 mod time;
 
 pub use binding::Binding;
+pub use budget::{
+    Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
+    RetriesSpent, Run, come_back_after, keeper, next_step,
+};
 pub use contract::{ClassTerms, Contract, ContractError, Goal};
 pub use fold::{
     ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, MAX_REFUSED,
