Decide on admission by importance, with levels for the callers

Cause: the node had no admission; it needs limits, a short ordered queue and the level that goes back with each answer. Ruled out: refusing by level while a slot is free, since the call that has arrived is already paid for; a level per importance without lots, since it lets random parts of requests survive.

--- a/core/src/admission.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Admission by importance, with levels that travel up the chain.
--- /dev/null
+++ b/core/src/admission/map.rs
@@ -0,0 +1,97 @@
+//! Levels that a caller learnt from answers, so that a doomed call is refused where it enters.
+
+use std::collections::BTreeMap;
+
+use crate::ids::{InstanceId, Name};
+use crate::limit::ImportanceScale;
+use crate::time::Moment;
+
+use super::level::{Level, Rank};
+
+/// Largest number of classes in the map.
+const CLASSES_MAX: usize = 4_096;
+/// Largest number of instances kept per class.
+const INSTANCES_MAX: usize = 16;
+
+/// Levels learnt per class and answering instance.
+///
+/// At most 4,096 classes with 16 instances each are kept. What is not refreshed falls at the rate
+/// at which targets lower their own level, and is then forgotten.
+#[derive(Debug)]
+pub struct LevelMap {
+    scale: ImportanceScale,
+    classes: BTreeMap<Name, Vec<Learnt>>,
+}
+
+#[derive(Debug)]
+struct Learnt {
+    instance: InstanceId,
+    level: Level,
+    at: Moment,
+}
+
+impl LevelMap {
+    /// Map without knowledge, for a contract with these importances.
+    pub fn new(scale: ImportanceScale) -> Self {
+        Self { scale, classes: BTreeMap::new() }
+    }
+
+    /// Takes over the importances of a new contract revision.
+    pub fn revise(&mut self, scale: ImportanceScale) {
+        self.scale = scale;
+    }
+
+    /// Takes in the level that came with an answer of `instance` to a call of `class`.
+    pub fn learn(&mut self, now: Moment, class: &Name, instance: &InstanceId, level: Level) {
+        if !self.classes.contains_key(class) && self.classes.len() >= CLASSES_MAX {
+            return;
+        }
+        let row = self.classes.entry(class.clone()).or_default();
+        if let Some(known) = row.iter_mut().find(|known| known.instance == *instance) {
+            known.level = level;
+            known.at = now;
+            return;
+        }
+        if row.len() >= INSTANCES_MAX
+            && let Some(oldest) = (0..row.len()).min_by_key(|idx| row[*idx].at)
+        {
+            row.swap_remove(oldest);
+        }
+        row.push(Learnt { instance: instance.clone(), level, at: now });
+    }
+
+    /// Drops what came from an instance that has left.
+    pub fn forget(&mut self, instance: &InstanceId) {
+        for row in self.classes.values_mut() {
+            row.retain(|known| known.instance != *instance);
+        }
+    }
+
+    /// Lowest level known for `class`: while one instance would take the call, it is not doomed.
+    pub fn level(&self, now: Moment, class: &Name) -> Level {
+        let row = self.classes.get(class).map_or(&[][..], Vec::as_slice);
+        let levels = row.iter().map(|known| known.level.fallen(now.since(known.at), &self.scale));
+        levels.min().unwrap_or_default()
+    }
+
+    /// Level to send back with an answer: the node's own, or the one that a further call meets.
+    pub fn joined<'a>(
+        &self,
+        now: Moment,
+        own: Level,
+        callees: impl IntoIterator<Item = &'a Name>,
+    ) -> Level {
+        let deeper = callees.into_iter().map(|class| self.level(now, class));
+        deeper.max().unwrap_or_default().max(own)
+    }
+
+    /// Whether a call of this rank would be refused by `class` or by one of the classes it calls.
+    pub fn is_doomed<'a>(
+        &self,
+        now: Moment,
+        rank: Rank,
+        classes: impl IntoIterator<Item = &'a Name>,
+    ) -> bool {
+        !self.joined(now, Level::OPEN, classes).admits(rank)
+    }
+}
--- /dev/null
+++ b/core/src/admission/mod.rs
@@ -0,0 +1,249 @@
+//! Admission by importance, with levels that travel up the chain.
+//!
+//! One [`Admission`] stands beside each target. It decides which calls run, wait or are refused,
+//! and which rank of call it would refuse next; callers keep that in a [`LevelMap`]. See
+//! [overload](../../../docs/design/overload.md).
+
+mod level;
+mod map;
+mod pressure;
+mod queue;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::Importance;
+use crate::limit::{ImportanceScale, TargetLimits, retry_after, smoothed};
+use crate::outcome::ErrorKind;
+use crate::time::Moment;
+
+pub use level::{Level, Rank};
+pub use map::LevelMap;
+use pressure::Pressure;
+use queue::{Queue, Waiting};
+
+/// Number of one call at one admission, chosen by the node and unique while the call is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// Call that asks to be run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Arrival {
+    /// Number of the call.
+    pub ticket: Ticket,
+    /// Importance and lot of the root request.
+    pub rank: Rank,
+    /// Time since the entry took the root request in.
+    pub age: Duration,
+    /// Time left until the answer is of no use.
+    pub left: Duration,
+    /// Time that the run and the way back take at least; see [`crate::RunTimes::expected`].
+    pub rest: Duration,
+    /// Whether targets have already worked for the root request.
+    pub paid: bool,
+}
+
+/// Call that is refused and has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Number of the call.
+    pub ticket: Ticket,
+    /// [`ErrorKind::Overload`] or [`ErrorKind::Deadline`].
+    pub kind: ErrorKind,
+    /// Time after which the caller may come back.
+    pub retry_after: Duration,
+}
+
+/// What becomes of an arrival.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// The call goes to the target now.
+    Admit,
+    /// The call waits; a less important one may have given way to it.
+    Queue {
+        /// Call that lost its place.
+        evicted: Option<Refusal>,
+    },
+    /// The call is refused at once.
+    Refuse(Refusal),
+}
+
+/// Queued calls whose wait is over.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Release {
+    /// Calls that go to the target now, in this order.
+    pub start: Vec<Ticket>,
+    /// Calls that are refused.
+    pub refuse: Vec<Refusal>,
+}
+
+/// Admission to one target.
+///
+/// Invariants: at most `limit` calls run and at most `limits.queue` wait, which bounds its
+/// memory; nothing waits while a slot is free; a call is refused only if nothing of less
+/// importance waits.
+#[derive(Debug)]
+pub struct Admission {
+    limits: TargetLimits,
+    limit: u32,
+    running: BTreeMap<Ticket, Importance>,
+    queue: Queue,
+    pressure: Pressure,
+    latency: Duration,
+}
+
+impl Admission {
+    /// Admission to a target that has just announced itself.
+    pub fn new(now: Moment, limits: TargetLimits, scale: ImportanceScale) -> Self {
+        Self {
+            limits,
+            limit: limits.cold,
+            running: BTreeMap::new(),
+            queue: Queue::default(),
+            pressure: Pressure::new(now, scale),
+            latency: Duration::ZERO,
+        }
+    }
+
+    /// Takes over the importances of a new contract revision.
+    pub fn revise(&mut self, scale: ImportanceScale) {
+        self.pressure.revise(scale);
+    }
+
+    /// Decides on a call that has just come in.
+    pub fn arrive(&mut self, now: Moment, arrival: Arrival) -> Verdict {
+        self.advance(now);
+        self.pressure.arrived(arrival.rank);
+        let waiting = Waiting::new(now, arrival);
+        if arrival.left < arrival.rest {
+            return Verdict::Refuse(self.refusal(&waiting, ErrorKind::Deadline));
+        }
+        if self.has_room() {
+            self.running.insert(arrival.ticket, arrival.rank.importance());
+            return Verdict::Admit;
+        }
+        self.enqueue(waiting)
+    }
+
+    /// Ends a run that took `latency` and starts what may start now.
+    pub fn finish(&mut self, now: Moment, ticket: Ticket, latency: Duration) -> Release {
+        if self.running.remove(&ticket).is_some() {
+            self.latency = match self.latency {
+                Duration::ZERO => latency,
+                mean => smoothed(mean, latency),
+            };
+            self.limit = self.limits.slots.min(self.limit + 1);
+            self.pressure.finished();
+        }
+        self.release(now)
+    }
+
+    /// Ends a call whose caller is gone, or a run that gave no answer.
+    pub fn cancel(&mut self, now: Moment, ticket: Ticket) -> Release {
+        if self.running.remove(&ticket).is_none() {
+            self.queue.remove(ticket);
+        }
+        self.release(now)
+    }
+
+    /// Drops queued calls that can no longer meet their deadline; due every 10 ms while any wait.
+    pub fn tick(&mut self, now: Moment) -> Release {
+        self.release(now)
+    }
+
+    /// Level that goes back with every answer.
+    pub fn level(&mut self, now: Moment) -> Level {
+        self.advance(now);
+        self.pressure.level()
+    }
+
+    /// Calls that run.
+    pub fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Calls that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Calls that may run at once at present.
+    pub fn limit(&self) -> u32 {
+        self.limit
+    }
+
+    /// Least importance among the calls that wait.
+    pub fn lowest_queued(&self) -> Option<Importance> {
+        self.queue.lowest().map(Rank::importance)
+    }
+
+    /// Checks the invariants and says which one is broken.
+    pub fn verify(&self) -> Result<(), String> {
+        if self.limit > self.limits.slots {
+            return Err(format!("limit {} exceeds slots {}", self.limit, self.limits.slots));
+        }
+        if self.queue.len() > self.limits.queue as usize {
+            return Err(format!("{} calls wait, {} may", self.queue.len(), self.limits.queue));
+        }
+        if self.has_room() && self.queue.len() > 0 {
+            return Err(format!("{} calls wait while a slot is free", self.queue.len()));
+        }
+        self.queue.verify()
+    }
+
+    fn has_room(&self) -> bool {
+        self.running.len() < self.limit as usize
+    }
+
+    fn advance(&mut self, now: Moment) {
+        let saturated = !self.has_room();
+        self.pressure.advance(now, saturated, self.queue.len(), self.limits.queue as usize);
+    }
+
+    /// Queues the call, lets a lesser one give way to it, or refuses it.
+    fn enqueue(&mut self, waiting: Waiting) -> Verdict {
+        let full = self.queue.len() >= self.limits.queue as usize;
+        let passes = self.pressure.level().admits(waiting.rank);
+        let rank = waiting.rank;
+        let lowest = self.queue.lowest();
+        let outranks = lowest.is_some_and(|lowest| lowest.importance() < rank.importance());
+        let yields = outranks || (passes && lowest.is_some_and(|lowest| lowest < rank));
+        if !full && (passes || outranks) {
+            self.queue.insert(waiting);
+            return Verdict::Queue { evicted: None };
+        }
+        if !yields {
+            self.pressure.refused(rank);
+            return Verdict::Refuse(self.refusal(&waiting, ErrorKind::Overload));
+        }
+        let evicted = self.queue.pop_lowest();
+        self.queue.insert(waiting);
+        let evicted = evicted.map(|lesser| {
+            self.pressure.refused(lesser.rank);
+            self.refusal(&lesser, ErrorKind::Overload)
+        });
+        Verdict::Queue { evicted }
+    }
+
+    fn release(&mut self, now: Moment) -> Release {
+        self.advance(now);
+        let mut release = Release::default();
+        for late in self.queue.take_late(now) {
+            release.refuse.push(self.refusal(&late, ErrorKind::Deadline));
+        }
+        while self.has_room()
+            && let Some(next) = self.queue.pop_first()
+        {
+            self.running.insert(next.ticket, next.rank.importance());
+            release.start.push(next.ticket);
+        }
+        release
+    }
+
+    fn refusal(&self, waiting: &Waiting, kind: ErrorKind) -> Refusal {
+        let ahead = self.queue.len() as u32 + 1;
+        let wait = self.latency * ahead / self.limit.max(1);
+        let retry_after = retry_after(wait, waiting.rank.lot());
+        Refusal { ticket: waiting.ticket, kind, retry_after }
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,16 +11,19 @@
 mod contract;
 mod fold;
 mod ids;
+mod limit;
 mod membership;
 mod outcome;
 mod suspects;
 mod time;
 
+pub use admission::{Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Ticket, Verdict};
 pub use binding::Binding;
 pub use contract::{ClassTerms, Contract, ContractError, Goal};
 pub use ids::{
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
     rendezvous_weight,
 };
+pub use limit::{ImportanceScale, RunTimes, TargetLimits, retry_after};
 pub use outcome::{ErrorKind, Outcome, Reply};
 pub use time::Moment;
--- /dev/null
+++ b/core/src/limit.rs
@@ -0,0 +1,126 @@
+//! Every limit that the system enforces, derived from contract, announcement and observation.
+//!
+//! Operators publish contracts and targets announce slots; nobody sets a number below by hand.
+//! See [overload](../../docs/design/overload.md).
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::contract::Contract;
+use crate::ids::{Importance, Name};
+
+/// Shortest time for which a refused caller is asked to stay away.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+/// Longest time for which a refused caller is asked to stay away.
+const RETRY_MAX: Duration = Duration::from_secs(2);
+/// Queue places per slot of the target.
+const QUEUE_PER_SLOT: u32 = 1;
+/// Fewest queue places, so that a target with few slots still absorbs a small burst.
+const QUEUE_MIN: u32 = 8;
+/// Most queue places; bounds the memory of one admission.
+const QUEUE_MAX: u32 = 4_096;
+/// Part of the slots that a target without history gets at first.
+const COLD_SHARE: u32 = 4;
+/// Weight of a new sample in the smoothed times: one in this many.
+const SMOOTHING: u32 = 8;
+/// Largest number of classes whose times are kept.
+const CLASSES_MAX: usize = 4_096;
+
+/// Limits of one target, derived from its announcement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetLimits {
+    /// Requests that may run at once.
+    pub slots: u32,
+    /// Requests that may run at once before anything has finished.
+    pub cold: u32,
+    /// Requests that may wait.
+    pub queue: u32,
+    /// Connections that the target takes.
+    pub connections: u32,
+}
+
+impl TargetLimits {
+    /// Limits for a target that announced `slots` and `connections`.
+    ///
+    /// An announcement of zero slots counts as one: the target asked for work by announcing.
+    pub fn derive(slots: u32, connections: u32) -> Self {
+        let slots = slots.max(1);
+        let queue = slots.saturating_mul(QUEUE_PER_SLOT).clamp(QUEUE_MIN, QUEUE_MAX);
+        Self { slots, cold: slots.div_ceil(COLD_SHARE), queue, connections: connections.max(1) }
+    }
+}
+
+/// Importances of a contract in rising order; the scale on which levels move.
+///
+/// Holds at most 256 entries, one per value of [`Importance`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ImportanceScale {
+    steps: Vec<Importance>,
+}
+
+impl ImportanceScale {
+    /// Scale of every importance that a class of the contract has.
+    pub fn derive(contract: &Contract) -> Self {
+        Self::new(contract.classes.values().map(|terms| terms.importance))
+    }
+
+    /// Scale of the given importances, in any order.
+    pub fn new(importances: impl IntoIterator<Item = Importance>) -> Self {
+        let mut steps: Vec<_> = importances.into_iter().collect();
+        steps.sort_unstable();
+        steps.dedup();
+        Self { steps }
+    }
+
+    /// Next importance below the given one, if the contract has any.
+    pub(crate) fn below(&self, importance: Importance) -> Option<Importance> {
+        let idx = self.steps.partition_point(|step| *step < importance);
+        idx.checked_sub(1).and_then(|idx| self.steps.get(idx)).copied()
+    }
+}
+
+/// Time to come back for a refused caller, spread by its lot so that no wave returns.
+///
+/// `wait` is what the queue takes to drain; the answer lies between one half and three halves of
+/// a base of eight such waits, within fixed bounds.
+pub fn retry_after(wait: Duration, lot: u16) -> Duration {
+    let base = wait.saturating_mul(8).clamp(RETRY_MIN, RETRY_MAX);
+    base / 2 + base.mul_f64(f64::from(lot) / f64::from(u16::MAX))
+}
+
+/// Smoothed run times of the classes that one node sees; at most 4,096 classes are kept.
+#[derive(Debug, Default)]
+pub struct RunTimes {
+    classes: BTreeMap<Name, Duration>,
+}
+
+impl RunTimes {
+    /// Times without history.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in the time that a run of `class` took.
+    pub fn observe(&mut self, class: &Name, took: Duration) {
+        if let Some(mean) = self.classes.get_mut(class) {
+            *mean = smoothed(*mean, took);
+            return;
+        }
+        if self.classes.len() < CLASSES_MAX {
+            self.classes.insert(class.clone(), took);
+        }
+    }
+
+    /// Time that the rest of a call of `class` is expected to take at least.
+    ///
+    /// Half of the smoothed time, so that only calls which hardly any run could still serve are
+    /// dropped for their deadline.
+    pub fn expected(&self, class: &Name) -> Duration {
+        self.classes.get(class).map_or(Duration::ZERO, |mean| *mean / 2)
+    }
+}
+
+/// Exponentially weighted mean after one more sample.
+pub(crate) fn smoothed(mean: Duration, sample: Duration) -> Duration {
+    (mean * (SMOOTHING - 1) + sample) / SMOOTHING
+}
--- /dev/null
+++ b/core/tests/admission.rs
@@ -0,0 +1,149 @@
+//! Properties of admission under arbitrary load.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use poplar_core::{
+    Admission, Arrival, ErrorKind, Importance, ImportanceScale, InstanceId, Level, LevelMap,
+    Moment, Name, Rank, TargetLimits, Ticket, Verdict,
+};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const SLOTS: u32 = 4;
+
+fn scale() -> ImportanceScale {
+    ImportanceScale::new([1, 5, 9].map(Importance))
+}
+
+fn admission() -> Admission {
+    Admission::new(Moment::default(), TargetLimits::derive(SLOTS, 100), scale())
+}
+
+fn arrival(ticket: u64, importance: u8, lot: u16) -> Arrival {
+    Arrival {
+        ticket: Ticket(ticket),
+        rank: Rank::at(Importance(importance), lot),
+        age: Duration::ZERO,
+        left: Duration::from_secs(1),
+        rest: Duration::from_millis(10),
+        paid: false,
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Arrive { importance: u8, lot: u16, left: u16 },
+    Finish(usize),
+    Cancel(usize),
+    Wait(u16),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let importance = *g.choose(&[1, 5, 9]).unwrap_or(&1);
+        match u8::arbitrary(g) % 8 {
+            0..=4 => Self::Arrive { importance, lot: u16::arbitrary(g), left: u16::arbitrary(g) },
+            5 => Self::Finish(usize::arbitrary(g)),
+            6 => Self::Cancel(usize::arbitrary(g)),
+            _ => Self::Wait(u16::arbitrary(g) % 50),
+        }
+    }
+}
+
+/// Calls that the admission has taken, and whether they run.
+type Live = BTreeMap<Ticket, bool>;
+
+fn arrive(admission: &mut Admission, now: Moment, call: Arrival, live: &mut Live) {
+    let lowest = admission.lowest_queued();
+    match admission.arrive(now, call) {
+        Verdict::Admit => {
+            live.insert(call.ticket, true);
+        }
+        Verdict::Queue { evicted } => {
+            live.insert(call.ticket, false);
+            evicted.map(|lesser| live.remove(&lesser.ticket));
+        }
+        Verdict::Refuse(refusal) if refusal.kind == ErrorKind::Overload => {
+            let spared = lowest.is_some_and(|lowest| lowest < call.rank.importance());
+            assert!(!spared, "{call:?} refused while {lowest:?} waits");
+        }
+        Verdict::Refuse(_) => {}
+    }
+}
+
+/// Runs the steps; panics if a call is refused while a lesser one waits, or an invariant breaks.
+fn survives_by_importance(steps: Vec<Step>) -> bool {
+    let mut admission = admission();
+    let mut now = Moment::default();
+    let mut live = Live::new();
+    for (ticket, step) in (0..).zip(steps) {
+        let release = match step {
+            Step::Arrive { importance, lot, left } => {
+                let left = Duration::from_millis(left.into());
+                let call = Arrival { left, ..arrival(ticket, importance, lot) };
+                arrive(&mut admission, now, call, &mut live);
+                continue;
+            }
+            Step::Wait(millis) => {
+                now = now + Duration::from_millis(millis.into());
+                admission.tick(now)
+            }
+            Step::Finish(pick) | Step::Cancel(pick) => {
+                let Some((&ticket, &runs)) = live.iter().nth(pick % live.len().max(1)) else {
+                    continue;
+                };
+                live.remove(&ticket);
+                match runs && matches!(step, Step::Finish(_)) {
+                    true => admission.finish(now, ticket, Duration::from_millis(20)),
+                    false => admission.cancel(now, ticket),
+                }
+            }
+        };
+        live.extend(release.start.iter().map(|ticket| (*ticket, true)));
+        for refusal in release.refuse {
+            live.remove(&refusal.ticket);
+        }
+        assert_eq!(admission.verify(), Ok(()));
+        let running = live.values().filter(|runs| **runs).count();
+        assert_eq!(running, admission.in_flight());
+        assert_eq!(live.len() - running, admission.queued());
+    }
+    true
+}
+
+#[test]
+fn no_call_is_refused_while_a_less_important_one_waits() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, 4))
+        .tests(500)
+        .quickcheck(survives_by_importance as fn(Vec<Step>) -> bool);
+}
+
+#[test]
+fn a_call_past_its_deadline_never_starts() {
+    let mut admission = admission();
+    let running = arrival(0, 1, 0);
+    assert_eq!(admission.arrive(Moment::default(), running), Verdict::Admit);
+    admission.arrive(Moment::default(), arrival(1, 9, 0));
+    let late = Moment::from_millis(995);
+    let release = admission.finish(late, running.ticket, Duration::from_millis(995));
+    assert!(release.start.is_empty());
+    assert_eq!(release.refuse[0].kind, ErrorKind::Deadline);
+}
+
+#[test]
+fn a_level_learnt_deep_down_refuses_at_the_entry_until_it_has_fallen() {
+    let (book, list) = (Name::new("book"), Name::new("list"));
+    let instance = InstanceId::from("listings-1");
+    let level = Level::at(Rank::at(Importance(5), 30_000));
+    let mut hop = LevelMap::new(scale());
+    hop.learn(Moment::default(), &list, &instance, level);
+    let told = hop.joined(Moment::default(), Level::OPEN, [&list]);
+    let mut entry = LevelMap::new(scale());
+    entry.learn(Moment::default(), &book, &instance, told);
+    let (low, high) = (Rank::at(Importance(5), 29_999), Rank::at(Importance(5), 30_000));
+    assert!(entry.is_doomed(Moment::default(), low, [&book]));
+    assert!(!entry.is_doomed(Moment::default(), high, [&book]));
+    assert!(entry.is_doomed(Moment::default(), Rank::at(Importance(1), u16::MAX), [&book]));
+    assert!(!entry.is_doomed(Moment::from_millis(2_000), Rank::at(Importance(1), 0), [&book]));
+}
