--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,11 +11,13 @@
 mod contract;
 mod fold;
 mod ids;
+mod limit;
 mod membership;
 mod outcome;
 mod suspects;
 mod time;
 
+pub use admission::{Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Ticket, Verdict};
 pub use binding::Binding;
 pub use budget::{
     Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
@@ -30,5 +32,6 @@
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
     rendezvous_weight,
 };
+pub use limit::{ImportanceScale, RunTimes, TargetLimits, retry_after};
 pub use outcome::{ErrorKind, Outcome, Reply};
 pub use time::Moment;
