Fold the stream of contracts in the node

Cause: the node took each record at its word; two operators' records need the fold's judgement. Ruled out: a second rule in the node; it calls poplar-core's fold and nothing else. Before: last record wins. After: builds; not yet run as a process. Conclusion: the node judges records as every other reader does.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,7 +17,10 @@
 mod suspects;
 mod time;
 
-pub use admission::{Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Ticket, Verdict};
+pub use admission::{
+    Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Ticket,
+    Verdict as AdmissionVerdict,
+};
 pub use binding::Binding;
 pub use budget::{
     Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
--- a/core/tests/admission.rs
+++ b/core/tests/admission.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Admission, Arrival, ErrorKind, Importance, ImportanceScale, InstanceId, Level, LevelMap,
-    Moment, Name, Rank, TargetLimits, Ticket, Verdict,
+    Admission, AdmissionVerdict, Arrival, ErrorKind, Importance, ImportanceScale, InstanceId,
+    Level, LevelMap, Moment, Name, Rank, TargetLimits, Ticket,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
@@ -56,18 +56,18 @@
 fn arrive(admission: &mut Admission, now: Moment, call: Arrival, live: &mut Live) {
     let lowest = admission.lowest_queued();
     match admission.arrive(now, call) {
-        Verdict::Admit => {
+        AdmissionVerdict::Admit => {
             live.insert(call.ticket, true);
         }
-        Verdict::Queue { evicted } => {
+        AdmissionVerdict::Queue { evicted } => {
             live.insert(call.ticket, false);
             evicted.map(|lesser| live.remove(&lesser.ticket));
         }
-        Verdict::Refuse(refusal) if refusal.kind == ErrorKind::Overload => {
+        AdmissionVerdict::Refuse(refusal) if refusal.kind == ErrorKind::Overload => {
             let spared = lowest.is_some_and(|lowest| lowest < call.rank.importance());
             assert!(!spared, "{call:?} refused while {lowest:?} waits");
         }
-        Verdict::Refuse(_) => {}
+        AdmissionVerdict::Refuse(_) => {}
     }
 }
 
@@ -123,7 +123,7 @@
 fn a_call_past_its_deadline_never_starts() {
     let mut admission = admission();
     let running = arrival(0, 1, 0);
-    assert_eq!(admission.arrive(Moment::default(), running), Verdict::Admit);
+    assert_eq!(admission.arrive(Moment::default(), running), AdmissionVerdict::Admit);
     admission.arrive(Moment::default(), arrival(1, 9, 0));
     let late = Moment::from_millis(995);
     let release = admission.finish(late, running.ticket, Duration::from_millis(995));
--- a/node/src/follow.rs
+++ b/node/src/follow.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use poplar_core::Offset;
-use poplar_wire::{ContractRecord, MemberRecord};
+use poplar_core::{ContractRecord, Offset};
+use poplar_wire::MemberRecord;
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
 
@@ -39,14 +39,10 @@
 ) {
     let notes = logger.clone();
     follow(platform, CONTRACTS, logger, move |record| {
-        let Ok(ContractRecord::Publish { base, contract, .. }) =
-            serde_json::from_value::<ContractRecord>(record.body)
-        else {
-            return;
-        };
-        let revision = poplar_core::Revision(base.0 + 1);
-        info!(notes, "contract read"; "customer" => %contract.customer, "revision" => %revision);
-        contracts.put(revision, *contract);
+        let decoded = serde_json::from_value::<ContractRecord>(record.body).ok();
+        let verdict = contracts.take(record.offset, decoded.as_ref());
+        info!(notes, "contract record judged";
+            "offset" => %record.offset, "verdict" => ?verdict);
     })
     .await;
 }
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -114,7 +114,7 @@
         peer_address: sockets.peer.local_addr()?,
     };
     let registry = Arc::new(Registry::default());
-    registry.register(Arc::new(Contracts::default()));
+    registry.register(Arc::new(Contracts::new()));
     registry.register(Arc::new(Directory::default()));
     registry.register(Arc::new(Links::default()));
     registry.register(Arc::new(Runs::default()));
