Admit by importance and pay for re-sends in the node

Cause: the thin path refused above the announced slots and counted units by hand. Ruled out: a semaphore with a fixed limit, which knows no importance and no deadline. Before: fixed limit. After: poplar-core's admission and retry budget decide; builds, not yet run. Conclusion: the shell keeps only waiting and waking.

--- a/node/src/announce.rs
+++ b/node/src/announce.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use poplar_core::{Incarnation, InstanceId, Moment, Name};
+use poplar_core::{ImportanceScale, Incarnation, InstanceId, Moment, Name, TargetLimits};
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
 use poplar_wire::{Announcement, MemberRecord, MemberState};
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
 use crate::directory::Directory;
+use crate::gate::Gate;
 use crate::target::{Stage, Target};
 
 /// Who this node is, as other nodes see it.
@@ -28,6 +29,7 @@
     identity: Identity,
     directory: Arc<Directory>,
     target: Arc<Target>,
+    gate: Arc<Gate>,
     sequence: AtomicU64,
     records: mpsc::UnboundedSender<MemberRecord>,
 }
@@ -45,6 +47,7 @@
             identity,
             directory: registry.find("directory")?,
             target: registry.find("target")?,
+            gate: registry.find("admission")?,
             sequence: AtomicU64::new(0),
             records,
         })
@@ -54,8 +57,10 @@
     pub(crate) fn announce(&self, announcement: Announcement) {
         let now = self.clock.now();
         let known = self.target.serving(now).is_some_and(|known| known == announcement);
+        let limits = TargetLimits::derive(announcement.slots, announcement.connections);
         self.target.announce(now, announcement);
         if !known {
+            self.gate.open(limits, ImportanceScale::new([]));
             self.tell(MemberState::Serving);
         }
     }
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -1,11 +1,11 @@
 //! Calls as callers and the own target hand them in: where a request gets its terms.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
-use poplar_core::{AttemptId, Binding, ErrorKind, Moment, Name, Outcome, RequestId};
+use poplar_core::{AttemptId, Binding, Budget, ErrorKind, Grant, Moment, Name, Outcome, RequestId};
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
 use poplar_wire::{Answer, CallMeta};
 use serde_json::{Value, json};
@@ -124,12 +124,14 @@
             left,
             age: Duration::ZERO,
             depth: 0,
-            units: class.retries,
+            grant: Grant { units: 0, rerun: false },
             binding: call.binding.filter(|_| once),
         };
         let service = class.service.clone();
-        let done = self.route.deliver(Delivery { meta, service, body: call.body }).await;
-        Outbound { outcome: done.outcome, binding: None }
+        let delivery = Delivery { meta, service, siblings: 1, body: call.body };
+        let budget = Mutex::new(Budget::grant(class.retries));
+        let outcome = self.route.deliver(delivery, &budget).await;
+        Outbound { outcome, binding: None }
     }
 
     async fn serve_child(&self, call: Inbound, terms: Terms, run: &Run) -> Outbound {
@@ -153,13 +155,13 @@
             left: call.left.unwrap_or(left).min(left),
             age: parent.age + now.since(run.since),
             depth: parent.depth.saturating_add(1),
-            units: run.take_units(),
+            grant: Grant { units: 0, rerun: false },
             binding,
         };
         let service = class.service.clone();
-        let done = self.route.deliver(Delivery { meta, service, body: call.body }).await;
-        run.return_units(done.units);
-        Outbound { outcome: done.outcome, binding: None }
+        let delivery = Delivery { meta, service, siblings: 1, body: call.body };
+        let outcome = self.route.deliver(delivery, run.budget()).await;
+        Outbound { outcome, binding: None }
     }
 }
 
--- /dev/null
+++ b/node/src/gate.rs
@@ -0,0 +1,253 @@
+//! Admission to the target beside this node: calls enter here, wait here, or are refused.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use poplar_core::{
+    Admission, AdmissionVerdict, Arrival, ErrorKind, ImportanceScale, Level, Moment, Name, Rank,
+    Refusal, Release, Revision, RunTimes, TargetLimits, Ticket,
+};
+use poplar_kernel::{Clock, Service};
+use poplar_wire::CallMeta;
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+/// Pause between looks at the deadlines of queued calls, while any wait.
+const TICK: Duration = Duration::from_millis(10);
+/// Time to come back that a call gets while no target has announced itself.
+const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
+
+/// What a queued call is told when its wait is over.
+type Turn = Result<(), Refusal>;
+
+/// Service that admits calls to the target.
+#[derive(Debug)]
+pub(crate) struct Gate {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    admission: Option<Admission>,
+    revision: Revision,
+    times: RunTimes,
+    waiting: HashMap<Ticket, oneshot::Sender<Turn>>,
+    next: u64,
+    ticking: bool,
+}
+
+/// Right to have the target run one call; given back on drop.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    gate: Arc<Gate>,
+    ticket: Ticket,
+    since: Moment,
+    class: Name,
+    finished: bool,
+}
+
+/// Place of a call that has arrived and is not running yet; cancelled on drop.
+struct Place {
+    gate: Arc<Gate>,
+    ticket: Ticket,
+    kept: bool,
+}
+
+impl Gate {
+    /// Service without a target as yet.
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self { clock, state: Mutex::default() }
+    }
+
+    /// Takes the limits of a target that has just announced itself.
+    pub(crate) fn open(&self, limits: TargetLimits, scale: ImportanceScale) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.admission = Some(Admission::new(now, limits, scale));
+        state.revision = Revision::default();
+    }
+
+    /// Takes the importances of a contract revision over, if it is a new one.
+    pub(crate) fn revise(&self, revision: Revision, scale: impl FnOnce() -> ImportanceScale) {
+        let mut state = self.lock();
+        if state.revision == revision {
+            return;
+        }
+        state.revision = revision;
+        if let Some(admission) = state.admission.as_mut() {
+            admission.revise(scale());
+        }
+    }
+
+    /// Waits until the call may run.
+    pub(crate) async fn enter(self: &Arc<Self>, meta: &CallMeta) -> Result<Permit, Refusal> {
+        let (place, turn) = self.arrive(meta)?;
+        if let Some(turn) = turn {
+            // The sender is dropped only with the gate itself, at the end of the process.
+            turn.await.unwrap_or_else(|_| Err(draining(place.ticket)))?;
+        }
+        Ok(place.into_permit(self.clock.now(), meta.class.clone()))
+    }
+
+    /// Level that goes back with an answer.
+    pub(crate) fn level(&self) -> Level {
+        let now = self.clock.now();
+        self.lock().admission.as_mut().map_or(Level::OPEN, |admission| admission.level(now))
+    }
+
+    fn arrive(
+        self: &Arc<Self>,
+        meta: &CallMeta,
+    ) -> Result<(Place, Option<oneshot::Receiver<Turn>>), Refusal> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.next += 1;
+        let ticket = Ticket(state.next);
+        let arrival = Arrival {
+            ticket,
+            rank: Rank::of(meta.importance, meta.root),
+            age: meta.age,
+            left: meta.left,
+            rest: state.times.expected(&meta.class),
+            paid: meta.depth > 0,
+        };
+        let Some(admission) = state.admission.as_mut() else { return Err(no_target(ticket)) };
+        let place = Place { gate: self.clone(), ticket, kept: false };
+        match admission.arrive(now, arrival) {
+            AdmissionVerdict::Admit => Ok((place, None)),
+            AdmissionVerdict::Refuse(refusal) => {
+                drop(state);
+                Err(refusal)
+            }
+            AdmissionVerdict::Queue { evicted } => {
+                let (sender, turn) = oneshot::channel();
+                state.waiting.insert(ticket, sender);
+                evicted.into_iter().for_each(|refusal| state.refuse(refusal));
+                self.start_ticking(&mut state);
+                Ok((place, Some(turn)))
+            }
+        }
+    }
+
+    fn finish(&self, ticket: Ticket, class: &Name, took: Duration) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.times.observe(class, took);
+        let release = state.admission.as_mut().map(|a| a.finish(now, ticket, took));
+        state.tell(release.unwrap_or_default());
+    }
+
+    fn cancel(&self, ticket: Ticket) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.waiting.remove(&ticket);
+        let release = state.admission.as_mut().map(|a| a.cancel(now, ticket));
+        state.tell(release.unwrap_or_default());
+    }
+
+    /// Starts the task that drops late calls from the queue, unless it runs already.
+    fn start_ticking(self: &Arc<Self>, state: &mut State) {
+        if std::mem::replace(&mut state.ticking, true) {
+            return;
+        }
+        let gate = self.clone();
+        tokio::spawn(async move {
+            while gate.tick() {
+                tokio::time::sleep(TICK).await;
+            }
+        });
+    }
+
+    /// Drops late calls; says whether any call still waits.
+    fn tick(&self) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let release = state.admission.as_mut().map(|admission| admission.tick(now));
+        state.tell(release.unwrap_or_default());
+        state.ticking = !state.waiting.is_empty();
+        state.ticking
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn tell(&mut self, release: Release) {
+        for ticket in release.start {
+            if let Some(sender) = self.waiting.remove(&ticket) {
+                // A receiver that is gone gives its slot back through its place.
+                let _ = sender.send(Ok(()));
+            }
+        }
+        release.refuse.into_iter().for_each(|refusal| self.refuse(refusal));
+    }
+
+    fn refuse(&mut self, refusal: Refusal) {
+        if let Some(sender) = self.waiting.remove(&refusal.ticket) {
+            // A receiver that is gone needs no refusal.
+            let _ = sender.send(Err(refusal));
+        }
+    }
+}
+
+impl Place {
+    fn into_permit(mut self, now: Moment, class: Name) -> Permit {
+        self.kept = true;
+        let gate = self.gate.clone();
+        Permit { gate, ticket: self.ticket, since: now, class, finished: false }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.kept {
+            self.gate.cancel(self.ticket);
+        }
+    }
+}
+
+impl Permit {
+    /// Ends a run that gave an answer.
+    pub(crate) fn finish(mut self) {
+        self.finished = true;
+        let took = self.gate.clock.now().since(self.since);
+        self.gate.finish(self.ticket, &self.class, took);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.gate.cancel(self.ticket);
+        }
+    }
+}
+
+fn no_target(ticket: Ticket) -> Refusal {
+    Refusal { ticket, kind: ErrorKind::NoTarget, retry_after: NO_TARGET_RETRY }
+}
+
+fn draining(ticket: Ticket) -> Refusal {
+    Refusal { ticket, kind: ErrorKind::Draining, retry_after: NO_TARGET_RETRY }
+}
+
+impl Service for Gate {
+    fn name(&self) -> &'static str {
+        "admission"
+    }
+
+    fn dump(&self, now: Moment) -> Value {
+        let mut state = self.lock();
+        let Some(admission) = state.admission.as_mut() else { return Value::Null };
+        json!({
+            "running": admission.in_flight(),
+            "queued": admission.queued(),
+            "limit": admission.limit(),
+            "level": admission.level(now),
+        })
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -6,6 +6,7 @@
 mod ends;
 mod entry;
 mod follow;
+mod gate;
 mod links;
 mod platform;
 mod process;
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -19,6 +19,7 @@
 use crate::ends::{admin, caller, listener, peer};
 use crate::entry::Entry;
 use crate::follow;
+use crate::gate::Gate;
 use crate::links::Links;
 use crate::platform::Platform;
 use crate::route::Route;
@@ -119,6 +120,7 @@
     registry.register(Arc::new(Links::default()));
     registry.register(Arc::new(Runs::default()));
     registry.register(Arc::new(Target::new()));
+    registry.register(Arc::new(Gate::new(clock)));
     let work = Arc::new(Work::new(clock, &registry)?);
     registry.register(work.clone());
     registry.register(Arc::new(Route::new(clock, settings.instance.clone(), &registry)?));
--- a/node/src/route.rs
+++ b/node/src/route.rs
@@ -3,11 +3,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use poplar_core::{AttemptId, Binding, ErrorKind, InstanceId, Moment, Name, Outcome};
+use poplar_core::{
+    AttemptId, Binding, Budget, Call, CallTerms, ErrorKind, InstanceId, Loan, Moment, Name, Next,
+    Outcome, RequestId, RetriesSpent, next_step,
+};
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
 use poplar_wire::{Answer, CallMeta, CallReply, CallRequest, MemberRecord};
 use serde_json::{Value, json};
@@ -25,21 +28,30 @@
 /// Call to be delivered to some target of a service.
 #[derive(Debug, Clone)]
 pub(crate) struct Delivery {
-    /// Terms; `attempt` is set anew for each send.
+    /// Terms; attempt, grant and times are set anew for each send.
     pub(crate) meta: CallMeta,
     /// Service whose targets can run it.
     pub(crate) service: Name,
+    /// Calls, this one included, that the same run may make side by side.
+    pub(crate) siblings: u32,
     /// Body for the target.
     pub(crate) body: Bytes,
 }
 
-/// How a delivery ended.
-#[derive(Debug)]
-pub(crate) struct Delivered {
-    /// What became of the call.
-    pub(crate) outcome: Outcome<Answer>,
-    /// Retry units that were not spent.
-    pub(crate) units: u32,
+/// How one send ended.
+enum Reply {
+    /// The other node's whole reply to this very send.
+    Whole(CallReply),
+    /// The other node saw nothing of it.
+    Unseen,
+    /// No whole reply came, so the call may have run.
+    Lost(ErrorKind),
+}
+
+/// Call that waits at an instance, counted until it is dropped.
+struct Waiting<'a> {
+    counts: &'a Mutex<HashMap<InstanceId, u32>>,
+    instance: InstanceId,
 }
 
 /// Service that chooses targets and sends calls to them.
@@ -71,34 +83,55 @@
         })
     }
 
-    /// Delivers one call, sending it again as far as outcome, deadline and units allow.
-    pub(crate) async fn deliver(&self, call: Delivery) -> Delivered {
+    /// Delivers one call, sending it again as far as outcome, deadline and budget allow.
+    pub(crate) async fn deliver(&self, call: Delivery, budget: &Mutex<Budget>) -> Outcome<Answer> {
         let deadline = self.clock.now() + call.meta.left;
-        let mut units = call.meta.units;
+        let mut sends = Call::new();
         let mut tried = Vec::new();
+        let mut last = not_run(ErrorKind::RetriesSpent);
         loop {
-            let now = self.clock.now();
-            let mut meta = call.meta.clone();
-            meta.left = deadline.since(now);
-            meta.age += call.meta.left.saturating_sub(meta.left);
-            meta.units = units;
-            meta.attempt = AttemptId(self.attempts.fetch_add(1, Ordering::Relaxed));
+            let meta = self.meta(&call.meta, deadline);
             let Some(member) = self.choose(&call.service, &meta, &tried) else {
-                let outcome = no_target(&meta);
-                return Delivered { outcome, units };
+                return if tried.is_empty() { no_target(&meta) } else { last };
             };
-            tried.push(member.instance.clone());
+            let Ok(loan) = lend(&mut sends, budget, call.siblings) else { return last };
+            let meta = CallMeta { grant: loan.grant(), ..meta };
             let once = meta.once;
+            tried.push(member.instance.clone());
             let reply = self.send(&member, meta, call.body.clone()).await;
-            units = reply.units;
-            let again = units > 0 && may_send_again(&reply.outcome, once);
-            if !again || self.clock.now() >= deadline {
-                return Delivered { outcome: reply.outcome, units };
+            let outcome = settle(&mut sends, budget, loan, reply);
+            let terms = CallTerms {
+                once,
+                ran: sends.may_have_run(),
+                suspect: false,
+                elsewhere: self.elsewhere(&call, &tried),
+                units: hold(budget).left(),
+                left: deadline.since(self.clock.now()),
+            };
+            match next_step(outcome, &terms, fastrand::u64(..)) {
+                Next::Resend => last = not_run(ErrorKind::RetriesSpent),
+                Next::Final { outcome, .. } => return outcome,
+            }
+            if sends.may_have_run() {
+                last = Outcome::Unknown { kind: ErrorKind::RetriesSpent };
             }
-            units -= 1;
         }
     }
 
+    /// Terms of the next send.
+    fn meta(&self, first: &CallMeta, deadline: Moment) -> CallMeta {
+        let left = deadline.since(self.clock.now());
+        let age = first.age + first.left.saturating_sub(left);
+        let attempt = AttemptId(self.attempts.fetch_add(1, Ordering::Relaxed));
+        CallMeta { left, age, attempt, ..first.clone() }
+    }
+
+    /// Whether a target that was not tried may take the call.
+    fn elsewhere(&self, call: &Delivery, tried: &[InstanceId]) -> bool {
+        let members = self.directory.serving(&call.service);
+        call.meta.binding.is_none() && members.iter().any(|m| !tried.contains(&m.instance))
+    }
+
     /// Member that a once-only call can be bound to.
     pub(crate) fn bind(&self, service: &Name) -> Option<Binding> {
         let member = self.pick(self.directory.serving(service))?;
@@ -130,24 +163,17 @@
         Some(chosen.clone())
     }
 
-    async fn send(&self, member: &MemberRecord, meta: CallMeta, body: Bytes) -> CallReply {
+    /// Sends the call to one member; `None` in place of a reply that never came whole.
+    async fn send(&self, member: &MemberRecord, meta: CallMeta, body: Bytes) -> Reply {
         let (request, attempt, left) = (meta.request, meta.attempt, meta.left);
-        let units = meta.units;
-        let failed = |outcome, units| CallReply { request, attempt, outcome, units, level: 0 };
-        self.count(&member.instance, 1);
-        let call = CallRequest { meta, body };
-        let exchange = self.exchange(member, call);
-        let result = tokio::time::timeout(left, exchange).await;
-        self.count(&member.instance, -1);
-        match result {
-            Ok(Ok(reply)) if whole(&reply, request, attempt) => reply,
-            Ok(Ok(_)) => failed(Outcome::Unknown { kind: ErrorKind::BadAnswer }, 0),
-            Ok(Err(error)) if error.unseen() => {
-                let kind = ErrorKind::Connection;
-                failed(Outcome::NotRun { kind, retry_after: RETRY_AFTER }, units)
-            }
-            Ok(Err(_)) => failed(Outcome::Unknown { kind: ErrorKind::Connection }, 0),
-            Err(_) => failed(Outcome::Unknown { kind: ErrorKind::Deadline }, 0),
+        let _waiting = self.count(&member.instance);
+        let exchange = self.exchange(member, CallRequest { meta, body });
+        match tokio::time::timeout(left, exchange).await {
+            Ok(Ok(reply)) if whole(&reply, request, attempt) => Reply::Whole(reply),
+            Ok(Ok(_)) => Reply::Lost(ErrorKind::BadAnswer),
+            Ok(Err(error)) if error.unseen() => Reply::Unseen,
+            Ok(Err(_)) => Reply::Lost(ErrorKind::Connection),
+            Err(_) => Reply::Lost(ErrorKind::Deadline),
         }
     }
 
@@ -164,18 +190,58 @@
         self.links.exchange(peer, CALL_PATH, &call).await
     }
 
-    fn count(&self, instance: &InstanceId, change: i32) {
+    fn count(&self, instance: &InstanceId) -> Waiting<'_> {
         let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        let count = waiting.entry(instance.clone()).or_default();
-        *count = count.saturating_add_signed(change);
-        if *count == 0 {
-            waiting.remove(instance);
+        *waiting.entry(instance.clone()).or_default() += 1;
+        Waiting { counts: &self.waiting, instance: instance.clone() }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(count) = counts.get_mut(&self.instance) {
+            *count -= 1;
+            if *count == 0 {
+                counts.remove(&self.instance);
+            }
         }
     }
 }
 
+/// Pays for the next send.
+fn lend(sends: &mut Call, budget: &Mutex<Budget>, siblings: u32) -> Result<Loan, RetriesSpent> {
+    let mut budget = hold(budget);
+    let share = budget.share(siblings);
+    sends.send(&mut budget, share)
+}
+
+/// Takes in how a send ended and gives the outcome as far as it is known.
+fn settle(sends: &mut Call, budget: &Mutex<Budget>, loan: Loan, reply: Reply) -> Outcome<Answer> {
+    match reply {
+        Reply::Whole(reply) => {
+            sends.answered(&mut hold(budget), loan, reply.units, &reply.outcome);
+            reply.outcome
+        }
+        Reply::Unseen => {
+            let outcome = not_run(ErrorKind::Connection);
+            let units = loan.grant().units;
+            sends.answered(&mut hold(budget), loan, units, &outcome);
+            outcome
+        }
+        Reply::Lost(kind) => {
+            sends.lost(loan);
+            Outcome::Unknown { kind }
+        }
+    }
+}
+
+fn hold(budget: &Mutex<Budget>) -> MutexGuard<'_, Budget> {
+    budget.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Whether `reply` is the whole answer to this very send.
-fn whole(reply: &CallReply, request: poplar_core::RequestId, attempt: AttemptId) -> bool {
+fn whole(reply: &CallReply, request: RequestId, attempt: AttemptId) -> bool {
     let own = reply.request == request && reply.attempt == attempt;
     match &reply.outcome {
         Outcome::Done(answer) => own && xxh3_64(&answer.body) == answer.checksum,
@@ -183,12 +249,8 @@
     }
 }
 
-fn may_send_again(outcome: &Outcome<Answer>, once: bool) -> bool {
-    match outcome {
-        Outcome::Done(_) => false,
-        Outcome::NotRun { kind, .. } => kind.reply().retryable && !once,
-        Outcome::Unknown { kind } => *kind == ErrorKind::Connection && !once,
-    }
+fn not_run(kind: ErrorKind) -> Outcome<Answer> {
+    Outcome::NotRun { kind, retry_after: RETRY_AFTER }
 }
 
 fn no_target(meta: &CallMeta) -> Outcome<Answer> {
--- a/node/src/runs.rs
+++ b/node/src/runs.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use poplar_core::{Moment, RequestId};
+use poplar_core::{Budget, Moment, RequestId};
 use poplar_kernel::Service;
 use poplar_wire::CallMeta;
 use serde_json::{Value, json};
@@ -23,7 +23,7 @@
     pub(crate) since: Moment,
     token: RequestId,
     ordinal: AtomicU32,
-    units: Mutex<u32>,
+    budget: Mutex<Budget>,
 }
 
 /// Service that knows the runs.
@@ -47,14 +47,20 @@
         self.token.child(self.ordinal.fetch_add(1, Ordering::Relaxed))
     }
 
-    /// Takes every unit that is not lent at present.
-    pub(crate) fn take_units(&self) -> u32 {
-        std::mem::take(&mut *self.units.lock().unwrap_or_else(PoisonError::into_inner))
+    /// Name of the run.
+    pub(crate) fn token(&self) -> RequestId {
+        self.token
     }
 
-    /// Puts back what a child call did not spend.
-    pub(crate) fn return_units(&self, units: u32) {
-        *self.units.lock().unwrap_or_else(PoisonError::into_inner) += units;
+    /// Retry budget that this run holds.
+    pub(crate) fn budget(&self) -> &Mutex<Budget> {
+        &self.budget
+    }
+
+    /// Takes the budget out at the end of the run and gives the units that go back.
+    pub(crate) fn close(&self) -> u32 {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut *budget, Budget::grant(0)).close()
     }
 }
 
@@ -66,7 +72,7 @@
             since: now,
             token,
             ordinal: AtomicU32::new(0),
-            units: Mutex::new(meta.units),
+            budget: Mutex::new(Budget::receive(meta.grant)),
             meta,
         });
         self.open.lock().unwrap_or_else(PoisonError::into_inner).insert(token, run.clone());
--- a/node/src/work.rs
+++ b/node/src/work.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use poplar_core::{ErrorKind, Moment, Outcome, RequestId};
+use poplar_core::{ErrorKind, ImportanceScale, Moment, Outcome, Refusal, RequestId};
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
 use poplar_wire::{Answer, CallMeta, CallReply, CallRequest};
 use serde_json::{Value, json};
 
 use crate::contracts::Contracts;
-use crate::runs::Runs;
+use crate::gate::Gate;
+use crate::runs::{Run, Runs};
 use crate::target::{Ran, Target};
 
 /// Time to come back that a refusal names while nothing better is known.
@@ -22,16 +23,17 @@
 pub(crate) struct Work {
     clock: Clock,
     contracts: Arc<Contracts>,
+    gate: Arc<Gate>,
     runs: Arc<Runs>,
     target: Arc<Target>,
     sealed: std::sync::atomic::AtomicBool,
     in_flight: AtomicU32,
 }
 
-/// One unit of concurrency, given back on drop.
-struct Slot<'a>(&'a AtomicU32);
+/// Call in flight, counted until it is dropped.
+struct Counted<'a>(&'a AtomicU32);
 
-impl Drop for Slot<'_> {
+impl Drop for Counted<'_> {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::AcqRel);
     }
@@ -43,6 +45,7 @@
         Ok(Self {
             clock,
             contracts: registry.find("contracts")?,
+            gate: registry.find("admission")?,
             runs: registry.find("runs")?,
             target: registry.find("target")?,
             sealed: false.into(),
@@ -60,10 +63,16 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
+    fn count(&self) -> Counted<'_> {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        Counted(&self.in_flight)
+    }
+
     /// Serves one call; a once-only call goes on even if the sender's connection is lost.
     pub(crate) async fn serve(self: &Arc<Self>, call: CallRequest) -> CallReply {
         let CallRequest { meta, body } = call;
         let (request, attempt) = (meta.request, meta.attempt);
+        let _counted = self.count();
         let (outcome, units) = if meta.once {
             let (this, spent) = (self.clone(), (unknown(ErrorKind::Connection), 0));
             let work = tokio::spawn(async move { this.admit(meta, body).await });
@@ -71,40 +80,47 @@
         } else {
             self.admit(meta, body).await
         };
-        CallReply { request, attempt, outcome, units, level: 0 }
+        CallReply { request, attempt, outcome, units, level: self.gate.level() }
     }
 
     async fn admit(&self, meta: CallMeta, body: Bytes) -> (Outcome<Answer>, u32) {
-        let units = meta.units;
+        let units = meta.grant.units;
         if self.sealed.load(Ordering::Acquire) {
             return (not_run(ErrorKind::Draining), units);
         }
-        let Some(terms) = self.contracts.current(&meta.customer).and_then(|c| c.terms(&meta.class))
-        else {
+        let Some(contract) = self.contracts.current(&meta.customer) else {
             return (not_run(ErrorKind::NoContract), units);
         };
+        let Some(terms) = contract.terms(&meta.class) else {
+            return (not_run(ErrorKind::UnknownClass), units);
+        };
         let Some(announced) = self.target.serving(self.clock.now()) else {
             return (not_run(ErrorKind::NoTarget), units);
         };
-        let slot = Slot(&self.in_flight);
-        if self.in_flight.fetch_add(1, Ordering::AcqRel) >= announced.slots {
-            return (not_run(ErrorKind::Overload), units);
-        }
-        let token = RequestId(fastrand::u128(..));
-        let left = meta.left;
-        let open = self.runs.open(token, meta, self.clock.now());
-        let meta = &open.run.meta;
+        self.gate.revise(contract.revision, || ImportanceScale::derive(&contract.contract));
+        let permit = match self.gate.enter(&meta).await {
+            Ok(permit) => permit,
+            Err(Refusal { kind, retry_after, .. }) => {
+                return (Outcome::NotRun { kind, retry_after }, units);
+            }
+        };
+        let open = self.runs.open(RequestId(fastrand::u128(..)), meta, self.clock.now());
         let largest = terms.class.largest_answer;
-        let run = self.target.run(&announced.address, meta, token, largest, body);
-        let ran = tokio::time::timeout(left, run).await;
-        drop(slot);
-        let outcome = match ran {
+        let outcome = self.run(&open.run, &announced.address, largest, body).await;
+        if matches!(outcome, Outcome::Done(_)) {
+            permit.finish();
+        }
+        (outcome, open.run.close())
+    }
+
+    async fn run(&self, run: &Run, address: &str, largest: u64, body: Bytes) -> Outcome<Answer> {
+        let work = self.target.run(address, &run.meta, run.token(), largest, body);
+        match tokio::time::timeout(run.meta.left, work).await {
             Ok(Ran::Answer(answer)) => Outcome::Done(answer),
             Ok(Ran::NotRun(kind)) => not_run(kind),
             Ok(Ran::Unknown(kind)) => unknown(kind),
             Err(_) => unknown(ErrorKind::Deadline),
-        };
-        (outcome, open.run.take_units())
+        }
     }
 }
 
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    AttemptId, Binding, Importance, Incarnation, InstanceId, Name, Outcome, RequestId, Revision,
+    AttemptId, Binding, Grant, Importance, Incarnation, InstanceId, Level, Name, Outcome,
+    RequestId, Revision,
 };
 use serde::{Deserialize, Serialize};
 
@@ -33,8 +34,8 @@
     pub age: Duration,
     /// Hops between the entry and this call.
     pub depth: u8,
-    /// Retry units lent to this call.
-    pub units: u32,
+    /// Retry units lent to this call, and whether it repeats an earlier run.
+    pub grant: Grant,
     /// Binding, for a once-only call.
     pub binding: Option<Binding>,
 }
@@ -59,8 +60,8 @@
     pub outcome: Outcome<Answer>,
     /// Retry units that come back unspent.
     pub units: u32,
-    /// Admission level of the service as the answering node sees it.
-    pub level: u32,
+    /// Admission level that a call of this class meets behind the answering node.
+    pub level: Level,
 }
 
 /// Whole answer of a target.
