Add the stand-ins for log, target and callers, and the callers' library

Cause: no request can cross two nodes before there is a log, targets that announce themselves and callers that check what comes back. Ruled out: a target that resends its child calls by itself; the budget for that belongs to the nodes. Ids alone as the proof that an answer is its caller's own; every part of an answer also carries the caller's nonce. Before: placeholders. Conclusion: the stand-ins are ready for a node; the caller has not met one.

--- /dev/null
+++ b/client/src/attempts.rs
@@ -0,0 +1,106 @@
+//! Decides after each send whether a call is over or is sent again.
+
+use std::time::Duration;
+
+use poplar_core::{ErrorKind, Moment, Outcome};
+
+use crate::call::{Answer, Call};
+
+/// What one send brought back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Received {
+    /// Outcome that the node told, or that the failed send leaves.
+    pub outcome: Outcome<Answer>,
+    /// Binding that came with it, as the node wrote it.
+    pub binding: Option<String>,
+}
+
+/// What to do after a send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// The call is over.
+    Finish(Outcome<Answer>),
+    /// Send again after this time.
+    Send(Duration),
+}
+
+/// Sends of one call: what was learned and what may still be spent.
+///
+/// A send is marked as the first one as long as no earlier send can have run, so that a node
+/// that cannot vouch for the past may still run it.
+#[derive(Debug)]
+pub struct Attempts {
+    /// Moment after which the answer is of no use.
+    deadline: Moment,
+    /// Sends that may still be made.
+    left: u32,
+    /// Whether a repeat without a binding does no harm.
+    repeatable: bool,
+    /// Whether no earlier send can have run.
+    first: bool,
+    /// Binding to send with the next send.
+    binding: Option<String>,
+}
+
+impl Attempts {
+    /// Sends of `call`, the first of which is made at `now`.
+    pub fn new(call: &Call, now: Moment) -> Self {
+        Self {
+            deadline: now + call.deadline,
+            left: call.sends.saturating_sub(1),
+            repeatable: call.repeatable,
+            first: true,
+            binding: None,
+        }
+    }
+
+    /// Whether the next send is to be marked as the first.
+    pub fn is_first(&self) -> bool {
+        self.first
+    }
+
+    /// Binding for the next send.
+    pub fn binding(&self) -> Option<&str> {
+        self.binding.as_deref()
+    }
+
+    /// Time left until the deadline.
+    pub fn time_left(&self, now: Moment) -> Duration {
+        self.deadline.since(now)
+    }
+
+    /// Takes in what a send brought back and says what to do.
+    pub fn receive(&mut self, now: Moment, received: Received) -> Step {
+        match received.outcome {
+            Outcome::Done(_) => Step::Finish(received.outcome),
+            Outcome::NotRun { kind, retry_after } => {
+                // A refusal ends the old binding: its holder keeps a tombstone for the request.
+                self.binding = received.binding;
+                let after =
+                    if kind == ErrorKind::BindingNeeded { Duration::ZERO } else { retry_after };
+                if kind.reply().retryable && self.may_send(now, after) {
+                    return Step::Send(after);
+                }
+                Step::Finish(received.outcome)
+            }
+            Outcome::Unknown { kind } => {
+                self.first = false;
+                self.binding = received.binding.or(self.binding.take());
+                let safe = self.repeatable || self.binding.is_some();
+                if safe && kind.reply().retryable && self.may_send(now, Duration::ZERO) {
+                    return Step::Send(Duration::ZERO);
+                }
+                Step::Finish(received.outcome)
+            }
+        }
+    }
+
+    /// Takes one send from what is left if it would come before the deadline.
+    fn may_send(&mut self, now: Moment, after: Duration) -> bool {
+        if self.left == 0 || self.deadline.since(now) <= after {
+            return false;
+        }
+        self.left -= 1;
+        true
+    }
+}
--- /dev/null
+++ b/standins/src/caller.rs
@@ -0,0 +1,249 @@
+//! Stand-in for callers: open-loop load whose every answer is checked to be whole and its own.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use poplar_client::{Answer, Call, Client, ErrorKind, Outcome, RequestId};
+use poplar_core::Name;
+use serde::Serialize;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::graph::{Graph, MixEntry};
+use crate::http::{HttpClient, HttpError};
+use crate::target::{Document, Order, Run};
+
+/// Calls in flight beyond which no further one is started, so that memory stays bounded.
+const IN_FLIGHT: usize = 20_000;
+/// Time between two progress lines.
+const PROGRESS: Duration = Duration::from_secs(1);
+
+/// What a caller is started with.
+#[derive(Debug, Clone)]
+pub struct CallerSettings {
+    /// Caller addresses of the nodes.
+    pub nodes: Vec<String>,
+    /// Customer whose contract governs the calls.
+    pub customer: Name,
+    /// Calls a second.
+    pub rate: f64,
+    /// Time for which calls are started.
+    pub span: Duration,
+    /// Classes and their shares.
+    pub mix: Vec<MixEntry>,
+    /// Child calls of each class, so that an answer can be checked to be whole.
+    pub graph: Graph,
+    /// Classes that may not be repeated.
+    pub once: BTreeSet<Name>,
+    /// Time within which each answer is wanted.
+    pub deadline: Duration,
+    /// Seed of the request ids and of the mix.
+    pub seed: u64,
+    /// Addresses of the targets whose counts of runs are read at the end.
+    pub targets: Vec<String>,
+}
+
+/// Counts of calls by what came of them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Report {
+    /// Calls that were started.
+    pub sent: u64,
+    /// Calls whose answer came back whole and their own.
+    pub whole: u64,
+    /// Calls whose last word was that they did not run.
+    pub refused: u64,
+    /// Calls whose last word was that they may have run.
+    pub unknown: u64,
+    /// Answers that were foreign or only a part.
+    pub wrong: u64,
+    /// Calls whose connection was lost without a last word.
+    pub cut: u64,
+    /// Calls that the target itself answered with an error.
+    pub failed: u64,
+    /// Once-only requests that ran more than once, by the targets' own counts.
+    pub ran_twice: u64,
+    /// Requests that were told "not run" but ran, by the targets' own counts.
+    pub refused_ran: u64,
+    /// Refusals, unknown outcomes and failures by kind.
+    pub kinds: BTreeMap<&'static str, u64>,
+}
+
+/// What came of one call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    Whole,
+    Wrong,
+    Failed,
+    Refused(ErrorKind),
+    Unknown(ErrorKind),
+}
+
+#[derive(Debug, Default)]
+struct Tally {
+    report: Report,
+    once: BTreeSet<RequestId>,
+    refused: BTreeSet<RequestId>,
+}
+
+/// Sends the load, waits for every answer and reports.
+pub async fn run_caller(settings: CallerSettings) -> Result<Report, HttpError> {
+    let client = Client::new(settings.nodes.clone());
+    let tally = Arc::new(Mutex::new(Tally::default()));
+    let settings = Arc::new(settings);
+    let progress = tokio::spawn(show_progress(tally.clone()));
+    let mut calls = JoinSet::new();
+    let begun = Instant::now();
+    for number in 0.. {
+        let due = Duration::from_secs_f64(number as f64 / settings.rate);
+        if due >= settings.span {
+            break;
+        }
+        tokio::time::sleep_until(begun + due).await;
+        while calls.try_join_next().is_some() {}
+        if calls.len() < IN_FLIGHT {
+            calls.spawn(call_once(client.clone(), settings.clone(), tally.clone(), number));
+        }
+    }
+    while calls.join_next().await.is_some() {}
+    progress.abort();
+    let mut tally = std::mem::take(&mut *lock(&tally));
+    compare_runs(&settings, &mut tally).await?;
+    Ok(tally.report)
+}
+
+fn lock(tally: &Mutex<Tally>) -> std::sync::MutexGuard<'_, Tally> {
+    tally.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn show_progress(tally: Arc<Mutex<Tally>>) {
+    let mut ticks = tokio::time::interval(PROGRESS);
+    ticks.tick().await;
+    loop {
+        ticks.tick().await;
+        let report = lock(&tally).report.clone();
+        let Report { sent, whole, refused, unknown, wrong, cut, failed, .. } = report;
+        eprintln!(
+            "caller: sent={sent} whole={whole} refused={refused} unknown={unknown} \
+             failed={failed} wrong={wrong} cut={cut}"
+        );
+    }
+}
+
+async fn call_once(
+    client: Client,
+    settings: Arc<CallerSettings>,
+    tally: Arc<Mutex<Tally>>,
+    number: u64,
+) {
+    let request = RequestId((u128::from(settings.seed) << 64) | 1).child(number as u32);
+    let nonce = (request.0 >> 64) as u64;
+    let class = draw(&settings.mix, nonce);
+    let once = settings.once.contains(&class);
+    let body = serde_json::to_vec(&Order { nonce, crash: None }).unwrap_or_default();
+    let mut call = Call::new(settings.customer.as_str(), class.as_str(), settings.deadline)
+        .with_request(request)
+        .with_body(body);
+    call.repeatable = !once;
+    lock(&tally).report.sent += 1;
+    let outcome = client.call(call).await;
+    let verdict = judge(&settings.graph, &class, request, nonce, outcome);
+    let mut tally = lock(&tally);
+    if once {
+        tally.once.insert(request);
+    }
+    if let Verdict::Refused(_) = verdict {
+        tally.refused.insert(request);
+    }
+    tally.report.add(verdict);
+}
+
+/// Class for a random number; an empty mix gives an empty name.
+fn draw(mix: &[MixEntry], random: u64) -> Name {
+    let total = mix.iter().map(|entry| entry.weight).sum::<u64>().max(1);
+    let mut rest = random % total;
+    for entry in mix {
+        if rest < entry.weight {
+            return entry.class.clone();
+        }
+        rest -= entry.weight;
+    }
+    Name::new("")
+}
+
+fn judge(
+    graph: &Graph,
+    class: &Name,
+    request: RequestId,
+    nonce: u64,
+    outcome: Outcome<Answer>,
+) -> Verdict {
+    match outcome {
+        Outcome::NotRun { kind, .. } => Verdict::Refused(kind),
+        Outcome::Unknown { kind } => Verdict::Unknown(kind),
+        Outcome::Done(answer) if answer.status != 200 => Verdict::Failed,
+        Outcome::Done(answer) => match serde_json::from_slice::<Document>(&answer.body) {
+            Ok(document) if is_own(graph, class, request, nonce, &document) => Verdict::Whole,
+            _ => Verdict::Wrong,
+        },
+    }
+}
+
+fn is_own(graph: &Graph, class: &Name, request: RequestId, nonce: u64, root: &Document) -> bool {
+    let mut ids = BTreeSet::new();
+    root.request == request.to_string() && is_whole(graph, class, nonce, root, &mut ids)
+}
+
+/// Whether a document is of its class, carries the nonce, has every child, and no id stands twice.
+fn is_whole<'a>(
+    graph: &Graph,
+    class: &Name,
+    nonce: u64,
+    document: &'a Document,
+    ids: &mut BTreeSet<&'a str>,
+) -> bool {
+    let expected = graph.children(class.as_str());
+    document.class == class.as_str()
+        && document.nonce == nonce
+        && ids.insert(&document.request)
+        && document.children.len() == expected.len()
+        && expected
+            .iter()
+            .zip(&document.children)
+            .all(|(child, part)| is_whole(graph, child, nonce, part, ids))
+}
+
+impl Report {
+    fn add(&mut self, verdict: Verdict) {
+        let (count, kind) = match verdict {
+            Verdict::Whole => (&mut self.whole, None),
+            Verdict::Wrong => (&mut self.wrong, None),
+            Verdict::Failed => (&mut self.failed, None),
+            Verdict::Refused(kind) => (&mut self.refused, Some(kind)),
+            Verdict::Unknown(ErrorKind::Connection) => (&mut self.cut, Some(ErrorKind::Connection)),
+            Verdict::Unknown(kind) => (&mut self.unknown, Some(kind)),
+        };
+        *count += 1;
+        if let Some(kind) = kind {
+            *self.kinds.entry(kind.label()).or_default() += 1;
+        }
+    }
+}
+
+/// Compares what the callers were told with what the targets counted.
+async fn compare_runs(settings: &CallerSettings, tally: &mut Tally) -> Result<(), HttpError> {
+    let client = HttpClient::default();
+    let mut runs = BTreeMap::<RequestId, u64>::new();
+    for target in &settings.targets {
+        let counts = client.get(target, "/control/runs").await?;
+        for (request, run) in counts.json::<BTreeMap<String, Run>>()? {
+            if let Ok(request) = request.parse() {
+                *runs.entry(request).or_default() += run.count;
+            }
+        }
+    }
+    let count = |id: &RequestId| runs.get(id).copied().unwrap_or(0);
+    tally.report.ran_twice = tally.once.iter().filter(|id| count(id) > 1).count() as u64;
+    tally.report.refused_ran = tally.refused.iter().filter(|id| count(id) > 0).count() as u64;
+    Ok(())
+}
--- /dev/null
+++ b/standins/src/graph.rs
@@ -0,0 +1,66 @@
+//! Which classes a run of each class calls, as the stand-ins take it on their command lines.
+
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+use poplar_core::Name;
+
+/// Classes that a run of each class calls, one after another.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Graph(BTreeMap<Name, Vec<Name>>);
+
+/// Text of a graph or of a mix that cannot be read.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum GraphError {
+    /// An entry is not of the form that is expected.
+    #[error("`{0}`: expected CLASS=CHILD+CHILD")]
+    Entry(String),
+    /// A weight is not a whole number above zero.
+    #[error("`{0}`: expected CLASS=WEIGHT with a whole weight above zero")]
+    Weight(String),
+}
+
+impl Graph {
+    /// Classes that a run of `class` calls.
+    pub fn children(&self, class: &str) -> &[Name] {
+        self.0.get(&Name::new(class)).map_or(&[], Vec::as_slice)
+    }
+}
+
+impl FromStr for Graph {
+    type Err = GraphError;
+
+    fn from_str(text: &str) -> Result<Self, GraphError> {
+        let entries = text.split(',').filter(|entry| !entry.trim().is_empty());
+        let parsed = entries.map(|entry| {
+            let (class, children) = split(entry).ok_or_else(|| GraphError::Entry(entry.into()))?;
+            Ok((Name::new(class), children.split('+').map(Name::new).collect()))
+        });
+        parsed.collect::<Result<_, _>>().map(Self)
+    }
+}
+
+/// One class of a mix of load.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MixEntry {
+    /// Class.
+    pub class: Name,
+    /// Share of the load, relative to the other weights.
+    pub weight: u64,
+}
+
+/// Reads `CLASS=WEIGHT,CLASS=WEIGHT`.
+pub fn parse_mix(text: &str) -> Result<Vec<MixEntry>, GraphError> {
+    let entries = text.split(',').map(|entry| {
+        let error = || GraphError::Weight(entry.into());
+        let (class, weight) = split(entry).ok_or_else(error)?;
+        let weight = weight.parse().ok().filter(|weight| *weight > 0).ok_or_else(error)?;
+        Ok(MixEntry { class: Name::new(class), weight })
+    });
+    entries.collect()
+}
+
+fn split(entry: &str) -> Option<(&str, &str)> {
+    let (class, rest) = entry.trim().split_once('=')?;
+    (!class.is_empty() && !rest.is_empty()).then_some((class, rest))
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! Small stand-ins for the platform's log, for targets and for callers: tests and the demo only.
+//!
+//! They bind to ports that the operating system picks, keep everything in memory, and can be told
+//! to fail in the ways that the platform and its targets fail.
+
+mod caller;
+mod graph;
+mod http;
+mod log;
+mod target;
+
+pub use caller::{CallerSettings, Report, run_caller};
+pub use graph::{Graph, GraphError, MixEntry, parse_mix};
+pub use http::{HttpClient, HttpError, Reply, stop_signal};
+pub use log::{LogFaults, LogServer, LoseAcks};
+pub use target::{Switches, TargetServer, TargetSettings};
