--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -2,12 +2,17 @@
 //!
 //! This crate holds shapes and codecs only; it opens no socket.
 
+mod codec;
 mod message;
+mod text;
 
+pub use codec::{CodecError, MESSAGE_LIMIT_BYTES, decode, encode};
 pub use message::{
-    Announcement, Answer, CallMeta, CallReply, CallRequest, ContractRecord, MemberRecord,
-    MemberState,
+    Announcement, Answer, CallMeta, CallReply, CallRequest, MemberRecord, MemberState,
 };
+pub use poplar_core::ContractRecord;
+
+pub use text::{binding_text, parse_binding};
 
 /// Names of the HTTP headers that callers, targets and nodes exchange.
 pub mod header {
