Read contracts from YAML, publish and show them, and start the demo

Cause: an operator needs a file to sign, a check of it with the limits that follow, and a word on whether it is in force. Ruled out: publishing over a revision that the operator has not named; the second of two operators would undo the first one's work unseen. Before: poplarctl was a placeholder. Conclusion: to be run against the node next.

--- a/client/src/attempts.rs
+++ b/client/src/attempts.rs
@@ -6,6 +6,9 @@
 
 use crate::call::{Answer, Call};
 
+/// Time to come back when no node can be connected to.
+const COME_BACK: Duration = Duration::from_secs(1);
+
 /// What one send brought back.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Received {
@@ -26,7 +29,8 @@
 
 /// Sends of one call: what was learned and what may still be spent.
 ///
-/// A send is marked as the first one as long as no earlier send can have run, so that a node
+/// Sending again is safe whatever the class: a node runs a once-only request only with a binding,
+/// and the binding's holder runs it once. A send is marked as the first one as long as no earlier send can have run, so that a node
 /// that cannot vouch for the past may still run it.
 #[derive(Debug)]
 pub struct Attempts {
@@ -34,8 +38,6 @@
     deadline: Moment,
     /// Sends that may still be made.
     left: u32,
-    /// Whether a repeat without a binding does no harm.
-    repeatable: bool,
     /// Whether no earlier send can have run.
     first: bool,
     /// Binding to send with the next send.
@@ -48,7 +50,6 @@
         Self {
             deadline: now + call.deadline,
             left: call.sends.saturating_sub(1),
-            repeatable: call.repeatable,
             first: true,
             binding: None,
         }
@@ -86,8 +87,7 @@
             Outcome::Unknown { kind } => {
                 self.first = false;
                 self.binding = received.binding.or(self.binding.take());
-                let safe = self.repeatable || self.binding.is_some();
-                if safe && kind.reply().retryable && self.may_send(now, Duration::ZERO) {
+                if kind.reply().retryable && self.may_send(now, Duration::ZERO) {
                     return Step::Send(Duration::ZERO);
                 }
                 Step::Finish(received.outcome)
@@ -95,6 +95,15 @@
         }
     }
 
+    /// Outcome when no node can be connected to: not run, unless an earlier send may have.
+    pub fn give_up(&self) -> Outcome<Answer> {
+        let kind = ErrorKind::Connection;
+        if self.first {
+            return Outcome::NotRun { kind, retry_after: COME_BACK };
+        }
+        Outcome::Unknown { kind }
+    }
+
     /// Takes one send from what is left if it would come before the deadline.
     fn may_send(&mut self, now: Moment, after: Duration) -> bool {
         if self.left == 0 || self.deadline.since(now) <= after {
--- a/client/src/call.rs
+++ b/client/src/call.rs
@@ -20,8 +20,6 @@
     pub deadline: Duration,
     /// Largest number of sends, the first included.
     pub sends: u32,
-    /// Whether a send whose outcome is unknown may be followed by another without a binding.
-    pub repeatable: bool,
     /// Body for the target.
     pub body: Bytes,
 }
@@ -38,7 +36,6 @@
             class: Name::new(class),
             deadline,
             sends: Self::SENDS,
-            repeatable: false,
             body: Bytes::new(),
         }
     }
@@ -54,12 +51,6 @@
         self.request = request;
         self
     }
-
-    /// The same call, sent again freely when an outcome is unknown.
-    pub fn repeatable(mut self) -> Self {
-        self.repeatable = true;
-        self
-    }
 }
 
 /// Whole answer of a target.
--- a/client/src/client.rs
+++ b/client/src/client.rs
@@ -1,6 +1,5 @@
 //! Carries a call to a node and back over HTTP.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -14,6 +13,7 @@
 
 use crate::attempts::{Attempts, Received, Step};
 use crate::call::{Answer, Call};
+use crate::nodes::{Node, Nodes};
 
 type Http = hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>;
 
@@ -28,7 +28,7 @@
 #[derive(Debug, Clone)]
 pub struct Client {
     http: Http,
-    nodes: Arc<[String]>,
+    nodes: Nodes,
     origin: Instant,
 }
 
@@ -39,7 +39,7 @@
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE)
             .build(HttpConnector::new());
-        Self { http, nodes: nodes.into(), origin: Instant::now() }
+        Self { http, nodes: Nodes::new(nodes), origin: Instant::now() }
     }
 
     /// Sends a call until its outcome is known, its sends are spent or its deadline has passed.
@@ -51,19 +51,20 @@
         let mut turn = usize::from(call.request.lot());
         let mut refused = 0;
         loop {
-            let node = match self.nodes.len() {
-                0 => return not_connected(),
-                count => &self.nodes[turn % count],
+            let Some(node) = self.nodes.pick(self.now(), turn) else {
+                return attempts.give_up();
             };
             turn = turn.wrapping_add(1);
-            let Some(received) = self.send(node, &call, &attempts).await else {
+            let Some(received) = self.send(&node.address, &call, &attempts).await else {
+                node.avoid(self.now());
                 refused += 1;
                 if refused >= self.nodes.len() || attempts.time_left(self.now()).is_zero() {
-                    return not_connected();
+                    return attempts.give_up();
                 }
                 tokio::time::sleep(CONNECT_PAUSE).await;
                 continue;
             };
+            self.note(node, &received);
             match attempts.receive(self.now(), received) {
                 Step::Finish(outcome) => return outcome,
                 Step::Send(after) => tokio::time::sleep(after).await,
@@ -71,6 +72,15 @@
         }
     }
 
+    /// Passes over a node that takes no calls at present.
+    fn note(&self, node: &Node, received: &Received) {
+        if let Outcome::NotRun { kind: ErrorKind::Draining | ErrorKind::NoContract, .. } =
+            received.outcome
+        {
+            node.avoid(self.now());
+        }
+    }
+
     fn now(&self) -> Moment {
         Moment::from_micros(self.origin.elapsed().as_micros() as u64)
     }
@@ -164,8 +174,3 @@
 fn unknown(kind: ErrorKind) -> Received {
     Received { outcome: Outcome::Unknown { kind }, binding: None }
 }
-
-/// No node could be connected to, so no send was made after the last definite refusal.
-fn not_connected() -> Outcome<Answer> {
-    Outcome::NotRun { kind: ErrorKind::Connection, retry_after: Duration::from_secs(1) }
-}
--- a/client/src/lib.rs
+++ b/client/src/lib.rs
@@ -24,6 +24,7 @@
 mod attempts;
 mod call;
 mod client;
+mod nodes;
 
 pub use attempts::{Attempts, Received, Step};
 pub use call::{Answer, Call};
--- a/core/src/contract.rs
+++ b/core/src/contract.rs
@@ -80,10 +80,63 @@
         /// Once-only class that it calls.
         callee: Name,
     },
+    /// The calls of a class lead back to it, or further down than any chain may go.
+    #[error("class {class}: its calls run in a circle or more than {CHAIN_DEPTH} deep")]
+    Circle {
+        /// Class with the fault.
+        class: Name,
+    },
+    /// A re-send within the deadline could outlive the memory of the first send.
+    #[error("class {class}: the repeat window is shorter than the deadline")]
+    ShortWindow {
+        /// Class with the fault.
+        class: Name,
+    },
+    /// No answer can pass all hops of the chain within the deadline.
+    #[error("class {class}: a chain {depth} deep needs a deadline of {least:?} or more")]
+    ShortDeadline {
+        /// Class with the fault.
+        class: Name,
+        /// Calls on the longest chain, the class itself included.
+        depth: u32,
+        /// Shortest deadline that is possible.
+        least: Duration,
+    },
+}
+
+/// Largest number of calls on one chain, the first included.
+pub const CHAIN_DEPTH: u32 = 18;
+/// Time that each call of a chain takes at least, for its way there and back.
+pub const HOP_TIME: Duration = Duration::from_millis(5);
+
+impl ContractError {
+    /// Class with the fault.
+    pub fn class(&self) -> &Name {
+        match self {
+            Self::UnknownService { class, .. }
+            | Self::UnknownCallee { class, .. }
+            | Self::OnceInRepeatable { class, .. }
+            | Self::Circle { class }
+            | Self::ShortWindow { class }
+            | Self::ShortDeadline { class, .. } => class,
+        }
+    }
+
+    /// Term of the class that is at fault, by its name in a contract file.
+    pub const fn term(&self) -> &'static str {
+        match self {
+            Self::UnknownService { .. } => "service",
+            Self::UnknownCallee { .. } | Self::OnceInRepeatable { .. } | Self::Circle { .. } => {
+                "calls"
+            }
+            Self::ShortWindow { .. } => "repeat_window",
+            Self::ShortDeadline { .. } => "deadline",
+        }
+    }
 }
 
 impl Contract {
-    /// Checks the references and the once-only rule between the classes.
+    /// Checks the references between the classes and that their terms can be met together.
     pub fn verify(&self) -> Result<(), ContractError> {
         for (class, terms) in &self.classes {
             if !self.services.contains(&terms.service) {
@@ -92,7 +145,29 @@
             }
             self.verify_calls(class, terms)?;
         }
-        Ok(())
+        let depths = self.depths()?;
+        self.classes.iter().try_for_each(|(class, terms)| {
+            verify_times(class, terms, depths.get(class).copied().unwrap_or(1))
+        })
+    }
+
+    /// Calls on the longest chain that starts with each class, the class itself included.
+    ///
+    /// Each round settles the classes whose callees are settled, so the work is bounded by the
+    /// number of classes times [`CHAIN_DEPTH`].
+    pub fn depths(&self) -> Result<BTreeMap<Name, u32>, ContractError> {
+        let mut depths = BTreeMap::new();
+        for depth in 1..=CHAIN_DEPTH {
+            let open = self.classes.iter().filter(|(class, _)| !depths.contains_key(*class));
+            let ready = open
+                .filter(|(_, terms)| terms.calls.iter().all(|callee| depths.contains_key(callee)));
+            let ready: Vec<_> = ready.map(|(class, _)| (class.clone(), depth)).collect();
+            depths.extend(ready);
+        }
+        match self.classes.keys().find(|class| !depths.contains_key(*class)) {
+            Some(class) => Err(ContractError::Circle { class: class.clone() }),
+            None => Ok(depths),
+        }
     }
 
     fn verify_calls(&self, class: &Name, terms: &ClassTerms) -> Result<(), ContractError> {
@@ -108,3 +183,14 @@
         Ok(())
     }
 }
+
+fn verify_times(class: &Name, terms: &ClassTerms, depth: u32) -> Result<(), ContractError> {
+    let least = HOP_TIME * depth;
+    if terms.deadline < least {
+        return Err(ContractError::ShortDeadline { class: class.clone(), depth, least });
+    }
+    if !terms.repeatable && terms.repeat_window < terms.deadline {
+        return Err(ContractError::ShortWindow { class: class.clone() });
+    }
+    Ok(())
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -26,7 +26,7 @@
     Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
     RetriesSpent, Run, come_back_after, keeper, next_step,
 };
-pub use contract::{ClassTerms, Contract, ContractError, Goal};
+pub use contract::{CHAIN_DEPTH, ClassTerms, Contract, ContractError, Goal, HOP_TIME};
 pub use fold::{
     ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, MAX_REFUSED,
     RecordFault, Verdict, Word,
@@ -35,6 +35,6 @@
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
     rendezvous_weight,
 };
-pub use limit::{ImportanceScale, RunTimes, TargetLimits, retry_after};
+pub use limit::{ClassLimits, ImportanceScale, RunTimes, TargetLimits, retry_after};
 pub use outcome::{ErrorKind, Outcome, Reply};
 pub use time::Moment;
--- a/core/src/limit.rs
+++ b/core/src/limit.rs
@@ -6,7 +6,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::contract::Contract;
+use serde::Serialize;
+
+use crate::contract::{Contract, ContractError};
 use crate::ids::{Importance, Name};
 
 /// Shortest time for which a refused caller is asked to stay away.
@@ -27,7 +29,7 @@
 const CLASSES_MAX: usize = 4_096;
 
 /// Limits of one target, derived from its announcement.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct TargetLimits {
     /// Requests that may run at once.
     pub slots: u32,
@@ -124,3 +126,54 @@
 pub(crate) fn smoothed(mean: Duration, sample: Duration) -> Duration {
     (mean * (SMOOTHING - 1) + sample) / SMOOTHING
 }
+
+/// Limits of one class, derived from the contract alone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct ClassLimits {
+    /// Steps of importance that are shed before this class; zero is shed first.
+    pub step: usize,
+    /// Calls on the longest chain, the first included.
+    pub depth: u32,
+    /// Calls that one request makes when nothing is sent again, the first included.
+    pub calls: u64,
+    /// Largest number of sends in the whole chain, re-sends included.
+    pub sends: u64,
+    /// Time until the whole answer is of no use.
+    pub deadline: Duration,
+    /// Time for which the answer of a once-only request is kept.
+    pub window: Duration,
+    /// Largest answer, in bytes.
+    pub answer: u64,
+}
+
+impl ClassLimits {
+    /// Limits of every class of a contract.
+    ///
+    /// # Errors
+    ///
+    /// `Circle` if the calls of a class lead back to it.
+    pub fn derive(contract: &Contract) -> Result<BTreeMap<Name, Self>, ContractError> {
+        let depths = contract.depths()?;
+        let scale = ImportanceScale::derive(contract);
+        let mut classes: Vec<_> = depths.into_iter().collect();
+        classes.sort_by_key(|(_, depth)| *depth);
+        let mut limits = BTreeMap::<Name, Self>::new();
+        for (class, depth) in classes {
+            let Some(terms) = contract.classes.get(&class) else { continue };
+            let below = |name: &Name| limits.get(name).map_or(0, |callee| callee.calls);
+            let below = terms.calls.iter().map(below).fold(0, u64::saturating_add);
+            let calls = below.saturating_add(1);
+            let limit = Self {
+                step: scale.steps.partition_point(|step| *step < terms.importance),
+                depth,
+                calls,
+                sends: calls.saturating_add(u64::from(terms.retries)),
+                deadline: terms.deadline,
+                window: terms.repeat_window,
+                answer: terms.largest_answer,
+            };
+            limits.insert(class, limit);
+        }
+        Ok(limits)
+    }
+}
--- /dev/null
+++ b/ctl/src/http.rs
@@ -0,0 +1,96 @@
+//! HTTP exchanges with the log and with nodes.
+
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Bytes;
+use hyper::{Method, Request};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::de::DeserializeOwned;
+
+use crate::error::CtlError;
+
+/// Largest answer that is read, in bytes.
+const ANSWER_LIMIT_BYTES: usize = 64 << 20;
+/// Time within which an answer must come.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// HTTP client of one command.
+#[derive(Debug, Clone)]
+pub(crate) struct Http {
+    inner: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Http {
+    pub(crate) fn new() -> Self {
+        let inner =
+            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build_http();
+        Self { inner }
+    }
+
+    /// Reads a JSON document.
+    pub(crate) async fn get<T: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        wait: Duration,
+    ) -> Result<T, CtlError> {
+        self.exchange(Method::GET, address, path, Bytes::new(), TIMEOUT + wait).await
+    }
+
+    /// Posts a JSON document and reads one.
+    pub(crate) async fn post<T: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T, CtlError> {
+        self.exchange(Method::POST, address, path, body, TIMEOUT).await
+    }
+
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        address: &str,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<T, CtlError> {
+        let unreachable = |why: String| CtlError::Unreachable { address: address.into(), why };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .body(Full::new(body))
+            .map_err(|error| unreachable(error.to_string()))?;
+        let bytes = tokio::time::timeout(timeout, self.whole(request))
+            .await
+            .map_err(|_| unreachable(format!("no answer within {timeout:?}")))?
+            .map_err(unreachable)?;
+        serde_json::from_slice(&bytes)
+            .map_err(|error| CtlError::Answer { address: address.into(), why: error.to_string() })
+    }
+
+    /// Body of a successful answer, or in words why there is none.
+    async fn whole(&self, request: Request<Full<Bytes>>) -> Result<Bytes, String> {
+        let response = self.inner.request(request).await.map_err(|error| describe(&error))?;
+        let status = response.status();
+        if !status.is_success() {
+            return Err(format!("status {status}"));
+        }
+        let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES).collect().await;
+        Ok(body.map_err(|error| error.to_string())?.to_bytes())
+    }
+}
+
+/// Error with its causes, since the outer one alone says little.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut cause = error.source();
+    while let Some(error) = cause {
+        text = format!("{text}: {error}");
+        cause = error.source();
+    }
+    text
+}
--- a/ctl/src/main.rs
+++ b/ctl/src/main.rs
@@ -1,3 +1,81 @@
-//! Placeholder.
+//! The operators' command line: publishes contracts and shows what is in force.
 
-fn main() {}
+mod check;
+mod dump;
+mod error;
+mod http;
+mod log;
+mod node;
+mod options;
+mod output;
+mod publish;
+mod show;
+mod watch;
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use poplar_core::{Contract, Name, Revision};
+use poplar_wire::parse_contract;
+
+use crate::error::CtlError;
+use crate::http::Http;
+use crate::log::ContractLog;
+use crate::options::{Command, command};
+use crate::publish::Publication;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    match run(command().run()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("poplarctl: {error}");
+            ExitCode::from(error.code())
+        }
+    }
+}
+
+async fn run(command: Command) -> Result<(), CtlError> {
+    let http = Http::new();
+    match command {
+        Command::Publish { log, node, base, id, timeout, format, file } => {
+            let publication = Publication {
+                contract: Arc::new(read_contract(&file)?),
+                base: base.map(Revision),
+                id,
+                nodes: node,
+                timeout: Duration::from_secs(timeout),
+            };
+            let log = ContractLog::new(http.clone(), &log);
+            let accepted = publish::publish(&http, log, publication).await?;
+            output::print(format, &accepted)
+        }
+        Command::Check { target, format, file } => {
+            let contract = read_contract(&file)?;
+            output::print(format, &check::derive(&file, &contract, target)?)
+        }
+        Command::Show { source, format, customer } => {
+            let shown = show::show(&http, &source, &Name::new(&customer)).await?;
+            output::print(format, &shown)
+        }
+        Command::History { log, format, customer } => {
+            let log = ContractLog::new(http, &log);
+            output::print(format, &show::history(log, &Name::new(&customer)).await?)
+        }
+        Command::Dump { format, node } => {
+            output::print(format, &dump::Dump(node::state(&http, &node).await?.dump))
+        }
+        Command::Watch { source, format, lines } => {
+            watch::watch(&http, &source, format, lines).await
+        }
+    }
+}
+
+fn read_contract(path: &Path) -> Result<Contract, CtlError> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|source| CtlError::File { file: file.clone(), source })?;
+    parse_contract(&text).map_err(|fault| CtlError::Contract { file, fault })
+}
--- a/standins/src/bin/poplar-caller.rs
+++ b/standins/src/bin/poplar-caller.rs
@@ -1,11 +1,15 @@
 //! Stand-in for callers as a process.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use bpaf::Bpaf;
 use poplar_core::Name;
-use poplar_standins::{CallerSettings, Graph, HttpError, parse_mix, run_caller};
+use poplar_standins::{
+    CallerSettings, ClassLoad, ContractOptionError, Graph, HttpError, parse_mix, read_contract,
+    run_caller,
+};
 
 /// Stand-in for callers: sends an open-loop load and checks every answer.
 ///
@@ -17,7 +21,7 @@
     #[bpaf(argument("IP:PORT,..."))]
     nodes: String,
     /// Customer whose contract governs the calls
-    #[bpaf(argument("NAME"))]
+    #[bpaf(argument("NAME"), fallback(String::new()))]
     customer: String,
     /// Calls a second
     #[bpaf(argument("RATE"), fallback(100.0), display_fallback)]
@@ -37,6 +41,9 @@
     /// Time within which each answer is wanted
     #[bpaf(argument("MS"), fallback(3000), display_fallback)]
     deadline_ms: u64,
+    /// Contract file that gives customer, child calls, deadlines and what may not be repeated
+    #[bpaf(argument("FILE"))]
+    contract: Option<PathBuf>,
     /// Seed of the request ids and of the mix
     #[bpaf(argument("SEED"), fallback(1), display_fallback)]
     seed: u64,
@@ -48,6 +55,8 @@
 /// Why no report could be made.
 #[derive(Debug, thiserror::Error)]
 enum CallerError {
+    #[error(transparent)]
+    Contract(#[from] ContractOptionError),
     #[error("--mix: {0}")]
     Mix(#[from] poplar_standins::GraphError),
     #[error("--runs-from: {0}")]
@@ -69,18 +78,30 @@
     if !(options.rate.is_finite() && options.rate > 0.0) {
         return Err(CallerError::Span);
     }
-    let settings = CallerSettings {
+    let deadline = Duration::from_millis(options.deadline_ms);
+    let once = ClassLoad { repeatable: false, deadline };
+    let mut settings = CallerSettings {
         nodes: list(&options.nodes).map(str::to_owned).collect(),
         customer: Name::new(&options.customer),
         rate: options.rate,
         span,
         mix: parse_mix(&options.mix)?,
         graph: options.children,
-        once: list(&options.once).map(Name::new).collect::<BTreeSet<_>>(),
-        deadline: Duration::from_millis(options.deadline_ms),
+        classes: list(&options.once).map(|class| (Name::new(class), once)).collect(),
+        deadline,
         seed: options.seed,
         targets: list(&options.runs_from).map(str::to_owned).collect(),
     };
+    if let Some(path) = &options.contract {
+        let contract = read_contract(path)?;
+        settings.graph = Graph::of_contract(&contract);
+        let load = contract.classes.iter().map(|(class, terms)| {
+            let load = ClassLoad { repeatable: terms.repeatable, deadline: terms.deadline };
+            (class.clone(), load)
+        });
+        settings.classes = load.collect::<BTreeMap<_, _>>();
+        settings.customer = contract.customer;
+    }
     let report = run_caller(settings).await?;
     println!("{}", serde_json::to_string(&report)?);
     Ok(())
--- a/standins/src/bin/poplar-target.rs
+++ b/standins/src/bin/poplar-target.rs
@@ -1,11 +1,14 @@
 //! Stand-in for a target as a process.
 
 use std::io;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use bpaf::Bpaf;
 use poplar_core::Name;
-use poplar_standins::{Graph, TargetServer, TargetSettings, stop_signal};
+use poplar_standins::{
+    ContractOptionError, Graph, TargetServer, TargetSettings, read_contract, stop_signal,
+};
 
 /// Stand-in for a target, for tests and the demo.
 #[derive(Debug, Clone, Bpaf)]
@@ -38,11 +41,28 @@
     /// Child calls of each class: CLASS=CHILD+CHILD,CLASS=CHILD
     #[bpaf(argument("GRAPH"), fallback(Graph::default()))]
     children: Graph,
+    /// Contract file that gives customer and child calls in place of the options
+    #[bpaf(argument("FILE"))]
+    contract: Option<PathBuf>,
+}
+
+/// Why the target could not start.
+#[derive(Debug, thiserror::Error)]
+enum TargetError {
+    #[error(transparent)]
+    Contract(#[from] ContractOptionError),
+    #[error("{0}")]
+    Io(#[from] io::Error),
 }
 
 #[tokio::main(flavor = "current_thread")]
-async fn main() -> Result<(), io::Error> {
-    let options = options().run();
+async fn main() -> Result<(), TargetError> {
+    let mut options = options().run();
+    if let Some(path) = &options.contract {
+        let contract = read_contract(path)?;
+        options.customer = contract.customer.to_string();
+        options.children = Graph::of_contract(&contract);
+    }
     let settings = TargetSettings {
         listen: options.listen,
         service: Name::new(&options.service),
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -34,9 +34,9 @@
     pub mix: Vec<MixEntry>,
     /// Child calls of each class, so that an answer can be checked to be whole.
     pub graph: Graph,
-    /// Classes that may not be repeated.
-    pub once: BTreeSet<Name>,
-    /// Time within which each answer is wanted.
+    /// Terms of the classes; one that is absent may be repeated and has [`Self::deadline`].
+    pub classes: BTreeMap<Name, ClassLoad>,
+    /// Time within which an answer is wanted unless its class says otherwise.
     pub deadline: Duration,
     /// Seed of the request ids and of the mix.
     pub seed: u64,
@@ -44,6 +44,15 @@
     pub targets: Vec<String>,
 }
 
+/// Terms of a class that concern its callers.
+#[derive(Debug, Clone, Copy)]
+pub struct ClassLoad {
+    /// Whether it may be repeated.
+    pub repeatable: bool,
+    /// Time within which an answer is wanted.
+    pub deadline: Duration,
+}
+
 /// Counts of calls by what came of them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct Report {
@@ -65,6 +74,8 @@
     pub ran_twice: u64,
     /// Requests that were told "not run" but ran, by the targets' own counts.
     pub refused_ran: u64,
+    /// Targets that gave their counts.
+    pub counted: u64,
     /// Refusals, unknown outcomes and failures by kind.
     pub kinds: BTreeMap<&'static str, u64>,
 }
@@ -139,17 +150,17 @@
     let request = RequestId((u128::from(settings.seed) << 64) | 1).child(number as u32);
     let nonce = (request.0 >> 64) as u64;
     let class = draw(&settings.mix, nonce);
-    let once = settings.once.contains(&class);
+    let default = ClassLoad { repeatable: true, deadline: settings.deadline };
+    let terms = settings.classes.get(&class).copied().unwrap_or(default);
     let body = serde_json::to_vec(&Order { nonce, crash: None }).unwrap_or_default();
-    let mut call = Call::new(settings.customer.as_str(), class.as_str(), settings.deadline)
+    let call = Call::new(settings.customer.as_str(), class.as_str(), terms.deadline)
         .with_request(request)
         .with_body(body);
-    call.repeatable = !once;
     lock(&tally).report.sent += 1;
     let outcome = client.call(call).await;
     let verdict = judge(&settings.graph, &class, request, nonce, outcome);
     let mut tally = lock(&tally);
-    if once {
+    if !terms.repeatable {
         tally.once.insert(request);
     }
     if let Verdict::Refused(_) = verdict {
@@ -235,7 +246,9 @@
     let client = HttpClient::default();
     let mut runs = BTreeMap::<RequestId, u64>::new();
     for target in &settings.targets {
-        let counts = client.get(target, "/control/runs").await?;
+        // A target that has stopped by now has no counts to give.
+        let Ok(counts) = client.get(target, "/control/runs").await else { continue };
+        tally.report.counted += 1;
         for (request, run) in counts.json::<BTreeMap<String, Run>>()? {
             if let Ok(request) = request.parse() {
                 *runs.entry(request).or_default() += run.count;
--- a/standins/src/graph.rs
+++ b/standins/src/graph.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-use poplar_core::Name;
+use poplar_core::{Contract, Name};
 
 /// Classes that a run of each class calls, one after another.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -21,6 +21,12 @@
 }
 
 impl Graph {
+    /// Calls that the classes of a contract make.
+    pub fn of_contract(contract: &Contract) -> Self {
+        let classes = contract.classes.iter();
+        Self(classes.map(|(class, terms)| (class.clone(), terms.calls.clone())).collect())
+    }
+
     /// Classes that a run of `class` calls.
     pub fn children(&self, class: &str) -> &[Name] {
         self.0.get(&Name::new(class)).map_or(&[], Vec::as_slice)
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,12 +4,14 @@
 //! to fail in the ways that the platform and its targets fail.
 
 mod caller;
+mod contract;
 mod graph;
 mod http;
 mod log;
 mod target;
 
-pub use caller::{CallerSettings, Report, run_caller};
+pub use caller::{CallerSettings, ClassLoad, Report, run_caller};
+pub use contract::{ContractOptionError, read_contract};
 pub use graph::{Graph, GraphError, MixEntry, parse_mix};
 pub use http::{HttpClient, HttpError, Reply, stop_signal};
 pub use log::{LogFaults, LogServer, LoseAcks};
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -355,7 +355,7 @@
 
 async fn handle(target: Arc<Target>, asked: Asked) -> Handled {
     match (asked.method.clone(), asked.path.as_str()) {
-        (Method::POST, "/") => target.run(&asked).await,
+        (Method::POST, "/") => echo(target.run(&asked).await, &asked),
         (Method::POST, "/control") => target.control(&asked.body),
         (Method::GET, "/control/runs") => target.runs(),
         (Method::GET, "/health") => target.health(),
@@ -363,6 +363,15 @@
     }
 }
 
+/// The answer with the token of its run, by which the node knows it from any other answer.
+fn echo(handled: Handled, asked: &Asked) -> Handled {
+    let mut response = handled?;
+    if let Some(token) = asked.headers.get(header::PARENT) {
+        response.headers_mut().insert(header::PARENT, token.clone());
+    }
+    Ok(response)
+}
+
 /// The signal that a request was shed before it started.
 fn shed() -> Handled {
     let response = Response::builder()
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -3,10 +3,15 @@
 //! This crate holds shapes and codecs only; it opens no socket.
 
 mod codec;
+mod contract_file;
+mod contract_text;
 mod message;
+mod quantity;
 mod text;
 
 pub use codec::{CodecError, MESSAGE_LIMIT_BYTES, decode, encode};
+pub use contract_file::{ContractFileError, FILE_LIMIT_BYTES, parse_contract};
+pub use contract_text::contract_text;
 pub use message::{
     Announcement, Answer, CallMeta, CallReply, CallRequest, MemberRecord, MemberState,
 };
--- /dev/null
+++ b/wire/src/quantity.rs
@@ -0,0 +1,158 @@
+//! Quantities as people write them: a whole number and a unit, within a range.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::de::{Deserializer, Error, Visitor};
+
+/// Unit of a quantity and what it counts in the smallest unit of its kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Unit {
+    name: &'static str,
+    factor: u64,
+}
+
+/// Units of time, in milliseconds, smallest first.
+const TIMES: [Unit; 4] = [
+    Unit { name: "ms", factor: 1 },
+    Unit { name: "s", factor: 1_000 },
+    Unit { name: "min", factor: 60_000 },
+    Unit { name: "h", factor: 3_600_000 },
+];
+
+/// Units of size, in bytes, smallest first.
+const SIZES: [Unit; 3] = [
+    Unit { name: "B", factor: 1 },
+    Unit { name: "KiB", factor: 1 << 10 },
+    Unit { name: "MiB", factor: 1 << 20 },
+];
+
+/// Time from `MIN` to `MAX` milliseconds, written as in `2 s`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Span<const MIN: u64, const MAX: u64>(u64);
+
+/// Size from `MIN` to `MAX` bytes, written as in `64 KiB`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Bytes<const MIN: u64, const MAX: u64>(u64);
+
+/// Whole number from `MIN` to `MAX`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Count<const MIN: u8, const MAX: u8>(u8);
+
+impl<const MIN: u64, const MAX: u64> Span<MIN, MAX> {
+    pub(crate) fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl<const MIN: u64, const MAX: u64> Bytes<MIN, MAX> {
+    pub(crate) fn get(self) -> u64 {
+        self.0
+    }
+}
+
+impl<const MIN: u8, const MAX: u8> Count<MIN, MAX> {
+    pub(crate) fn get(self) -> u8 {
+        self.0
+    }
+}
+
+impl<'de, const MIN: u64, const MAX: u64> Deserialize<'de> for Span<MIN, MAX> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        quantity(deserializer, &TIMES, MIN, MAX).map(Self)
+    }
+}
+
+impl<'de, const MIN: u64, const MAX: u64> Deserialize<'de> for Bytes<MIN, MAX> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        quantity(deserializer, &SIZES, MIN, MAX).map(Self)
+    }
+}
+
+impl<'de, const MIN: u8, const MAX: u8> Deserialize<'de> for Count<MIN, MAX> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let Text(text) = Text::deserialize(deserializer)?;
+        let number = text.parse().ok().filter(|number| (MIN..=MAX).contains(number));
+        let error =
+            || D::Error::custom(format!("`{text}`, allowed are whole numbers from {MIN} to {MAX}"));
+        number.map(Self).ok_or_else(error)
+    }
+}
+
+fn quantity<'de, D: Deserializer<'de>>(
+    deserializer: D,
+    units: &[Unit],
+    min: u64,
+    max: u64,
+) -> Result<u64, D::Error> {
+    let Text(text) = Text::deserialize(deserializer)?;
+    let value = parse(&text, units).filter(|value| (min..=max).contains(value));
+    value.ok_or_else(|| {
+        let (min, max) = (show(min, units), show(max, units));
+        let names: Vec<_> = units.iter().map(|unit| unit.name).collect();
+        let names = names.join(", ");
+        D::Error::custom(format!("`{text}`, allowed are {min} to {max}, in units {names}"))
+    })
+}
+
+fn parse(text: &str, units: &[Unit]) -> Option<u64> {
+    let digits = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len());
+    let (number, name) = text.split_at(digits);
+    let unit = units.iter().find(|unit| unit.name == name.trim())?;
+    number.parse::<u64>().ok()?.checked_mul(unit.factor)
+}
+
+/// Time as a contract file writes it.
+pub(crate) fn time_text(time: Duration) -> String {
+    show(time.as_millis() as u64, &TIMES)
+}
+
+/// Size as a contract file writes it.
+pub(crate) fn size_text(bytes: u64) -> String {
+    show(bytes, &SIZES)
+}
+
+/// Writes a value in the largest unit that divides it.
+fn show(value: u64, units: &[Unit]) -> String {
+    let fitting = units.iter().rev().find(|unit| value.is_multiple_of(unit.factor));
+    fitting.map_or_else(String::new, |unit| format!("{} {}", value / unit.factor, unit.name))
+}
+
+/// A scalar as it was written, so that a fault can quote it; bounded in length.
+struct Text(String);
+
+/// Longest scalar that is quoted back, in characters.
+const QUOTED: usize = 40;
+
+impl<'de> Deserialize<'de> for Text {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(TextVisitor)
+    }
+}
+
+struct TextVisitor;
+
+impl Visitor<'_> for TextVisitor {
+    type Value = Text;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a number, with its unit where it has one")
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<Text, E> {
+        Ok(Text(text.trim().chars().take(QUOTED).collect()))
+    }
+
+    fn visit_u64<E: Error>(self, number: u64) -> Result<Text, E> {
+        Ok(Text(number.to_string()))
+    }
+
+    fn visit_i64<E: Error>(self, number: i64) -> Result<Text, E> {
+        Ok(Text(number.to_string()))
+    }
+
+    fn visit_f64<E: Error>(self, number: f64) -> Result<Text, E> {
+        Ok(Text(number.to_string()))
+    }
+}
--- /dev/null
+++ b/wire/tests/contract_file.rs
@@ -0,0 +1,56 @@
+//! Contract files: the examples hold, and no text makes the reader panic.
+
+use std::time::Duration;
+
+use poplar_core::{Goal, Importance, Name};
+use poplar_wire::{FILE_LIMIT_BYTES, contract_text, parse_contract};
+use quickcheck::quickcheck;
+
+const ARMOR: &str = include_str!("../../examples/armor.yaml");
+const VATUVALE: &str = include_str!("../../examples/vatuvale.yaml");
+
+#[test]
+fn the_examples_are_contracts_with_the_terms_they_state() {
+    let armor = parse_contract(ARMOR).unwrap();
+    assert_eq!((armor.goal, armor.services.len()), (Goal::Goodput, 4));
+    let reminder = &armor.classes[&Name::new("book-reminder")];
+    assert!(!reminder.repeatable);
+    assert_eq!(reminder.repeat_window, Duration::from_secs(600));
+    assert_eq!(reminder.largest_answer, 64 << 10);
+
+    let vatuvale = parse_contract(VATUVALE).unwrap();
+    assert_eq!(vatuvale.goal, Goal::Recovery);
+    let part = &vatuvale.classes[&Name::new("find-part")];
+    assert_eq!((part.importance, part.deadline), (Importance(60), Duration::from_millis(1500)));
+    assert_eq!(vatuvale.depths().unwrap()[&Name::new("pay-grower")], 3);
+}
+
+#[test]
+fn a_contract_written_out_reads_back_the_same() {
+    for text in [ARMOR, VATUVALE] {
+        let contract = parse_contract(text).unwrap();
+        assert_eq!(parse_contract(&contract_text(&contract)), Ok(contract));
+    }
+}
+
+#[test]
+fn a_file_beyond_the_limit_is_not_parsed() {
+    let error = parse_contract(&"#".repeat(FILE_LIMIT_BYTES + 1)).unwrap_err();
+    assert!(error.to_string().contains("allowed are up to"), "{error}");
+}
+
+quickcheck! {
+    fn any_text_gives_a_contract_or_an_error(text: String) -> bool {
+        let _ = parse_contract(&text);
+        true
+    }
+
+    fn any_damage_to_an_example_gives_a_contract_or_an_error(at: usize, with: String) -> bool {
+        let mut text = ARMOR.to_owned();
+        let at = at % text.len();
+        let end = (at + 1 + with.len()).min(text.len());
+        text.replace_range(at..end, &with);
+        parse_contract(&text).is_ok_and(|contract| contract.verify().is_ok())
+            || parse_contract(&text).is_err()
+    }
+}
