Run the thin whole path as separate processes

A node's customer is the default for calls. Ruled out: matching answers by connection alone, since a late answer on a reused one looks alike.

--- a/node/src/ends/caller.rs
+++ b/node/src/ends/caller.rs
@@ -74,7 +74,7 @@
 /// Call that the headers speak of, or the name of the header that is missing or malformed.
 fn inbound(headers: &HeaderMap, body: Bytes) -> Result<Inbound, &'static str> {
     Ok(Inbound {
-        customer: Name::new(required(headers, header::CUSTOMER)?),
+        customer: parsed(headers, header::CUSTOMER, |text| Some(Name::new(text)))?,
         class: Name::new(required(headers, header::CLASS)?),
         request: parsed(headers, header::REQUEST, |text| text.parse().ok())?,
         left: parsed(headers, header::DEADLINE, |text| text.parse().ok())?
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -20,7 +20,8 @@
 /// Call as it came in, read from the headers.
 #[derive(Debug)]
 pub(crate) struct Inbound {
-    pub(crate) customer: Name,
+    /// Customer; the node's own where the call names none.
+    pub(crate) customer: Option<Name>,
     pub(crate) class: Name,
     pub(crate) request: Option<RequestId>,
     pub(crate) left: Option<Duration>,
@@ -40,6 +41,7 @@
 /// Service that takes calls in.
 pub(crate) struct Entry {
     clock: Clock,
+    customer: Name,
     contracts: Arc<Contracts>,
     runs: Arc<Runs>,
     route: Arc<Route>,
@@ -57,9 +59,10 @@
 
 impl Entry {
     /// Service that finds what it needs in `registry`.
-    pub(crate) fn new(clock: Clock, registry: &Registry) -> Result<Self, RegistryError> {
+    pub(crate) fn new(clock: Clock, customer: Name, registry: &Registry) -> Result<Self, RegistryError> {
         Ok(Self {
             clock,
+            customer,
             contracts: registry.find("contracts")?,
             runs: registry.find("runs")?,
             route: registry.find("route")?,
@@ -96,8 +99,12 @@
         }
     }
 
+    fn customer<'a>(&'a self, call: &'a Inbound) -> &'a Name {
+        call.customer.as_ref().unwrap_or(&self.customer)
+    }
+
     fn terms(&self, call: &Inbound) -> Result<Terms, ErrorKind> {
-        let contract = self.contracts.current(&call.customer).ok_or(ErrorKind::NoContract)?;
+        let contract = self.contracts.current(self.customer(call)).ok_or(ErrorKind::NoContract)?;
         contract.terms(&call.class).ok_or(ErrorKind::UnknownClass)
     }
 
@@ -113,7 +120,7 @@
         let request = call.request.unwrap_or_else(draw_request);
         let left = call.left.unwrap_or(class.deadline).min(class.deadline);
         let meta = CallMeta {
-            customer: call.customer,
+            customer: self.customer(&call).clone(),
             revision: terms.revision,
             root: request,
             request,
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -124,7 +124,7 @@
     let work = Arc::new(Work::new(clock, &registry)?);
     registry.register(work.clone());
     registry.register(Arc::new(Route::new(clock, settings.instance.clone(), &registry)?));
-    let entry = Arc::new(Entry::new(clock, &registry)?);
+    let entry = Arc::new(Entry::new(clock, settings.customer.clone(), &registry)?);
     registry.register(entry.clone());
     let announcer = Arc::new(Announcer::new(clock, identity, &registry, records)?);
     registry.register(announcer.clone());
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -11,11 +11,14 @@
 #[serde(deny_unknown_fields)]
 pub(crate) struct Settings {
     pub(crate) instance: InstanceId,
+    pub(crate) customer: Name,
     pub(crate) zone: Name,
     pub(crate) caller_address: SocketAddr,
     pub(crate) peer_address: SocketAddr,
     pub(crate) admin_address: SocketAddr,
     pub(crate) log_address: SocketAddr,
+    #[serde(default)]
+    pub(crate) peers: Vec<SocketAddr>,
     #[serde(default = "default_format")]
     pub(crate) log_format: String,
 }
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -355,7 +355,7 @@
 
 async fn handle(target: Arc<Target>, asked: Asked) -> Handled {
     match (asked.method.clone(), asked.path.as_str()) {
-        (Method::POST, "/") => target.run(&asked).await,
+        (Method::POST, "/") => echo(target.run(&asked).await, &asked),
         (Method::POST, "/control") => target.control(&asked.body),
         (Method::GET, "/control/runs") => target.runs(),
         (Method::GET, "/health") => target.health(),
@@ -363,6 +363,15 @@
     }
 }
 
+/// Sends the name of the run back, so that the node can tell this answer from a foreign one.
+fn echo(handled: Handled, asked: &Asked) -> Handled {
+    let mut resp = handled?;
+    if let Some(token) = asked.headers.get(header::PARENT) {
+        resp.headers_mut().insert(header::PARENT, token.clone());
+    }
+    Ok(resp)
+}
+
 /// The signal that a request was shed before it started.
 fn shed() -> Handled {
     let response = Response::builder()
