Add the reader of the stream of contracts and the operator's publisher

Ruled out: resuming at once after such a loss (a node that knows more may still be on its way); resuming from a node without a state; judging whether a resume record counts from other records (a reader that starts later does not have them), so it counts only at the offset it expected. Before: only the fold. Two tests failed first and show real faults now mended: the publisher chose a new base after a void and overwrote a racing revision; pulls that take as long as their pause kept a reader from the log. Conclusion: LogReader and Publisher are the interface for node and poplarctl.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -10,9 +10,11 @@
 mod choice;
 mod contract;
 mod fold;
+mod follow;
 mod ids;
 mod membership;
 mod outcome;
+mod publish;
 mod suspects;
 mod time;
 
@@ -22,9 +24,14 @@
     ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, MAX_REFUSED,
     RecordFault, Verdict, Word,
 };
+pub use follow::{
+    BACKOFF_MAX, BACKOFF_MIN, Judged, LONG_READ, LogBatch, LogEntry, LogReader, PULL_PAUSE,
+    ReadAction, ReaderError, SETTLE, SNAPSHOT_RECORDS, TURN, backoff,
+};
 pub use ids::{
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
     rendezvous_weight,
 };
 pub use outcome::{ErrorKind, Outcome, Reply};
+pub use publish::{PublishAction, PublishPlan, PublishResult, Publisher, RESEND, publish_id};
 pub use time::Moment;
--- /dev/null
+++ b/core/src/publish.rs
@@ -0,0 +1,308 @@
+//! One act of publishing a contract, from reading the log to a node's word that it is in force.
+//!
+//! The publish id is derived from what is published, so the same command run again settles what
+//! an earlier run had to leave open. See [contracts](../../docs/design/contracts.md).
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_128;
+
+use crate::contract::Contract;
+use crate::fold::{ContractRecord, Fold, MAX_PUBLISHED, RecordFault, Verdict, Word};
+use crate::follow::{Judged, LogBatch, LogReader, ReadAction};
+use crate::ids::{InstanceId, Name, PublishId, Revision};
+use crate::time::Moment;
+
+/// Time after an append without a sign of it before it is repeated under the same id.
+pub const RESEND: Duration = Duration::from_secs(2);
+
+/// Pause between two questions to a node.
+const ASK_PAUSE: Duration = Duration::from_millis(200);
+
+/// What an operator wants to publish.
+#[derive(Debug, Clone)]
+pub struct PublishPlan {
+    /// Contract.
+    pub contract: Arc<Contract>,
+    /// Canonical encoding of the contract; equal contracts must have equal bytes.
+    pub body: Vec<u8>,
+    /// Revision that is revised; without it, the one in force when the log was read.
+    pub base: Option<Revision>,
+    /// When to stop trying.
+    pub until: Moment,
+    /// Whether to start the stream anew if its history expired and no node holds a state.
+    pub restart: bool,
+}
+
+/// What the shell does next.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PublishAction {
+    /// Use the log or a peer as for a reader.
+    Log(ReadAction),
+    /// Ask a node for its word on the act, then call [`Publisher::on_word`].
+    Ask {
+        /// Customer.
+        customer: Name,
+        /// Act of publishing.
+        id: PublishId,
+    },
+    /// Tell the operator.
+    Done(PublishResult),
+}
+
+/// What the operator is told; its text is for people.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PublishResult {
+    /// Read back from the log, and in force at a node.
+    Accepted {
+        /// Revision that the contract became.
+        revision: Revision,
+        /// Revision that is in force now; a later one if the contract was revised since.
+        current: Revision,
+    },
+    /// Another revision came first; this one is not in force and will not be.
+    Superseded {
+        /// Revision that the operator revised.
+        base: Revision,
+        /// Revision in force.
+        current: Revision,
+    },
+    /// The contract is not one that a reader accepts.
+    Refused(RecordFault),
+    /// The record was sent, and what became of it is not known yet.
+    NotConfirmed,
+    /// Nothing was sent: the log could not be read up to its end.
+    NotSent,
+}
+
+impl fmt::Display for PublishResult {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Accepted { revision, current } if revision == current => {
+                write!(f, "accepted: revision {revision} is in force")
+            }
+            Self::Accepted { revision, current } => {
+                write!(f, "accepted as revision {revision}; revision {current} has replaced it")
+            }
+            Self::Superseded { base, current } => write!(
+                f,
+                "not accepted: you revised revision {base}, but revision {current} is in force; \
+                 look at it and publish again"
+            ),
+            Self::Refused(fault) => write!(f, "not accepted: {fault}"),
+            Self::NotConfirmed => {
+                f.write_str("not confirmed: run the same command again to learn what became of it")
+            }
+            Self::NotSent => f.write_str("not sent: the log of contracts can't be read now"),
+        }
+    }
+}
+
+/// Identifier of the act of publishing `body` as the successor of `base`.
+pub fn publish_id(customer: &Name, base: Revision, body: &[u8]) -> PublishId {
+    let name = customer.as_str().as_bytes();
+    let mut bytes = Vec::with_capacity(16 + name.len() + body.len());
+    bytes.extend((name.len() as u64).to_le_bytes());
+    bytes.extend(base.0.to_le_bytes());
+    bytes.extend(name);
+    bytes.extend(body);
+    PublishId(xxh3_128(&bytes))
+}
+
+/// State of one act of publishing.
+#[derive(Debug, Clone)]
+pub struct Publisher {
+    plan: PublishPlan,
+    reader: LogReader,
+    stage: Stage,
+    sent: bool,
+}
+
+/// How far an act of publishing has come.
+#[derive(Debug, Clone)]
+enum Stage {
+    /// Reads the log up to its end.
+    CatchUp,
+    /// Reads back its own record.
+    ReadBack { act: Act, resend: Moment },
+    /// Waits for a node's word.
+    Confirm { act: Act, revision: Revision, ask: Moment },
+    /// Has a result.
+    Done(PublishResult),
+}
+
+/// Act of publishing on a known base.
+#[derive(Debug, Clone, Copy)]
+struct Act {
+    id: PublishId,
+    base: Revision,
+}
+
+impl Publisher {
+    /// Act that has not read anything yet.
+    pub fn new(now: Moment, plan: PublishPlan) -> Self {
+        let reader = LogReader::new(now, InstanceId::from("operator"), Duration::MAX);
+        Self { plan, reader, stage: Stage::CatchUp, sent: false }
+    }
+
+    /// Next action.
+    pub fn poll(&mut self, now: Moment) -> PublishAction {
+        self.advance(now);
+        if let Stage::Done(result) = &self.stage {
+            return PublishAction::Done(result.clone());
+        }
+        if now >= self.plan.until {
+            let result =
+                if self.sent { PublishResult::NotConfirmed } else { PublishResult::NotSent };
+            return PublishAction::Done(result);
+        }
+        self.next_action(now)
+    }
+
+    /// Takes in what a read brought; `draw` is a random number.
+    pub fn on_read(&mut self, now: Moment, draw: u64, batch: &LogBatch) {
+        let judged = self.reader.on_read(now, draw, batch);
+        self.settle(now, &judged);
+    }
+
+    /// Notes that an append was acknowledged.
+    pub fn on_append(&mut self, now: Moment) {
+        self.reader.on_append(now);
+    }
+
+    /// Notes an error of the log, an append without acknowledgement included.
+    pub fn on_error(&mut self, now: Moment, draw: u64) {
+        self.reader.on_error(now, draw);
+    }
+
+    /// Takes in a node's fold.
+    pub fn on_peer(&mut self, now: Moment, peer: &Fold) {
+        self.reader.on_peer(now, peer);
+        self.settle(now, &[]);
+    }
+
+    /// Takes in a node's word, or that it gave none.
+    pub fn on_word(&mut self, now: Moment, word: Option<Word>) {
+        let Stage::Confirm { revision, ask, .. } = &mut self.stage else {
+            return;
+        };
+        *ask = now + ASK_PAUSE;
+        if let Some(word) = word.filter(|word| word.accepted == Some(*revision)) {
+            let (revision, current) = (*revision, word.current);
+            self.stage = Stage::Done(PublishResult::Accepted { revision, current });
+        }
+    }
+
+    fn customer(&self) -> &Name {
+        &self.plan.contract.customer
+    }
+
+    /// Chooses the act once the whole log is known.
+    fn advance(&mut self, now: Moment) {
+        if !matches!(self.stage, Stage::CatchUp) || !self.reader.is_current() {
+            return;
+        }
+        let act = self.choose_act();
+        let word = self.reader.fold().word(self.customer(), act.id);
+        self.stage = match word.accepted {
+            Some(revision) => Stage::Confirm { act, revision, ask: now },
+            None if act.base != word.current => {
+                Stage::Done(PublishResult::Superseded { base: act.base, current: word.current })
+            }
+            None => Stage::ReadBack { act, resend: now },
+        };
+    }
+
+    /// Act on the base that the operator named, or one that an earlier run has completed, or a
+    /// new one on the revision in force.
+    fn choose_act(&self) -> Act {
+        let customer = self.customer();
+        if let Some(base) = self.plan.base {
+            return self.act_on(base);
+        }
+        let fold = self.reader.fold();
+        if let Some(found) = fold.in_force(customer)
+            && *found.contract == self.plan.contract
+        {
+            return Act { id: found.id, base: Revision(found.revision.0.saturating_sub(1)) };
+        }
+        let current = fold.revision(customer);
+        let oldest = current.0.saturating_sub(MAX_PUBLISHED as u64);
+        let mut earlier = (oldest..current.0).rev().map(|base| self.act_on(Revision(base)));
+        let done = earlier.find(|act| fold.word(customer, act.id).accepted.is_some());
+        done.unwrap_or_else(|| self.act_on(current))
+    }
+
+    fn act_on(&self, base: Revision) -> Act {
+        Act { id: publish_id(self.customer(), base, &self.plan.body), base }
+    }
+
+    fn next_action(&mut self, now: Moment) -> PublishAction {
+        if let Some(record) = self.record_to_append(now) {
+            return PublishAction::Log(ReadAction::Append(record));
+        }
+        if let Stage::Confirm { act, ask, .. } = &self.stage
+            && now >= *ask
+        {
+            return PublishAction::Ask { customer: self.customer().clone(), id: act.id };
+        }
+        PublishAction::Log(match self.reader.poll(now, &[]) {
+            ReadAction::Read { from, wait } => ReadAction::Read { from, wait: wait.min(ASK_PAUSE) },
+            ReadAction::Wait(until) => ReadAction::Wait(until.min(now + ASK_PAUSE)),
+            other => other,
+        })
+    }
+
+    fn record_to_append(&mut self, now: Moment) -> Option<ContractRecord> {
+        if self.plan.restart
+            && let Some(record) = self.reader.restart_record(now)
+        {
+            return Some(record);
+        }
+        let current = self.reader.is_current();
+        let Stage::ReadBack { act, resend } = &mut self.stage else {
+            return None;
+        };
+        if !current || now < *resend {
+            return None;
+        }
+        *resend = now + RESEND;
+        self.sent = true;
+        let Act { id, base } = *act;
+        // A second choice of base could replace a revision that the operator has not seen.
+        self.plan.base = Some(base);
+        Some(ContractRecord::Publish { id, base, contract: self.plan.contract.clone() })
+    }
+
+    /// Draws the conclusion from what was judged.
+    fn settle(&mut self, now: Moment, judged: &[Judged]) {
+        let (Stage::ReadBack { act, .. } | Stage::Confirm { act, .. }) = self.stage else {
+            return;
+        };
+        let accepted = self.reader.fold().word(self.customer(), act.id).accepted;
+        match (&self.stage, accepted) {
+            (Stage::ReadBack { .. }, Some(revision)) => {
+                self.stage = Stage::Confirm { act, revision, ask: now };
+            }
+            (Stage::ReadBack { .. }, None) => self.conclude(act, judged),
+            (_, None) => self.stage = Stage::CatchUp,
+            (_, Some(_)) => {}
+        }
+    }
+
+    fn conclude(&mut self, act: Act, judged: &[Judged]) {
+        let own = judged.iter().rev().find(|item| item.id == Some(act.id));
+        match own.map(|item| &item.verdict) {
+            Some(Verdict::Superseded(current)) => {
+                let (base, current) = (act.base, *current);
+                self.stage = Stage::Done(PublishResult::Superseded { base, current });
+            }
+            Some(Verdict::Malformed(fault)) => {
+                self.stage = Stage::Done(PublishResult::Refused(fault.clone()));
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/core/tests/fold/log.rs
@@ -0,0 +1,94 @@
+//! Log in memory and small contracts for the tests of the fold.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use poplar_core::{
+    Contract, ContractRecord, Fold, Goal, LogBatch, LogEntry, LogReader, Moment, Name, Offset,
+    PublishId, ReadAction, Revision,
+};
+
+/// Customer of the tests.
+pub(crate) fn customer() -> Name {
+    Name::new("armor")
+}
+
+/// Contract that differs from others by its one service.
+pub(crate) fn contract(body: u64) -> Arc<Contract> {
+    let services = vec![Name::new(&format!("service-{body}"))];
+    Arc::new(Contract {
+        customer: customer(),
+        goal: Goal::Goodput,
+        services,
+        classes: BTreeMap::new(),
+    })
+}
+
+/// Record of publishing; the body follows from the id.
+pub(crate) fn publish(id: u128, base: u64) -> ContractRecord {
+    let contract = contract(id as u64);
+    ContractRecord::Publish { id: PublishId(id), base: Revision(base), contract }
+}
+
+/// Log that keeps its records from `start` on.
+#[derive(Debug, Default)]
+pub(crate) struct Log {
+    start: usize,
+    records: Vec<ContractRecord>,
+}
+
+impl Log {
+    pub(crate) fn append(&mut self, record: ContractRecord) {
+        self.records.push(record);
+    }
+
+    pub(crate) fn truncate(&mut self, start: usize) {
+        self.start = start.clamp(self.start, self.records.len());
+    }
+
+    pub(crate) fn start(&self) -> usize {
+        self.start
+    }
+
+    pub(crate) fn end(&self) -> usize {
+        self.records.len()
+    }
+
+    pub(crate) fn records(&self) -> &[ContractRecord] {
+        &self.records[self.start..]
+    }
+
+    pub(crate) fn read(&self, from: Offset, limit: usize) -> LogBatch {
+        let first = self.start.max(from.0 as usize).min(self.end());
+        let entries = self.records.iter().enumerate().skip(first).take(limit);
+        let records = entries.map(|(offset, record)| LogEntry {
+            offset: Offset(offset as u64),
+            record: Some(record.clone()),
+        });
+        LogBatch {
+            start: Offset(self.start as u64),
+            end: Offset(self.end() as u64),
+            records: records.collect(),
+        }
+    }
+}
+
+/// Reads once if the reader wants to read, and answers no pull.
+pub(crate) fn read_once(reader: &mut LogReader, now: Moment, log: &Log, limit: usize) {
+    let mut action = reader.poll(now, &[]);
+    if action == ReadAction::Pull {
+        action = reader.poll(now, &[]);
+    }
+    if let ReadAction::Read { from, .. } = action {
+        reader.on_read(now, 0, &log.read(from, limit));
+    }
+}
+
+/// Fold of the records from the start of a log that has lost none.
+pub(crate) fn fold_of(records: &[ContractRecord]) -> Fold {
+    let mut fold = Fold::new();
+    for (offset, record) in records.iter().enumerate() {
+        fold.apply(Offset(offset as u64), record);
+    }
+    fold
+}
--- /dev/null
+++ b/core/tests/fold/publish.rs
@@ -0,0 +1,164 @@
+//! What an operator is told, whatever the log loses.
+
+use poplar_core::{
+    ContractRecord, Fold, Moment, Offset, PublishAction, PublishPlan, PublishResult, Publisher,
+    ReadAction, Revision, Verdict,
+};
+
+use crate::log::{Log, contract, customer, fold_of, publish};
+
+/// How the log treats appends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Appends {
+    Acknowledged,
+    EffectiveWithoutAck,
+    Lost,
+}
+
+/// Log and one node that reads it.
+struct World {
+    log: Log,
+    appends: Vec<Appends>,
+    node_up: bool,
+    clock: u64,
+}
+
+impl World {
+    fn new(appends: &[Appends]) -> Self {
+        Self { log: Log::default(), appends: appends.to_vec(), node_up: true, clock: 0 }
+    }
+
+    fn node(&self) -> Fold {
+        fold_of(self.log.records())
+    }
+
+    fn publisher(&self, body: u64, base: Option<u64>) -> Publisher {
+        let plan = PublishPlan {
+            contract: contract(body),
+            body: body.to_le_bytes().to_vec(),
+            base: base.map(Revision),
+            until: Moment::from_millis(self.clock + 20_000),
+            restart: false,
+        };
+        Publisher::new(Moment::from_millis(self.clock), plan)
+    }
+
+    fn run(&mut self, mut publisher: Publisher) -> PublishResult {
+        loop {
+            self.clock += 50;
+            if let Some(result) = self.step(&mut publisher) {
+                return result;
+            }
+        }
+    }
+
+    fn step(&mut self, publisher: &mut Publisher) -> Option<PublishResult> {
+        let now = Moment::from_millis(self.clock);
+        match publisher.poll(now) {
+            PublishAction::Done(result) => return Some(result),
+            PublishAction::Ask { customer, id } => {
+                let word = self.node_up.then(|| self.node().word(&customer, id));
+                publisher.on_word(now, word);
+            }
+            PublishAction::Log(ReadAction::Read { from, .. }) => {
+                publisher.on_read(now, 0, &self.log.read(from, 2));
+            }
+            PublishAction::Log(ReadAction::Append(record)) => {
+                let mode = self.appends.pop().unwrap_or(Appends::Acknowledged);
+                if mode != Appends::Lost {
+                    self.log.append(record);
+                }
+                match mode {
+                    Appends::Acknowledged => publisher.on_append(now),
+                    _ => publisher.on_error(now, 0),
+                }
+            }
+            PublishAction::Log(_) => {}
+        }
+        None
+    }
+}
+
+fn accepted(revision: u64, current: u64) -> PublishResult {
+    PublishResult::Accepted { revision: Revision(revision), current: Revision(current) }
+}
+
+#[test]
+fn a_lost_acknowledgement_or_append_ends_in_one_accepted_revision() {
+    for mode in [Appends::Acknowledged, Appends::EffectiveWithoutAck, Appends::Lost] {
+        let mut world = World::new(&[mode, mode]);
+        let publisher = world.publisher(1, None);
+        assert_eq!(world.run(publisher), accepted(1, 1), "{mode:?}");
+        assert_eq!(world.node().revision(&customer()), Revision(1));
+    }
+}
+
+#[test]
+fn of_two_operators_one_wins_and_the_other_is_told_the_current_revision() {
+    let mut world = World::new(&[]);
+    let (mut first, mut second) = (world.publisher(1, None), world.publisher(2, None));
+    let mut told = [None, None];
+    while told.iter().any(Option::is_none) {
+        world.clock += 50;
+        told[0] = told[0].take().or_else(|| world.step(&mut first));
+        told[1] = told[1].take().or_else(|| world.step(&mut second));
+    }
+    assert_eq!(told[0], Some(accepted(1, 1)));
+    let lost = PublishResult::Superseded { base: Revision(0), current: Revision(1) };
+    assert!(lost.to_string().contains("revision 1 is in force"));
+    assert_eq!(told[1], Some(lost));
+}
+
+#[test]
+fn without_a_nodes_word_it_is_not_confirmed_and_the_same_command_settles_it() {
+    let mut world = World::new(&[]);
+    world.node_up = false;
+    let publisher = world.publisher(1, None);
+    assert_eq!(world.run(publisher), PublishResult::NotConfirmed);
+    world.node_up = true;
+    let again = world.publisher(1, None);
+    assert_eq!(world.run(again), accepted(1, 1));
+    assert_eq!(world.log.end(), 1);
+}
+
+#[test]
+fn a_rerun_after_a_later_revision_is_told_both_and_publishes_nothing() {
+    let mut world = World::new(&[]);
+    for (body, revision) in [(1, 1), (2, 2)] {
+        let publisher = world.publisher(body, None);
+        assert_eq!(world.run(publisher), accepted(revision, revision));
+    }
+    let again = world.publisher(1, None);
+    assert_eq!(world.run(again), accepted(1, 2));
+    let rollback = world.publisher(1, Some(2));
+    assert_eq!(world.run(rollback), accepted(3, 3));
+}
+
+#[test]
+fn nothing_is_sent_while_the_log_is_down_or_cut_off() {
+    let mut world = World::new(&[]);
+    world.log.append(publish(7, 0));
+    world.log.truncate(1);
+    let publisher = world.publisher(1, None);
+    assert_eq!(world.run(publisher), PublishResult::NotSent);
+    assert_eq!(world.log.end(), 1);
+}
+
+#[test]
+fn a_record_that_a_resume_voided_is_not_reported_as_accepted() {
+    let mut world = World::new(&[]);
+    world.node_up = false;
+    let mut publisher = world.publisher(1, None);
+    for _ in 0..10 {
+        world.clock += 50;
+        assert_eq!(world.step(&mut publisher), None);
+    }
+    let resume = ContractRecord::Resume { expected: Offset(1), state: Box::new(Fold::new()) };
+    assert_eq!(world.node().apply(Offset(1), &resume), Verdict::Resumed);
+    world.log.append(resume);
+    world.log.append(publish(2, 0));
+    world.node_up = true;
+    let result = world.run(publisher);
+    let lost = PublishResult::Superseded { base: Revision(0), current: Revision(1) };
+    assert_eq!(result, lost);
+}
--- /dev/null
+++ b/core/tests/fold/reader.rs
@@ -0,0 +1,160 @@
+//! What a reader of the log does when.
+
+use std::time::Duration;
+
+use poplar_core::{
+    ContractRecord, Fold, InstanceId, LogReader, Moment, Offset, ReadAction, Revision, SETTLE,
+    Verdict, backoff,
+};
+
+use crate::log::{Log, customer, fold_of, publish, read_once};
+
+const HOUR: Duration = Duration::from_secs(3_600);
+
+fn at(secs: u64) -> Moment {
+    Moment::from_millis(secs * 1_000)
+}
+
+fn reader(name: &str) -> LogReader {
+    LogReader::new(at(0), InstanceId::from(name), HOUR)
+}
+
+/// Log that lost its records 0 to 2, of which `kept` was read by a node.
+fn log_with_loss(kept: usize) -> (Log, Fold) {
+    let mut log = Log::default();
+    (0..3).for_each(|base| log.append(publish(u128::from(base) + 1, base)));
+    let fold = fold_of(&log.records()[..kept]);
+    log.truncate(3);
+    log.append(publish(9, 0));
+    (log, fold)
+}
+
+/// Lets a reader act from second `from` to `until`; returns what it appended, with the time.
+fn run(reader: &mut LogReader, log: &mut Log, live: &[InstanceId], span: [u64; 2]) -> Vec<u64> {
+    let mut appended = Vec::new();
+    for secs in span[0]..span[1] {
+        let now = at(secs);
+        match reader.poll(now, live) {
+            ReadAction::Read { from, .. } => {
+                reader.on_read(now, 0, &log.read(from, 100));
+            }
+            ReadAction::Append(record) => {
+                log.append(record);
+                reader.on_append(now);
+                appended.push(secs);
+            }
+            ReadAction::Pull | ReadAction::Wait(_) => {}
+        }
+        assert_eq!(reader.verify(), Ok(()));
+    }
+    appended
+}
+
+#[test]
+fn during_an_outage_a_reader_pulls_from_peers_and_keeps_what_is_in_force() {
+    let mut reader = reader("a");
+    reader.on_error(at(1), 7);
+    assert_eq!(reader.poll(at(1), &[]), ReadAction::Pull);
+    let peer = fold_of(&[publish(1, 0), publish(2, 1)]);
+    assert!(reader.on_peer(at(1), &peer));
+    assert!(matches!(reader.poll(at(1), &[]), ReadAction::Wait(_)));
+    assert_eq!(reader.fold().revision(&customer()), Revision(2));
+    assert!(!reader.on_peer(at(2), &fold_of(&[publish(1, 0)])));
+    assert_eq!(reader.staleness(at(9)), Duration::from_secs(9));
+}
+
+#[test]
+fn slow_pulls_do_not_keep_a_reader_from_the_log() {
+    let mut reader = reader("a");
+    reader.on_error(at(1), 0);
+    assert_eq!(reader.poll(at(10), &[]), ReadAction::Pull);
+    assert!(matches!(reader.poll(at(20), &[]), ReadAction::Read { .. }));
+}
+
+#[test]
+fn backoff_grows_to_its_bound_and_is_jittered() {
+    assert!(backoff(1, 0) < backoff(5, 0));
+    assert_eq!(backoff(u32::MAX, 0), backoff(20, 0));
+    assert_ne!(backoff(5, 1), backoff(5, 2));
+}
+
+#[test]
+fn a_batch_with_a_hole_or_from_a_shorter_log_changes_nothing() {
+    let mut log = Log::default();
+    (0..3).for_each(|base| log.append(publish(u128::from(base) + 1, base)));
+    let mut reader = reader("a");
+    let mut holed = log.read(Offset(0), 3);
+    holed.records.remove(1);
+    assert!(reader.on_read(at(0), 0, &holed).is_empty());
+    assert_eq!(reader.fold(), &Fold::new());
+    reader.on_read(at(9), 0, &log.read(Offset(0), 3));
+    assert!(reader.is_current());
+    assert!(reader.on_read(at(9), 0, &Log::default().read(Offset(3), 3)).is_empty());
+    assert_eq!(reader.fold().revision(&customer()), Revision(3));
+    assert!(!reader.is_current());
+}
+
+#[test]
+fn one_snapshot_is_appended_and_renewed_well_before_half_the_retention() {
+    let live = ["a", "b", "c"].map(InstanceId::from);
+    let mut log = Log::default();
+    log.append(publish(1, 0));
+    let mut readers = ["a", "b", "c"].map(reader);
+    for secs in 0..1_700 {
+        for reader in &mut readers {
+            run(reader, &mut log, &live, [secs, secs + 1]);
+        }
+    }
+    assert_eq!(log.end(), 1 + 2);
+    assert!(readers.iter().all(|reader| reader.fold() == readers[0].fold()));
+}
+
+#[test]
+fn a_reader_that_is_not_among_the_live_nodes_appends_nothing() {
+    let mut log = Log::default();
+    log.append(publish(1, 0));
+    assert!(run(&mut reader("a"), &mut log, &["b".into()], [0, 3_600]).is_empty());
+}
+
+#[test]
+fn an_unread_loss_is_given_up_only_after_the_settling_time_and_by_the_best_state() {
+    let live = ["a", "b"].map(InstanceId::from);
+    let (mut log, fold) = log_with_loss(2);
+    let mut better = reader("a");
+    better.on_peer(at(0), &fold);
+    let mut lesser = reader("b");
+    lesser.on_peer(at(0), &fold_of(&[publish(1, 0)]));
+    for secs in 0..150 {
+        run(&mut better, &mut log, &live, [secs, secs + 1]);
+        run(&mut lesser, &mut log, &live, [secs, secs + 1]);
+        let lost = Duration::from_secs(secs) < SETTLE;
+        assert!(better.has_gap() || !lost, "judged at {secs} s");
+    }
+    assert!(better.is_current() && lesser.is_current());
+    assert_eq!(better.fold(), lesser.fold());
+    assert_eq!(better.fold().revision(&customer()), Revision(2));
+}
+
+#[test]
+fn a_node_without_a_state_never_speaks_for_others() {
+    let (mut log, _) = log_with_loss(0);
+    let mut fresh = reader("a");
+    assert!(run(&mut fresh, &mut log, &["a".into()], [0, 600]).is_empty());
+    assert!(fresh.has_gap() && fresh.fold().in_force(&customer()).is_none());
+    let restart = fresh.restart_record(at(600)).unwrap();
+    let offset = Offset(log.end() as u64);
+    assert_eq!(fresh.fold().clone().apply(offset, &restart), Verdict::Resumed);
+}
+
+#[test]
+fn an_overtaken_resume_record_does_not_count() {
+    let (mut log, fold) = log_with_loss(2);
+    let mut reader = reader("a");
+    reader.on_peer(at(0), &fold);
+    log.append(publish(8, 2));
+    let expected = Offset(log.end() as u64 - 1);
+    log.append(ContractRecord::Resume { expected, state: Box::new(fold) });
+    read_once(&mut reader, at(1), &log, 100);
+    assert!(reader.has_gap());
+    assert_eq!(reader.fold().revision(&customer()), Revision(2));
+}
