--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,13 +12,22 @@
 mod fold;
 mod follow;
 mod ids;
+mod limit;
 mod membership;
 mod outcome;
 mod publish;
 mod suspects;
 mod time;
 
+pub use admission::{
+    Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Ticket,
+    Verdict as AdmissionVerdict,
+};
 pub use binding::Binding;
+pub use budget::{
+    Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
+    RetriesSpent, Run, come_back_after, keeper, next_step,
+};
 pub use contract::{ClassTerms, Contract, ContractError, Goal};
 pub use fold::{
     ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, MAX_REFUSED,
@@ -32,6 +41,7 @@
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
     rendezvous_weight,
 };
+pub use limit::{ImportanceScale, RunTimes, TargetLimits, retry_after};
 pub use outcome::{ErrorKind, Outcome, Reply};
 pub use publish::{PublishAction, PublishPlan, PublishResult, Publisher, RESEND, publish_id};
 pub use time::Moment;
