Add the table of once-only runs, its successor and the minting types

Cause: a once-only request needs one incarnation that alone may run it, and proof before anyone mints a second binding. Ruled out: a tombstone per refused request without bound (a minute of overload would fill the node); closing a window instead makes its table complete, so absent keys need no record. A binding without a serial: a tombstone would then bar the same target for good. Before: `Binding` only.

--- /dev/null
+++ b/core/src/binding/mint.rs
@@ -0,0 +1,131 @@
+//! Minting at the caller's side: one binding after the other, never two that could both run.
+
+use std::collections::BTreeMap;
+
+use super::Binding;
+use crate::ids::{Incarnation, InstanceId};
+
+/// Once-only call that no binding is out for: a binding may be minted.
+///
+/// Held by the call's only minter: the node that makes the call, or the outside caller's client.
+/// The type cannot be cloned and [`Bound`] gives it back only against [`Evidence`], so that two
+/// bindings for one call that could both run cannot come about.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Unbound {
+    serial: u32,
+}
+
+impl Unbound {
+    /// State of a call that was never sent.
+    pub const fn new() -> Self {
+        Self { serial: 0 }
+    }
+
+    /// Binds the call to the incarnation that was chosen, in the window last heard of it.
+    pub fn bind(self, instance: InstanceId, incarnation: Incarnation, window: u64) -> Bound {
+        Bound { binding: Binding { instance, incarnation, window, serial: self.serial } }
+    }
+
+    /// Takes the binding that came with a not-run answer.
+    pub fn adopt(self, offered: Binding) -> Bound {
+        let serial = self.serial.max(offered.serial);
+        Bound { binding: Binding { serial, ..offered } }
+    }
+}
+
+impl Default for Unbound {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// What proves that a bound call did not run and never will under its binding.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Evidence {
+    /// No byte of the call left this process: the connection was never established.
+    NeverSent,
+    /// The node that the binding names, or the successor that it handed over to, says so.
+    ///
+    /// It names the binding that it speaks of, so that a late word on an earlier one is void.
+    Told(Binding),
+}
+
+/// Once-only call with the one binding that may run it; every re-send carries that binding.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Bound {
+    binding: Binding,
+}
+
+impl Bound {
+    /// Binding of the call.
+    pub fn binding(&self) -> &Binding {
+        &self.binding
+    }
+
+    /// Gives the call free for the next binding, if the evidence is about this one.
+    ///
+    /// `NeverSent` is valid only if no send under this binding left the process, earlier ones
+    /// included. Without evidence the call stays bound for good: its outcome is that of this
+    /// binding, or unknown.
+    pub fn release(self, evidence: &Evidence) -> Result<Unbound, Self> {
+        match evidence {
+            Evidence::Told(binding) if *binding != self.binding => Err(self),
+            Evidence::Told(_) | Evidence::NeverSent => {
+                Ok(Unbound { serial: self.binding.serial.saturating_add(1) })
+            }
+        }
+    }
+}
+
+/// Incarnations and windows of targets, as last heard.
+///
+/// A stale window costs one hop and no safety: the target's node refuses the binding as not run
+/// or unknown. Memory: at most `limit` instances; the one named least by order is dropped.
+#[derive(Debug)]
+pub struct WindowView {
+    heard: BTreeMap<InstanceId, Heard>,
+    limit: usize,
+}
+
+/// Last word on one instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Heard {
+    incarnation: Incarnation,
+    window: u64,
+}
+
+impl WindowView {
+    /// View of at most `limit` instances.
+    pub const fn new(limit: usize) -> Self {
+        Self { heard: BTreeMap::new(), limit }
+    }
+
+    /// Takes in what an answer or a membership record says; older words change nothing.
+    pub fn hear(&mut self, instance: &InstanceId, incarnation: Incarnation, window: u64) {
+        let word = Heard { incarnation, window };
+        match self.heard.get_mut(instance) {
+            Some(last) => *last = word.max(*last),
+            None => {
+                if self.heard.len() >= self.limit {
+                    self.heard.pop_first();
+                }
+                self.heard.insert(instance.clone(), word);
+            }
+        }
+    }
+
+    /// Forgets an instance that left.
+    pub fn forget(&mut self, instance: &InstanceId) {
+        self.heard.remove(instance);
+    }
+
+    /// Binds a call to a chosen target, or gives the call back if its window was never heard.
+    ///
+    /// The call is then sent without a binding, is refused as not run, and the answer brings one.
+    pub fn bind(&self, call: Unbound, instance: &InstanceId) -> Result<Bound, Unbound> {
+        match self.heard.get(instance) {
+            Some(word) => Ok(call.bind(instance.clone(), word.incarnation, word.window)),
+            None => Err(call),
+        }
+    }
+}
--- /dev/null
+++ b/core/src/binding/runs.rs
@@ -0,0 +1,335 @@
+//! Once-only requests of one target incarnation: which ran, and with what answer.
+//!
+//! Held by the node beside the target. A key stays for as long as its window is held, whatever
+//! happens, so a second run under the same binding is impossible without any clock; see
+//! [at most once](../../../docs/design/at-most-once.md).
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use super::sealed::SealedTable;
+use super::window::{Span, Standing, Windows};
+use super::{Admission, Binding, Fate};
+use crate::ids::{Incarnation, InstanceId, RequestId};
+use crate::outcome::{ErrorKind, Outcome};
+use crate::time::Moment;
+
+/// Most spans of windows held at once; beyond it the last window simply stays current.
+const MAX_SPANS: usize = 256;
+
+/// Bounds of a [`RunTable`].
+#[derive(Debug, Clone, Copy)]
+pub struct RunLimits {
+    /// Most requests recorded, tombstones included.
+    pub keys: usize,
+    /// Most bytes of kept answers, with the room set aside for running requests.
+    pub bytes: usize,
+    /// Time after which a new window is opened.
+    pub window: Duration,
+    /// Time for which keys and answers are kept after their window: the longest repeat window
+    /// of the contract's once-only classes.
+    pub hold: Duration,
+}
+
+/// One recorded request.
+#[derive(Debug)]
+pub(crate) struct Entry<A> {
+    pub(crate) window: u64,
+    pub(crate) serial: u32,
+    /// Bytes set aside while it runs, then bytes of the kept answer.
+    pub(crate) bytes: usize,
+    pub(crate) fate: Fate<A>,
+}
+
+/// Table of the once-only requests of one target incarnation.
+///
+/// `A` is the answer; the table clones it for each re-send. A table that is full refuses new
+/// requests as not run and never forgets a key whose window is held. Memory: at most
+/// [`RunLimits::keys`] entries, [`RunLimits::bytes`] of answers and 256 spans of windows.
+#[derive(Debug)]
+pub struct RunTable<A> {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    limits: RunLimits,
+    windows: Windows,
+    entries: HashMap<RequestId, Entry<A>>,
+    bytes: usize,
+}
+
+impl<A: Clone> RunTable<A> {
+    /// Table of an incarnation that starts now.
+    ///
+    /// The incarnation number must never have been used by the instance before: the guarantee
+    /// rests on it.
+    pub fn new(
+        now: Moment,
+        instance: InstanceId,
+        incarnation: Incarnation,
+        limits: RunLimits,
+    ) -> Self {
+        let windows = Windows::new(now, limits.window);
+        Self { instance, incarnation, limits, windows, entries: HashMap::new(), bytes: 0 }
+    }
+
+    /// Changes how long keys are kept, after a contract revision; what was dropped stays dropped.
+    pub fn set_hold(&mut self, hold: Duration) {
+        self.limits.hold = hold;
+    }
+
+    /// Window to mint bindings in; callers' nodes learn it from each answer.
+    pub fn window(&mut self, now: Moment) -> u64 {
+        self.roll(now);
+        self.windows.current()
+    }
+
+    /// Binding to hand out together with a not-run answer.
+    ///
+    /// `last` is the binding that was refused, if the request had one. The binding may be given
+    /// only to the request's sole minter, and only with an answer that says not run.
+    pub fn mint(&mut self, now: Moment, last: Option<&Binding>) -> Binding {
+        let serial = last.map_or(0, |binding| binding.serial.saturating_add(1));
+        let window = self.window(now);
+        let (instance, incarnation) = (self.instance.clone(), self.incarnation);
+        Binding { instance, incarnation, window, serial }
+    }
+
+    /// Decides on one copy of a once-only request, and records it if it is to run.
+    ///
+    /// `room` is the size in bytes of the largest answer that the contract allows it. The
+    /// verdicts, and when each is given:
+    ///
+    /// * `Run`: this is the first copy under a window that admits keys. The caller hands it to
+    ///   the target, or to its queue, and must call [`finish`](Self::finish) exactly once.
+    /// * `Known(Running)`: an earlier copy has not ended; the sender waits for that one's answer.
+    /// * `Known(Done)`: an earlier copy ended with this answer.
+    /// * `Known(NotRun)`: it did not run and never will under this binding. A tombstone is on
+    ///   record, or the window was closed and the table of its keys is complete.
+    /// * `Known(Unknown)`: the binding names another incarnation or a window that is no longer
+    ///   held, or the run ended without an answer. It is not run.
+    pub fn admit(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        binding: &Binding,
+        room: usize,
+    ) -> Admission<A> {
+        self.roll(now);
+        if let Some(fate) = self.recorded(request, binding) {
+            return Admission::Known(fate);
+        }
+        if self.entries.len() >= self.limits.keys {
+            self.make_room();
+            return Admission::Known(Fate::NotRun(ErrorKind::Overload));
+        }
+        if self.bytes.saturating_add(room) > self.limits.bytes {
+            self.record(request, binding, 0, Fate::NotRun(ErrorKind::Overload));
+            return Admission::Known(Fate::NotRun(ErrorKind::Overload));
+        }
+        self.record(request, binding, room, Fate::Running);
+        Admission::Run
+    }
+
+    /// What is known of a request, without recording anything; `None` if it could still run.
+    pub fn look_up(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        binding: &Binding,
+    ) -> Option<Fate<A>> {
+        self.roll(now);
+        self.recorded(request, binding)
+    }
+
+    /// Refuses a copy that was not admitted, and returns what the sender may be told.
+    ///
+    /// The tombstone is on record when this returns, so that a late copy is refused as well. The
+    /// fate is `NotRun(kind)` only if no earlier copy ran or is running; otherwise it is what
+    /// [`admit`](Self::admit) would have said.
+    pub fn refuse(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        binding: &Binding,
+        kind: ErrorKind,
+    ) -> Fate<A> {
+        self.roll(now);
+        if let Some(fate) = self.recorded(request, binding) {
+            return fate;
+        }
+        if self.entries.len() >= self.limits.keys {
+            self.make_room();
+        } else {
+            self.record(request, binding, 0, Fate::NotRun(kind));
+        }
+        Fate::NotRun(kind)
+    }
+
+    /// Records how an admitted request ended; returns whether it was running.
+    ///
+    /// `size` is the size of the answer in bytes. `NotRun` may be passed only if the request was
+    /// never handed to the target, or if the target's shed signal counts; see
+    /// [`shed_fate`](super::shed_fate). An answer larger than the room set aside is not kept, and
+    /// the outcome is unknown from then on.
+    pub fn finish(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        outcome: Outcome<A>,
+        size: usize,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(&request) else { return false };
+        if !matches!(entry.fate, Fate::Running) {
+            return false;
+        }
+        let (fate, kept) = ending(outcome, size, entry.bytes);
+        self.bytes = self.bytes - entry.bytes + kept;
+        (entry.fate, entry.bytes) = (fate, kept);
+        if let Some(span) = self.windows.span_mut(entry.window) {
+            span.running = span.running.saturating_sub(1);
+        }
+        self.roll(now);
+        true
+    }
+
+    /// Ends admission for good, ahead of a graceful stop.
+    pub fn seal(self) -> SealedTable<A> {
+        let floor = self.windows.floor();
+        SealedTable::new(self.instance, self.incarnation, floor, self.entries)
+    }
+
+    /// Number of requests recorded.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no request is recorded.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Bytes of kept answers, with the room set aside for running requests.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Checks the invariants between entries, windows and byte count; tests call it.
+    pub fn verify(&self) -> Result<(), String> {
+        let bytes: usize = self.entries.values().map(|entry| entry.bytes).sum();
+        if bytes != self.bytes || bytes > self.limits.bytes {
+            return Err(format!("{bytes} bytes recorded, {} counted", self.bytes));
+        }
+        if self.entries.len() > self.limits.keys || self.windows.len() > MAX_SPANS {
+            return Err(format!("{} keys, {} spans", self.entries.len(), self.windows.len()));
+        }
+        self.windows.spans().try_for_each(|span| self.verify_span(span))?;
+        let held = |entry: &Entry<A>| entry.window >= self.windows.floor();
+        match self.entries.iter().find(|(_, entry)| !held(entry)) {
+            Some((request, _)) => Err(format!("{request} is kept but its window is not")),
+            None => Ok(()),
+        }
+    }
+
+    fn verify_span(&self, span: &Span) -> Result<(), String> {
+        let within = |entry: &&Entry<A>| span.first <= entry.window && entry.window <= span.last;
+        let running = |entry: &&Entry<A>| matches!(entry.fate, Fate::Running);
+        let entries = || self.entries.values().filter(within);
+        if entries().filter(running).count() != span.running {
+            return Err(format!("span {}: {} counted as running", span.first, span.running));
+        }
+        let keys: BTreeSet<_> = span.keys.iter().collect();
+        let listed = keys.into_iter().filter_map(|key| self.entries.get(key)).filter(within);
+        if listed.count() != entries().count() {
+            return Err(format!("span {}: keys and entries differ", span.first));
+        }
+        Ok(())
+    }
+
+    /// What the table already determines; `None` if the request may run under the binding.
+    fn recorded(&self, request: RequestId, binding: &Binding) -> Option<Fate<A>> {
+        let foreign = binding.instance != self.instance || binding.incarnation != self.incarnation;
+        let standing = self.windows.standing(binding.window);
+        if foreign || standing == Standing::Dropped {
+            return Some(Fate::Unknown(ErrorKind::BindingLost));
+        }
+        let entry = self.entries.get(&request);
+        // A tombstone binds the copies up to its serial; a later serial was minted because of it.
+        let later = |entry: &Entry<A>| {
+            matches!(entry.fate, Fate::NotRun(_)) && binding.serial > entry.serial
+        };
+        match (entry, standing) {
+            (Some(entry), _) if !later(entry) => Some(entry.fate.clone()),
+            (_, Standing::Open) => None,
+            (_, Standing::Closed) => Some(Fate::NotRun(ErrorKind::BindingNeeded)),
+            (_, Standing::Dropped | Standing::Future) => {
+                Some(Fate::Unknown(ErrorKind::BindingLost))
+            }
+        }
+    }
+
+    fn record(&mut self, request: RequestId, binding: &Binding, bytes: usize, fate: Fate<A>) {
+        let running = matches!(fate, Fate::Running);
+        let Binding { window, serial, .. } = *binding;
+        let last = self.entries.insert(request, Entry { window, serial, bytes, fate });
+        self.bytes += bytes;
+        if let Some(span) = self.windows.span_mut(window) {
+            let listed = last.is_some_and(|e| span.first <= e.window && e.window <= span.last);
+            if !listed {
+                span.keys.push(request);
+            }
+            span.running += usize::from(running);
+        }
+    }
+
+    fn roll(&mut self, now: Moment) {
+        if self.windows.len() < MAX_SPANS && self.windows.roll(now) {
+            self.sweep_tombstones();
+        }
+        while let Some(span) = self.windows.drop_oldest(now, self.limits.hold) {
+            self.forget(&span);
+        }
+    }
+
+    /// Closes the windows, so that their tombstones can go: what is absent there is not run.
+    fn make_room(&mut self) {
+        self.windows.close_all();
+        self.sweep_tombstones();
+    }
+
+    fn sweep_tombstones(&mut self) {
+        let Self { windows, entries, .. } = self;
+        let open = windows.open();
+        for span in windows.unswept_mut() {
+            let (first, last) = (span.first, span.last);
+            span.keys.retain(|key| {
+                let Some(entry) = entries.get(key) else { return false };
+                if entry.window < first || last < entry.window {
+                    return false;
+                }
+                let spent = entry.window < open && matches!(entry.fate, Fate::NotRun(_));
+                if spent {
+                    entries.remove(key);
+                }
+                !spent
+            });
+        }
+    }
+
+    fn forget(&mut self, span: &Span) {
+        for key in &span.keys {
+            let held = self.entries.get(key);
+            if held.is_some_and(|e| span.first <= e.window && e.window <= span.last) {
+                self.bytes -= self.entries.remove(key).map_or(0, |entry| entry.bytes);
+            }
+        }
+    }
+}
+
+/// What to keep of an outcome, and its size in bytes.
+pub(crate) fn ending<A>(outcome: Outcome<A>, size: usize, room: usize) -> (Fate<A>, usize) {
+    match outcome {
+        Outcome::Done(_) if size > room => (Fate::Unknown(ErrorKind::AnswerTooLarge), 0),
+        Outcome::Done(answer) => (Fate::Done(answer), size),
+        Outcome::NotRun { kind, .. } => (Fate::NotRun(kind), 0),
+        Outcome::Unknown { kind } => (Fate::Unknown(kind), 0),
+    }
+}
--- /dev/null
+++ b/core/src/binding/sealed.rs
@@ -0,0 +1,210 @@
+//! Graceful stop: the sealed table of an incarnation, and the successor that answers for it.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::runs::{Entry, ending};
+use super::{Binding, Fate};
+use crate::ids::{Incarnation, InstanceId, RequestId};
+use crate::outcome::{ErrorKind, Outcome};
+use crate::time::Moment;
+
+/// Table that admits nothing more; what runs may still end.
+///
+/// A process that is paused at any point and wakes up later still holds this type, which cannot
+/// admit, so that the successor's answers stay true.
+#[derive(Debug)]
+pub struct SealedTable<A> {
+    instance: InstanceId,
+    incarnation: Incarnation,
+    floor: u64,
+    entries: HashMap<RequestId, Entry<A>>,
+}
+
+impl<A: Clone> SealedTable<A> {
+    pub(crate) fn new(
+        instance: InstanceId,
+        incarnation: Incarnation,
+        floor: u64,
+        entries: HashMap<RequestId, Entry<A>>,
+    ) -> Self {
+        Self { instance, incarnation, floor, entries }
+    }
+
+    /// What the sender of a copy may be told; it is never run.
+    ///
+    /// `NotRun` is given for every key that is not on record under a window that is held, because
+    /// nothing more is admitted.
+    pub fn answer(&self, request: RequestId, binding: &Binding) -> Fate<A> {
+        let foreign = binding.instance != self.instance || binding.incarnation != self.incarnation;
+        if foreign || binding.window < self.floor {
+            return Fate::Unknown(ErrorKind::BindingLost);
+        }
+        match self.entries.get(&request) {
+            Some(entry) => entry.fate.clone(),
+            None => Fate::NotRun(ErrorKind::Draining),
+        }
+    }
+
+    /// Records how a request that was running at the seal ended; see
+    /// [`RunTable::finish`](super::RunTable::finish).
+    pub fn finish(&mut self, request: RequestId, outcome: Outcome<A>, size: usize) -> bool {
+        let Some(entry) = self.entries.get_mut(&request) else { return false };
+        if !matches!(entry.fate, Fate::Running) {
+            return false;
+        }
+        (entry.fate, entry.bytes) = ending(outcome, size, entry.bytes);
+        true
+    }
+
+    /// Number of requests that are still running.
+    pub fn running(&self) -> usize {
+        self.entries.values().filter(|entry| matches!(entry.fate, Fate::Running)).count()
+    }
+
+    /// Table for the successor; what still runs is unknown to it.
+    pub fn handover(self) -> Handover<A> {
+        let mut entries: Vec<_> = self.entries.into_iter().filter_map(hand_over).collect();
+        entries.sort_by_key(|entry| entry.request);
+        let Self { instance, incarnation, floor, .. } = self;
+        let total = entries.len() as u64;
+        Handover { instance, incarnation, floor, total, entries }
+    }
+}
+
+/// Tombstones stay behind: for the successor, what is absent is not run.
+fn hand_over<A>((request, entry): (RequestId, Entry<A>)) -> Option<HandoverEntry<A>> {
+    let answer = match entry.fate {
+        Fate::Done(answer) => Some(answer),
+        Fate::Running | Fate::Unknown(_) => None,
+        Fate::NotRun(_) => return None,
+    };
+    Some(HandoverEntry { request, answer })
+}
+
+/// Complete table of a sealed incarnation, as it travels to the successor.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover<A> {
+    /// Instance of the sealed incarnation.
+    pub instance: InstanceId,
+    /// Sealed incarnation.
+    pub incarnation: Incarnation,
+    /// Oldest window whose keys are in the table.
+    pub floor: u64,
+    /// Number of entries, so that a part is never taken for the whole.
+    pub total: u64,
+    /// Requests that ran or may have run, by request id.
+    pub entries: Vec<HandoverEntry<A>>,
+}
+
+/// One request of a [`Handover`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandoverEntry<A> {
+    /// Request.
+    pub request: RequestId,
+    /// Kept answer; none if the outcome is unknown.
+    pub answer: Option<A>,
+}
+
+/// Why a successor did not take a table over; the outcome of its requests is unknown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum SuccessorFull {
+    /// The tables held leave no room.
+    #[error("no room for the table")]
+    NoRoom,
+    /// The table came without some of its entries.
+    #[error("the table is not complete")]
+    Partial,
+}
+
+/// Tables that an instance took over from sealed incarnations, and answers from.
+///
+/// Memory: at most `keys` entries and as many tables as [`Successor::MAX_TABLES`].
+#[derive(Debug)]
+pub struct Successor<A> {
+    tables: HashMap<InstanceId, Vec<Table<A>>>,
+    hold: Duration,
+    keys: usize,
+    held: usize,
+    count: usize,
+}
+
+#[derive(Debug)]
+struct Table<A> {
+    incarnation: Incarnation,
+    floor: u64,
+    taken: Moment,
+    answers: HashMap<RequestId, Option<A>>,
+}
+
+impl<A: Clone> Successor<A> {
+    /// Most tables held at once.
+    pub const MAX_TABLES: usize = 64;
+
+    /// Successor that keeps each table for `hold` and at most `keys` entries in all.
+    pub fn new(hold: Duration, keys: usize) -> Self {
+        Self { tables: HashMap::new(), hold, keys, held: 0, count: 0 }
+    }
+
+    /// Takes a table over; taking the same one twice changes nothing.
+    pub fn take(&mut self, now: Moment, handover: Handover<A>) -> Result<(), SuccessorFull> {
+        self.drop_old(now);
+        let Handover { instance, incarnation, floor, total, entries } = handover;
+        if entries.len() as u64 != total {
+            return Err(SuccessorFull::Partial);
+        }
+        if self.find(&instance, incarnation).is_some() {
+            return Ok(());
+        }
+        if self.count >= Self::MAX_TABLES || self.held + entries.len() > self.keys {
+            return Err(SuccessorFull::NoRoom);
+        }
+        let answers: HashMap<_, _> =
+            entries.into_iter().map(|entry| (entry.request, entry.answer)).collect();
+        self.held += answers.len();
+        self.count += 1;
+        let table = Table { incarnation, floor, taken: now, answers };
+        self.tables.entry(instance).or_default().push(table);
+        Ok(())
+    }
+
+    /// What the sender of a copy bound to a sealed incarnation may be told.
+    ///
+    /// `Done` from a kept answer; `NotRun` for a key that the complete table lacks; `Unknown` for
+    /// a request that still ran when the incarnation stopped, for a window that it no longer
+    /// held, and for an incarnation whose table is not here.
+    pub fn answer(&mut self, now: Moment, request: RequestId, binding: &Binding) -> Fate<A> {
+        self.drop_old(now);
+        let lost = Fate::Unknown(ErrorKind::BindingLost);
+        let Some(table) = self.find(&binding.instance, binding.incarnation) else { return lost };
+        if binding.window < table.floor {
+            return lost;
+        }
+        match table.answers.get(&request) {
+            Some(Some(answer)) => Fate::Done(answer.clone()),
+            Some(None) => lost,
+            None => Fate::NotRun(ErrorKind::Draining),
+        }
+    }
+
+    /// Whether a table of that incarnation is held.
+    pub fn holds(&self, instance: &InstanceId, incarnation: Incarnation) -> bool {
+        self.find(instance, incarnation).is_some()
+    }
+
+    fn find(&self, instance: &InstanceId, incarnation: Incarnation) -> Option<&Table<A>> {
+        self.tables.get(instance)?.iter().find(|table| table.incarnation == incarnation)
+    }
+
+    fn drop_old(&mut self, now: Moment) {
+        let hold = self.hold;
+        self.tables.retain(|_, tables| {
+            tables.retain(|table| now.since(table.taken) < hold);
+            !tables.is_empty()
+        });
+        self.held = self.tables.values().flatten().map(|table| table.answers.len()).sum();
+        self.count = self.tables.values().map(Vec::len).sum();
+    }
+}
--- /dev/null
+++ b/core/src/binding/window.rs
@@ -0,0 +1,137 @@
+//! Windows of one incarnation: spans of time in which its bindings are minted.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::ids::RequestId;
+use crate::time::Moment;
+
+/// Spans at the end of the row that were open, or became closed with the last roll.
+const UNSWEPT: usize = 3;
+
+/// Consecutive windows that were opened within one span, with the keys recorded under them.
+#[derive(Debug)]
+pub(crate) struct Span {
+    /// First window of the span.
+    pub(crate) first: u64,
+    /// Last window of the span; more than the first when windows were closed for lack of room.
+    pub(crate) last: u64,
+    /// When the span began.
+    pub(crate) opened: Moment,
+    /// Keys recorded under a window of the span.
+    pub(crate) keys: Vec<RequestId>,
+    /// Those of the keys that are running.
+    pub(crate) running: usize,
+}
+
+/// Windows that are still held, oldest first.
+///
+/// Invariants: never empty; windows are consecutive from `floor` to `current`; a window below
+/// `open` admits no further key.
+#[derive(Debug)]
+pub(crate) struct Windows {
+    spans: VecDeque<Span>,
+    open: u64,
+    length: Duration,
+}
+
+/// How a window stands to the ones that are held.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// Its keys were forgotten.
+    Dropped,
+    /// Its keys are held and it admits no others, so that an absent key is definitely not run.
+    Closed,
+    /// It admits keys.
+    Open,
+    /// It was never opened.
+    Future,
+}
+
+impl Windows {
+    pub(crate) fn new(now: Moment, length: Duration) -> Self {
+        let first = Span { first: 0, last: 0, opened: now, keys: Vec::new(), running: 0 };
+        Self { spans: VecDeque::from([first]), open: 0, length }
+    }
+
+    /// Oldest window whose keys are held.
+    pub(crate) fn floor(&self) -> u64 {
+        self.spans.front().map_or(self.open, |span| span.first)
+    }
+
+    /// Window in which bindings are minted now.
+    pub(crate) fn current(&self) -> u64 {
+        self.spans.back().map_or(self.open, |span| span.last)
+    }
+
+    /// Oldest window that admits keys.
+    pub(crate) fn open(&self) -> u64 {
+        self.open
+    }
+
+    pub(crate) fn standing(&self, window: u64) -> Standing {
+        match window {
+            _ if window < self.floor() => Standing::Dropped,
+            _ if window < self.open => Standing::Closed,
+            _ if window <= self.current() => Standing::Open,
+            _ => Standing::Future,
+        }
+    }
+
+    pub(crate) fn span_mut(&mut self, window: u64) -> Option<&mut Span> {
+        self.spans.iter_mut().find(|span| span.first <= window && window <= span.last)
+    }
+
+    /// Opens a new window if the last span is over; the one before it stays open, because its
+    /// bindings may still be on their way. Returns whether it did.
+    pub(crate) fn roll(&mut self, now: Moment) -> bool {
+        let (first, opened) = match self.spans.back() {
+            Some(span) => (span.last.saturating_add(1), span.opened),
+            None => (self.open, now),
+        };
+        if now.since(opened) < self.length {
+            return false;
+        }
+        let recent = self.current();
+        self.spans.push_back(Span {
+            first,
+            last: first,
+            opened: now,
+            keys: Vec::new(),
+            running: 0,
+        });
+        self.open = self.open.max(recent);
+        true
+    }
+
+    /// Closes every window and opens a new one, so that absent keys need no record of their own.
+    pub(crate) fn close_all(&mut self) {
+        if let Some(span) = self.spans.back_mut() {
+            span.last = span.last.saturating_add(1);
+            self.open = span.last;
+        }
+    }
+
+    /// Spans that may hold tombstones; those before were swept when they were closed.
+    pub(crate) fn unswept_mut(&mut self) -> impl Iterator<Item = &mut Span> {
+        let swept = self.spans.len().saturating_sub(UNSWEPT);
+        self.spans.range_mut(swept..)
+    }
+
+    /// Takes out the oldest span if it ended `hold` ago and none of its keys is running.
+    pub(crate) fn drop_oldest(&mut self, now: Moment, hold: Duration) -> Option<Span> {
+        let ended = self.spans.get(1)?.opened;
+        let oldest = self.spans.front()?;
+        let due = now.since(ended) >= hold && oldest.running == 0;
+        if due { self.spans.pop_front() } else { None }
+    }
+
+    /// Number of spans held.
+    pub(crate) fn len(&self) -> usize {
+        self.spans.len()
+    }
+
+    pub(crate) fn spans(&self) -> impl Iterator<Item = &Span> {
+        self.spans.iter()
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,7 +16,12 @@
 mod suspects;
 mod time;
 
-pub use binding::Binding;
+pub use binding::{
+    Admission, AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding,
+    BindingError, Bound, CallRule, Evidence, Fate, Handover, HandoverEntry, Lineage, Resend,
+    RunLimits, RunTable, SealedTable, SenderId, Successor, SuccessorFull, Unbound, WindowView,
+    binder_of, call_rule, overall_fate, resend_rule, shed_fate,
+};
 pub use contract::{ClassTerms, Contract, ContractError, Goal};
 pub use ids::{
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
--- /dev/null
+++ b/core/tests/binding_once.rs
@@ -0,0 +1,258 @@
+//! Failures under which a once-only request must still run at most once, and under which a
+//! caller told "not run" must never have a run.
+
+use std::time::Duration;
+
+use poplar_core::{
+    Admission, Binding, Bound, CallRule, ErrorKind, Evidence, Fate, Incarnation, Lineage, Moment,
+    Outcome, RequestId, Resend, RunLimits, RunTable, Successor, Unbound, call_rule, resend_rule,
+};
+
+const HOLD: Duration = Duration::from_secs(60);
+const WINDOW: Duration = Duration::from_secs(10);
+const LIMITS: RunLimits = RunLimits { keys: 64, bytes: 1_000, window: WINDOW, hold: HOLD };
+const REQ: RequestId = RequestId(7);
+const ROOM: usize = 10;
+const LOST: Fate<&str> = Fate::Unknown(ErrorKind::BindingLost);
+
+type Table = RunTable<&'static str>;
+
+const fn at(secs: u64) -> Moment {
+    Moment::from_millis(secs * 1_000)
+}
+
+fn table(instance: &str, incarnation: u64) -> Table {
+    RunTable::new(at(0), instance.into(), Incarnation(incarnation), LIMITS)
+}
+
+fn bind(instance: &str, incarnation: u64) -> Binding {
+    let incarnation = Incarnation(incarnation);
+    Binding { instance: instance.into(), incarnation, window: 0, serial: 0 }
+}
+
+fn admit(table: &mut Table, secs: u64, binding: &Binding) -> Admission<&'static str> {
+    let verdict = table.admit(at(secs), REQ, binding, ROOM);
+    table.verify().unwrap();
+    verdict
+}
+
+fn finish(table: &mut Table, secs: u64, outcome: Outcome<&'static str>) {
+    assert!(table.finish(at(secs), REQ, outcome, 4));
+    table.verify().unwrap();
+}
+
+#[test]
+fn a_lost_answer_is_given_again_and_the_request_is_not_run_again() {
+    let (mut a, b) = (table("a", 1), bind("a", 1));
+    assert_eq!(admit(&mut a, 0, &b), Admission::Run);
+    assert_eq!(admit(&mut a, 1, &b), Admission::Known(Fate::Running));
+    finish(&mut a, 2, Outcome::Done("paid"));
+    assert_eq!(admit(&mut a, 59, &b), Admission::Known(Fate::Done("paid")));
+}
+
+#[test]
+fn a_node_killed_before_during_or_after_the_run_leaves_an_unknown_outcome_for_good() {
+    for step in ["before", "during", "after"] {
+        let (mut first, b) = (table("a", 1), bind("a", 1));
+        if step != "before" {
+            assert_eq!(admit(&mut first, 0, &b), Admission::Run);
+        }
+        if step == "after" {
+            finish(&mut first, 1, Outcome::Done("paid"));
+        }
+        drop(first);
+        let mut second = table("a", 2);
+        assert_eq!(admit(&mut second, 2, &b), Admission::Known(LOST), "killed {step}");
+        assert_eq!(second.refuse(at(3), REQ, &b, ErrorKind::Overload), LOST, "killed {step}");
+    }
+}
+
+#[test]
+fn a_node_that_wakes_long_after_runs_nothing_whose_window_it_closed_or_dropped() {
+    let (mut a, b) = (table("a", 1), bind("a", 1));
+    assert_eq!(a.window(at(1)), 0);
+    // Frozen here: the window it knew ends when it wakes, and is then held as usual.
+    assert_eq!(a.window(at(5_000)), 1);
+    assert_eq!(a.window(at(5_010)), 2);
+    let not_run = Admission::Known(Fate::NotRun(ErrorKind::BindingNeeded));
+    assert_eq!(admit(&mut a, 5_011, &b), not_run);
+    assert_eq!(admit(&mut a, 5_061, &b), Admission::Known(LOST));
+}
+
+#[test]
+fn a_run_longer_than_the_repeat_window_keeps_its_key() {
+    let (mut a, b) = (table("a", 1), bind("a", 1));
+    assert_eq!(admit(&mut a, 0, &b), Admission::Run);
+    for secs in (10..500).step_by(10) {
+        assert_eq!(admit(&mut a, secs, &b), Admission::Known(Fate::Running));
+    }
+    finish(&mut a, 500, Outcome::Done("paid"));
+    assert_ne!(admit(&mut a, 501, &b), Admission::Run);
+}
+
+#[test]
+fn a_resend_to_another_node_is_not_run_there() {
+    let (mut a, mut other, b) = (table("a", 1), table("b", 1), bind("a", 1));
+    assert_eq!(admit(&mut a, 0, &b), Admission::Run);
+    assert_eq!(admit(&mut other, 1, &b), Admission::Known(LOST));
+}
+
+#[test]
+fn a_late_first_copy_after_not_run_is_refused_and_the_next_binding_runs() {
+    let (mut a, b) = (table("a", 1), bind("a", 1));
+    let told = a.refuse(at(0), REQ, &b, ErrorKind::Overload);
+    assert_eq!(told, Fate::NotRun(ErrorKind::Overload));
+    assert_eq!(admit(&mut a, 1, &b), Admission::Known(told.clone()));
+    let next = a.mint(at(2), Some(&b));
+    assert_eq!(admit(&mut a, 3, &next), Admission::Run);
+    assert_eq!(admit(&mut a, 4, &b), Admission::Known(Fate::Running));
+    assert_eq!(a.refuse(at(5), REQ, &next, ErrorKind::Overload), Fate::Running);
+}
+
+#[test]
+fn a_table_that_is_full_refuses_for_good_and_forgets_nothing() {
+    let limits = RunLimits { keys: 3, bytes: 25, ..LIMITS };
+    let mut a: Table = RunTable::new(at(0), "a".into(), Incarnation(1), limits);
+    let b = bind("a", 1);
+    let (one, two, three, four) = (RequestId(1), RequestId(2), RequestId(3), RequestId(4));
+    assert_eq!(a.admit(at(0), one, &b, 10), Admission::Run);
+    assert_eq!(a.admit(at(0), two, &b, 10), Admission::Run);
+    let full = Admission::Known(Fate::NotRun(ErrorKind::Overload));
+    assert_eq!(a.admit(at(0), three, &b, 10), full, "no room for its answer");
+    assert_eq!(a.admit(at(0), four, &b, 0), full, "no room for its key");
+    a.verify().unwrap();
+    assert_eq!(a.len(), 2, "the closed window needs no tombstone");
+    for late in [three, four] {
+        let late = a.admit(at(1), late, &b, 0);
+        assert_eq!(late, Admission::Known(Fate::NotRun(ErrorKind::BindingNeeded)));
+    }
+    assert_eq!(a.admit(at(1), one, &b, 10), Admission::Known(Fate::Running));
+    let next = a.mint(at(1), Some(&b));
+    assert_eq!(a.admit(at(1), four, &next, 0), Admission::Run);
+    a.verify().unwrap();
+}
+
+#[test]
+fn a_resend_during_drain_and_after_handover_gets_what_the_sealed_table_knows() {
+    let (mut a, b) = (table("a", 1), bind("a", 1));
+    let (done, cut, absent) = (RequestId(1), RequestId(2), RequestId(3));
+    assert_eq!(a.admit(at(0), done, &b, ROOM), Admission::Run);
+    assert_eq!(a.admit(at(0), cut, &b, ROOM), Admission::Run);
+    let mut sealed = a.seal();
+    assert_eq!(sealed.answer(done, &b), Fate::Running);
+    assert_eq!(sealed.answer(absent, &b), Fate::NotRun(ErrorKind::Draining));
+    assert!(sealed.finish(done, Outcome::Done("paid"), 4));
+    let whole = sealed.handover();
+    let mut part = whole.clone();
+    part.entries.pop();
+
+    let mut next = Successor::new(HOLD, 64);
+    assert!(next.take(at(0), part).is_err());
+    assert_eq!(next.answer(at(0), absent, &b), LOST);
+    next.take(at(0), whole).unwrap();
+    assert_eq!(next.answer(at(1), done, &b), Fate::Done("paid"));
+    assert_eq!(next.answer(at(1), cut, &b), LOST);
+    assert_eq!(next.answer(at(1), absent, &b), Fate::NotRun(ErrorKind::Draining));
+    assert_eq!(next.answer(at(60), absent, &b), LOST, "the table is dropped in the end");
+}
+
+#[test]
+fn a_call_is_bound_anew_only_on_word_about_its_own_binding() {
+    let call = Unbound::new().bind("a".into(), Incarnation(1), 0);
+    let other = Evidence::Told(bind("b", 1));
+    let call: Bound = call.release(&other).unwrap_err();
+    let own = Evidence::Told(call.binding().clone());
+    let next = call.release(&own).unwrap().bind("a".into(), Incarnation(1), 0);
+    assert_eq!(next.binding().serial, 1);
+}
+
+#[test]
+fn a_parent_rerun_elsewhere_cannot_make_its_once_only_child_run_twice() {
+    // The child of a repeatable parent is refused before it is sent, unless the target names it.
+    let refused = call_rule(Lineage::Repeatable, false, false);
+    assert_eq!(refused, Err(ErrorKind::OnceInRepeatable));
+    assert_eq!(call_rule(Lineage::Repeatable, false, true), Ok(CallRule::Keyed));
+    // A once-only parent is never re-run: its own outcome stays unknown.
+    assert_eq!(call_rule(Lineage::Once, false, false), Ok(CallRule::Bound));
+    let lost = Fate::<()>::Unknown(ErrorKind::BindingLost);
+    assert_eq!(resend_rule(CallRule::Bound, Lineage::Once, &lost), Resend::Never);
+    // Nor is a repeatable run between the two, which would make the child call again.
+    let silent = Fate::<()>::Unknown(ErrorKind::Connection);
+    assert_eq!(resend_rule(CallRule::Free, Lineage::Once, &silent), Resend::Never);
+    assert_eq!(resend_rule(CallRule::Free, Lineage::Repeatable, &silent), Resend::Anywhere);
+    assert_eq!(resend_rule(CallRule::Bound, Lineage::Once, &silent), Resend::SameBinding);
+}
+
+/// Requests of one random session, each with every binding that its minter made so far.
+struct Session {
+    now: u64,
+    table: Table,
+    bindings: Vec<Vec<Binding>>,
+    dead: Vec<(usize, Binding)>,
+    runs: Vec<u32>,
+}
+
+impl Session {
+    fn new() -> Self {
+        let limits = RunLimits { keys: 4, bytes: 30, window: WINDOW, hold: HOLD };
+        let table = RunTable::new(at(0), "a".into(), Incarnation(1), limits);
+        let bindings = (0..6).map(|_| Vec::new()).collect();
+        Self { now: 0, table, bindings, dead: Vec::new(), runs: vec![0; 6] }
+    }
+
+    /// A copy with any binding the request ever had; the minter goes on after "not run" only.
+    fn step(&mut self, op: u8, key: usize, arg: u8) -> Result<(), String> {
+        let (now, req) = (at(self.now), RequestId(key as u128));
+        if self.bindings[key].is_empty() {
+            self.bindings[key].push(self.table.mint(now, None));
+        }
+        let pick = usize::from(arg) % self.bindings[key].len();
+        let copy = self.bindings[key][pick].clone();
+        let fate = match op {
+            0 | 1 => match self.table.admit(now, req, &copy, 10) {
+                Admission::Run => return self.run(key, copy),
+                Admission::Known(fate) => fate,
+            },
+            2 => self.table.refuse(now, req, &copy, ErrorKind::Overload),
+            3 => {
+                self.table.finish(now, req, Outcome::Done("paid"), 4);
+                return self.table.verify();
+            }
+            _ => {
+                self.now += u64::from(arg % 16);
+                return self.table.verify();
+            }
+        };
+        if matches!(fate, Fate::NotRun(_)) {
+            if self.bindings[key].last() == Some(&copy) {
+                let next = self.table.mint(now, Some(&copy));
+                self.bindings[key].push(next);
+            }
+            self.dead.push((key, copy));
+        }
+        self.table.verify()
+    }
+
+    fn run(&mut self, key: usize, copy: Binding) -> Result<(), String> {
+        self.runs[key] += 1;
+        if self.runs[key] > 1 {
+            return Err(format!("request {key} ran twice, at last under {copy}"));
+        }
+        if self.dead.contains(&(key, copy)) {
+            return Err(format!("request {key} ran after it was told not run"));
+        }
+        self.table.verify()
+    }
+}
+
+#[test]
+fn no_order_of_copies_refusals_and_endings_runs_a_request_twice_or_after_not_run() {
+    fn property(steps: Vec<(u8, u8, u8)>) -> Result<(), String> {
+        let mut session = Session::new();
+        steps
+            .into_iter()
+            .try_for_each(|(op, key, arg)| session.step(op % 6, usize::from(key) % 6, arg))
+    }
+    let rng = quickcheck::Gen::from_size_and_seed(100, 20_251);
+    quickcheck::QuickCheck::new().rng(rng).tests(3_000).quickcheck(property as fn(_) -> _);
+}
