--- a/core/src/binding/attempts.rs
+++ b/core/src/binding/attempts.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
-use super::{Admission, Fate};
+use super::{Fate, RunVerdict};
 use crate::ids::{AttemptId, Incarnation, InstanceId, RequestId};
 use crate::outcome::{ErrorKind, Outcome};
 use crate::time::Moment;
@@ -85,13 +85,13 @@
         sender: &SenderId,
         request: RequestId,
         attempt: AttemptId,
-    ) -> Admission<A> {
+    ) -> RunVerdict<A> {
         self.drop_old(now);
         if let Some(fate) = self.known(sender, request, attempt) {
-            return Admission::Known(fate);
+            return RunVerdict::Known(fate);
         }
         self.record(now, sender, request, attempt, Fate::Running);
-        Admission::Run
+        RunVerdict::Run
     }
 
     /// Records how a send ended. `NotRun` only if it was never handed to the target, or if the
--- a/core/src/binding/mod.rs
+++ b/core/src/binding/mod.rs
@@ -85,7 +85,7 @@
 
 /// Verdict on a copy of a request that reached the node beside the target.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Admission<A> {
+pub enum RunVerdict<A> {
     /// First copy, now recorded: hand it to the target, and report how it ended.
     Run,
     /// Do not run it; this is what the sender may be told.
--- a/core/src/binding/repeat.rs
+++ b/core/src/binding/repeat.rs
@@ -98,7 +98,8 @@
     use ErrorKind as Kind;
     match kind {
         Kind::BadRequest | Kind::UnknownClass | Kind::OnceInRepeatable => true,
-        Kind::CrashSuspect | Kind::Deadline | Kind::Cancelled | Kind::AnswerTooLarge => true,
+        Kind::CrashSuspect | Kind::Deadline | Kind::Cancelled => true,
+        Kind::AnswerTooLarge | Kind::RetriesSpent => true,
         Kind::NoContract | Kind::NoTarget | Kind::Overload | Kind::Draining => false,
         Kind::Connection | Kind::BindingLost | Kind::BindingNeeded | Kind::BadAnswer => false,
     }
--- a/core/src/binding/runs.rs
+++ b/core/src/binding/runs.rs
@@ -9,7 +9,7 @@
 
 use super::sealed::SealedTable;
 use super::window::{Span, Standing, Windows};
-use super::{Admission, Binding, Fate};
+use super::{Binding, Fate, RunVerdict};
 use crate::ids::{Incarnation, InstanceId, RequestId};
 use crate::outcome::{ErrorKind, Outcome};
 use crate::time::Moment;
@@ -112,21 +112,21 @@
         request: RequestId,
         binding: &Binding,
         room: usize,
-    ) -> Admission<A> {
+    ) -> RunVerdict<A> {
         self.roll(now);
         if let Some(fate) = self.recorded(request, binding) {
-            return Admission::Known(fate);
+            return RunVerdict::Known(fate);
         }
         if self.entries.len() >= self.limits.keys {
             self.make_room();
-            return Admission::Known(Fate::NotRun(ErrorKind::Overload));
+            return RunVerdict::Known(Fate::NotRun(ErrorKind::Overload));
         }
         if self.bytes.saturating_add(room) > self.limits.bytes {
             self.record(request, binding, 0, Fate::NotRun(ErrorKind::Overload));
-            return Admission::Known(Fate::NotRun(ErrorKind::Overload));
+            return RunVerdict::Known(Fate::NotRun(ErrorKind::Overload));
         }
         self.record(request, binding, room, Fate::Running);
-        Admission::Run
+        RunVerdict::Run
     }
 
     /// What is known of a request, without recording anything; `None` if it could still run.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,21 +11,35 @@
 mod contract;
 mod fold;
 mod ids;
+mod limit;
 mod membership;
 mod outcome;
 mod suspects;
 mod time;
 
+pub use admission::{
+    Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Ticket,
+    Verdict as AdmissionVerdict,
+};
 pub use binding::{
-    Admission, AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding,
-    BindingError, Bound, CallRule, Evidence, Fate, Handover, HandoverEntry, Lineage, Resend,
-    RunLimits, RunTable, SealedTable, SenderId, Successor, SuccessorFull, Unbound, WindowView,
-    binder_of, call_rule, overall_fate, resend_rule, shed_fate,
+    AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, BindingError, Bound,
+    CallRule, Evidence, Fate, Handover, HandoverEntry, Lineage, Resend, RunLimits, RunTable,
+    RunVerdict, SealedTable, SenderId, Successor, SuccessorFull, Unbound, WindowView, binder_of,
+    call_rule, overall_fate, resend_rule, shed_fate,
+};
+pub use budget::{
+    Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
+    RetriesSpent, Run, come_back_after, keeper, next_step,
 };
 pub use contract::{ClassTerms, Contract, ContractError, Goal};
+pub use fold::{
+    ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, MAX_REFUSED,
+    RecordFault, Verdict, Word,
+};
 pub use ids::{
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
     rendezvous_weight,
 };
+pub use limit::{ImportanceScale, RunTimes, TargetLimits, retry_after};
 pub use outcome::{ErrorKind, Outcome, Reply};
 pub use time::Moment;
--- a/core/tests/binding_once.rs
+++ b/core/tests/binding_once.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Admission, Binding, Bound, CallRule, ErrorKind, Evidence, Fate, Incarnation, Lineage, Moment,
-    Outcome, RequestId, Resend, RunLimits, RunTable, Successor, Unbound, call_rule, resend_rule,
+    Binding, Bound, CallRule, ErrorKind, Evidence, Fate, Incarnation, Lineage, Moment, Outcome,
+    RequestId, Resend, RunLimits, RunTable, RunVerdict, Successor, Unbound, call_rule, resend_rule,
 };
 
 const HOLD: Duration = Duration::from_secs(60);
@@ -30,24 +30,24 @@
     Binding { instance: instance.into(), incarnation, window: 0, serial: 0 }
 }
 
-fn admit(table: &mut Table, secs: u64, binding: &Binding) -> Admission<&'static str> {
+fn admit(table: &mut Table, secs: u64, binding: &Binding) -> RunVerdict<&'static str> {
     let verdict = table.admit(at(secs), REQ, binding, ROOM);
-    table.verify().unwrap();
+    table.verify().expect("the table is consistent");
     verdict
 }
 
 fn finish(table: &mut Table, secs: u64, outcome: Outcome<&'static str>) {
     assert!(table.finish(at(secs), REQ, outcome, 4));
-    table.verify().unwrap();
+    table.verify().expect("the table is consistent");
 }
 
 #[test]
 fn a_lost_answer_is_given_again_and_the_request_is_not_run_again() {
     let (mut a, b) = (table("a", 1), bind("a", 1));
-    assert_eq!(admit(&mut a, 0, &b), Admission::Run);
-    assert_eq!(admit(&mut a, 1, &b), Admission::Known(Fate::Running));
+    assert_eq!(admit(&mut a, 0, &b), RunVerdict::Run);
+    assert_eq!(admit(&mut a, 1, &b), RunVerdict::Known(Fate::Running));
     finish(&mut a, 2, Outcome::Done("paid"));
-    assert_eq!(admit(&mut a, 59, &b), Admission::Known(Fate::Done("paid")));
+    assert_eq!(admit(&mut a, 59, &b), RunVerdict::Known(Fate::Done("paid")));
 }
 
 #[test]
@@ -55,14 +55,14 @@
     for step in ["before", "during", "after"] {
         let (mut first, b) = (table("a", 1), bind("a", 1));
         if step != "before" {
-            assert_eq!(admit(&mut first, 0, &b), Admission::Run);
+            assert_eq!(admit(&mut first, 0, &b), RunVerdict::Run);
         }
         if step == "after" {
             finish(&mut first, 1, Outcome::Done("paid"));
         }
         drop(first);
         let mut second = table("a", 2);
-        assert_eq!(admit(&mut second, 2, &b), Admission::Known(LOST), "killed {step}");
+        assert_eq!(admit(&mut second, 2, &b), RunVerdict::Known(LOST), "killed {step}");
         assert_eq!(second.refuse(at(3), REQ, &b, ErrorKind::Overload), LOST, "killed {step}");
     }
 }
@@ -74,27 +74,27 @@
     // Frozen here: the window it knew ends when it wakes, and is then held as usual.
     assert_eq!(a.window(at(5_000)), 1);
     assert_eq!(a.window(at(5_010)), 2);
-    let not_run = Admission::Known(Fate::NotRun(ErrorKind::BindingNeeded));
+    let not_run = RunVerdict::Known(Fate::NotRun(ErrorKind::BindingNeeded));
     assert_eq!(admit(&mut a, 5_011, &b), not_run);
-    assert_eq!(admit(&mut a, 5_061, &b), Admission::Known(LOST));
+    assert_eq!(admit(&mut a, 5_061, &b), RunVerdict::Known(LOST));
 }
 
 #[test]
 fn a_run_longer_than_the_repeat_window_keeps_its_key() {
     let (mut a, b) = (table("a", 1), bind("a", 1));
-    assert_eq!(admit(&mut a, 0, &b), Admission::Run);
+    assert_eq!(admit(&mut a, 0, &b), RunVerdict::Run);
     for secs in (10..500).step_by(10) {
-        assert_eq!(admit(&mut a, secs, &b), Admission::Known(Fate::Running));
+        assert_eq!(admit(&mut a, secs, &b), RunVerdict::Known(Fate::Running));
     }
     finish(&mut a, 500, Outcome::Done("paid"));
-    assert_ne!(admit(&mut a, 501, &b), Admission::Run);
+    assert_ne!(admit(&mut a, 501, &b), RunVerdict::Run);
 }
 
 #[test]
 fn a_resend_to_another_node_is_not_run_there() {
     let (mut a, mut other, b) = (table("a", 1), table("b", 1), bind("a", 1));
-    assert_eq!(admit(&mut a, 0, &b), Admission::Run);
-    assert_eq!(admit(&mut other, 1, &b), Admission::Known(LOST));
+    assert_eq!(admit(&mut a, 0, &b), RunVerdict::Run);
+    assert_eq!(admit(&mut other, 1, &b), RunVerdict::Known(LOST));
 }
 
 #[test]
@@ -102,10 +102,10 @@
     let (mut a, b) = (table("a", 1), bind("a", 1));
     let told = a.refuse(at(0), REQ, &b, ErrorKind::Overload);
     assert_eq!(told, Fate::NotRun(ErrorKind::Overload));
-    assert_eq!(admit(&mut a, 1, &b), Admission::Known(told.clone()));
+    assert_eq!(admit(&mut a, 1, &b), RunVerdict::Known(told.clone()));
     let next = a.mint(at(2), Some(&b));
-    assert_eq!(admit(&mut a, 3, &next), Admission::Run);
-    assert_eq!(admit(&mut a, 4, &b), Admission::Known(Fate::Running));
+    assert_eq!(admit(&mut a, 3, &next), RunVerdict::Run);
+    assert_eq!(admit(&mut a, 4, &b), RunVerdict::Known(Fate::Running));
     assert_eq!(a.refuse(at(5), REQ, &next, ErrorKind::Overload), Fate::Running);
 }
 
@@ -115,29 +115,29 @@
     let mut a: Table = RunTable::new(at(0), "a".into(), Incarnation(1), limits);
     let b = bind("a", 1);
     let (one, two, three, four) = (RequestId(1), RequestId(2), RequestId(3), RequestId(4));
-    assert_eq!(a.admit(at(0), one, &b, 10), Admission::Run);
-    assert_eq!(a.admit(at(0), two, &b, 10), Admission::Run);
-    let full = Admission::Known(Fate::NotRun(ErrorKind::Overload));
+    assert_eq!(a.admit(at(0), one, &b, 10), RunVerdict::Run);
+    assert_eq!(a.admit(at(0), two, &b, 10), RunVerdict::Run);
+    let full = RunVerdict::Known(Fate::NotRun(ErrorKind::Overload));
     assert_eq!(a.admit(at(0), three, &b, 10), full, "no room for its answer");
     assert_eq!(a.admit(at(0), four, &b, 0), full, "no room for its key");
-    a.verify().unwrap();
+    a.verify().expect("the table is consistent");
     assert_eq!(a.len(), 2, "the closed window needs no tombstone");
     for late in [three, four] {
         let late = a.admit(at(1), late, &b, 0);
-        assert_eq!(late, Admission::Known(Fate::NotRun(ErrorKind::BindingNeeded)));
+        assert_eq!(late, RunVerdict::Known(Fate::NotRun(ErrorKind::BindingNeeded)));
     }
-    assert_eq!(a.admit(at(1), one, &b, 10), Admission::Known(Fate::Running));
+    assert_eq!(a.admit(at(1), one, &b, 10), RunVerdict::Known(Fate::Running));
     let next = a.mint(at(1), Some(&b));
-    assert_eq!(a.admit(at(1), four, &next, 0), Admission::Run);
-    a.verify().unwrap();
+    assert_eq!(a.admit(at(1), four, &next, 0), RunVerdict::Run);
+    a.verify().expect("the table is consistent");
 }
 
 #[test]
 fn a_resend_during_drain_and_after_handover_gets_what_the_sealed_table_knows() {
     let (mut a, b) = (table("a", 1), bind("a", 1));
     let (done, cut, absent) = (RequestId(1), RequestId(2), RequestId(3));
-    assert_eq!(a.admit(at(0), done, &b, ROOM), Admission::Run);
-    assert_eq!(a.admit(at(0), cut, &b, ROOM), Admission::Run);
+    assert_eq!(a.admit(at(0), done, &b, ROOM), RunVerdict::Run);
+    assert_eq!(a.admit(at(0), cut, &b, ROOM), RunVerdict::Run);
     let mut sealed = a.seal();
     assert_eq!(sealed.answer(done, &b), Fate::Running);
     assert_eq!(sealed.answer(absent, &b), Fate::NotRun(ErrorKind::Draining));
@@ -210,8 +210,8 @@
         let copy = self.bindings[key][pick].clone();
         let fate = match op {
             0 | 1 => match self.table.admit(now, req, &copy, 10) {
-                Admission::Run => return self.run(key, copy),
-                Admission::Known(fate) => fate,
+                RunVerdict::Run => return self.run(key, copy),
+                RunVerdict::Known(fate) => fate,
             },
             2 => self.table.refuse(now, req, &copy, ErrorKind::Overload),
             3 => {
--- /dev/null
+++ b/wire/src/text.rs
@@ -0,0 +1,13 @@
+//! Text forms of values that travel in HTTP headers.
+
+use poplar_core::Binding;
+
+/// Text form of a binding, as [`Binding`] defines it.
+pub fn binding_text(binding: &Binding) -> String {
+    binding.to_string()
+}
+
+/// Binding that `text` stands for, if it stands for one.
+pub fn parse_binding(text: &str) -> Option<Binding> {
+    text.parse().ok()
+}
