--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -23,7 +23,12 @@
     Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Ticket,
     Verdict as AdmissionVerdict,
 };
-pub use binding::Binding;
+pub use binding::{
+    AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, BindingError, Bound,
+    CallRule, Evidence, Fate, Handover, HandoverEntry, Lineage, Resend, RunLimits, RunTable,
+    RunVerdict, SealedTable, SenderId, Successor, SuccessorFull, Unbound, WindowView, binder_of,
+    call_rule, overall_fate, resend_rule, shed_fate,
+};
 pub use budget::{
     Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
     RetriesSpent, Run, come_back_after, keeper, next_step,
