Accept only whole answers and derive outcomes from what the node saw

Cause: a reused connection can hand a late, swapped, short or repeated answer to the wrong caller, and a 503 taken for "not run" breaks the promise that it did not run. Ruled out: matching on the request id alone; trusting the transport's length. Before: nothing. Conclusion: Exchange (typestate) is used up by any doubtful answer, so its connection can only be closed; TargetEnd gives Done for a bare 503 and NotRun only for the shed signal of a run that made no calls.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! model checks and golden sessions replay it. See [the shape](../docs/design/shape.md).
 
 mod admission;
+mod answer;
 mod binding;
 mod budget;
 mod choice;
@@ -16,6 +17,7 @@
 mod suspects;
 mod time;
 
+pub use answer::{AnswerError, AnswerHead, Exchange, Expected, Idle, Waiting, WholeAnswer};
 pub use binding::Binding;
 pub use budget::{
     Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
@@ -26,5 +28,5 @@
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
     rendezvous_weight,
 };
-pub use outcome::{ErrorKind, Outcome, Reply};
+pub use outcome::{ErrorKind, Outcome, Reply, TargetEnd};
 pub use time::Moment;
--- a/core/src/outcome.rs
+++ b/core/src/outcome.rs
@@ -26,6 +26,65 @@
     },
 }
 
+/// How a run at a target ended, as the node beside it saw it.
+///
+/// The outcome of the run follows from this alone. The outcomes of the calls that the run itself
+/// made are answers to the target, and what it makes of them is in its own answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TargetEnd<A> {
+    /// No connection to the target came about, so it was handed nothing.
+    NotConnected,
+    /// The connection failed after some of the request was handed over.
+    Broken,
+    /// The wait ended at the deadline; the target was told to cancel.
+    Deadline,
+    /// The caller cancelled; the target was told so.
+    Cancelled,
+    /// The answer was cut short or malformed.
+    BadAnswer,
+    /// The answer is larger than the contract allows.
+    TooLarge,
+    /// The answer came whole.
+    Answer {
+        /// Answer, of whatever status.
+        answer: A,
+        /// Value of the target's shed header, if it sent one.
+        shed: Option<String>,
+        /// Number of calls that the run had made.
+        calls: u32,
+    },
+}
+
+/// Value of the shed header with which a target says that it did not start the request.
+const SHED_NOT_RUN: &str = "not-run";
+
+impl<A> TargetEnd<A> {
+    /// Outcome of the run; `retry_after` is what a shedding target's callers are told.
+    ///
+    /// A status of 503 alone is an answer: the target may have done half of the work before.
+    pub fn outcome(self, retry_after: Duration) -> Outcome<A> {
+        let unknown = |kind| Outcome::Unknown { kind };
+        match self {
+            Self::NotConnected => Outcome::NotRun { kind: ErrorKind::Connection, retry_after },
+            Self::Broken => unknown(ErrorKind::Connection),
+            Self::Deadline => unknown(ErrorKind::Deadline),
+            Self::Cancelled => unknown(ErrorKind::Cancelled),
+            Self::BadAnswer => unknown(ErrorKind::BadAnswer),
+            Self::TooLarge => unknown(ErrorKind::AnswerTooLarge),
+            Self::Answer { answer, shed, calls } => {
+                if shed.as_deref() != Some(SHED_NOT_RUN) {
+                    return Outcome::Done(answer);
+                }
+                if calls > 0 {
+                    // It did start: it made calls.
+                    return unknown(ErrorKind::BadAnswer);
+                }
+                Outcome::NotRun { kind: ErrorKind::Overload, retry_after }
+            }
+        }
+    }
+}
+
 /// Every kind of error that a call can end with.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
