Isolate requests suspected of crashing their targets

Cause: a request that crashes its target is sent again by its caller and takes the next one down. Ruled out: refusing at two crashes by count alone (bars a popular bystander); an empty target for each suspect (130 bystanders at a time); refusing all suspects (bystanders never recover). Before: nothing.

--- a/core/src/budget/ledger.rs
+++ b/core/src/budget/ledger.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Budget, Call, Units};
-use crate::ids::{InstanceId, RequestId, rendezvous_weight};
+use crate::ids::{InstanceId, RequestId, rendezvous_owner};
 use crate::time::Moment;
 
 /// Units kept back while a run is out, so that one re-send remains if its entry is lost.
@@ -24,7 +24,7 @@
     request: RequestId,
     members: impl IntoIterator<Item = &'a InstanceId>,
 ) -> Option<&'a InstanceId> {
-    members.into_iter().max_by_key(|id| (rendezvous_weight(request.0, id.0.as_str()), *id))
+    rendezvous_owner(request.0, members)
 }
 
 /// Question of an entry that took a call in from outside.
--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -177,3 +177,11 @@
 pub fn rendezvous_weight(key: u128, owner: &str) -> u64 {
     xxh3_64_with_seed(owner.as_bytes(), (key as u64) ^ ((key >> 64) as u64))
 }
+
+/// Owner of `key` among `owners` by rendezvous hashing; equal for all who know the same owners.
+pub fn rendezvous_owner<'a>(
+    key: u128,
+    owners: impl IntoIterator<Item = &'a InstanceId>,
+) -> Option<&'a InstanceId> {
+    owners.into_iter().max_by_key(|id| (rendezvous_weight(key, id.0.as_str()), *id))
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -26,7 +26,8 @@
 pub use contract::{ClassTerms, Contract, ContractError, Goal};
 pub use ids::{
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
-    rendezvous_weight,
+    rendezvous_owner, rendezvous_weight,
 };
 pub use outcome::{ErrorKind, Outcome, Reply, TargetEnd};
+pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
 pub use time::Moment;
