--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! model checks and golden sessions replay it. See [the shape](../docs/design/shape.md).
 
 mod admission;
+mod answer;
 mod binding;
 mod budget;
 mod choice;
@@ -23,6 +24,7 @@
     Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Ticket,
     Verdict as AdmissionVerdict,
 };
+pub use answer::{AnswerError, AnswerHead, Exchange, Expected, Idle, Waiting, WholeAnswer};
 pub use binding::{
     AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, BindingError, Bound,
     CallRule, Evidence, Fate, Handover, HandoverEntry, Lineage, Resend, RunLimits, RunTable,
@@ -44,9 +46,10 @@
 };
 pub use ids::{
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
-    rendezvous_weight,
+    rendezvous_owner, rendezvous_weight,
 };
 pub use limit::{ImportanceScale, RunTimes, TargetLimits, retry_after};
-pub use outcome::{ErrorKind, Outcome, Reply};
+pub use outcome::{ErrorKind, Outcome, Reply, TargetEnd};
 pub use publish::{PublishAction, PublishPlan, PublishResult, Publisher, RESEND, publish_id};
+pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
 pub use time::Moment;
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -59,7 +59,11 @@
 
 impl Entry {
     /// Service that finds what it needs in `registry`.
-    pub(crate) fn new(clock: Clock, customer: Name, registry: &Registry) -> Result<Self, RegistryError> {
+    pub(crate) fn new(
+        clock: Clock,
+        customer: Name,
+        registry: &Registry,
+    ) -> Result<Self, RegistryError> {
         Ok(Self {
             clock,
             customer,
