Measure overload with three policies side by side

Cause: levels and queues can only be judged against the best possible goodput. Ruled out: sockets and processes, which cannot carry ten times the capacity on one machine; a cluster simulator, since queue, slots and time suffice. Before: no measure.

--- /dev/null
+++ b/bench/src/overload/clock.rs
@@ -0,0 +1,97 @@
+//! Fake clock, event queue and random numbers.
+
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use poplar_core::Moment;
+
+/// Events in order of time, and of scheduling where times are equal.
+#[derive(Debug)]
+pub(crate) struct Agenda<E> {
+    now: Moment,
+    count: u64,
+    heap: BinaryHeap<Reverse<Entry<E>>>,
+}
+
+#[derive(Debug)]
+struct Entry<E> {
+    at: Moment,
+    count: u64,
+    event: E,
+}
+
+impl<E> PartialEq for Entry<E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
+impl<E> Eq for Entry<E> {}
+
+impl<E> PartialOrd for Entry<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Entry<E> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.at.cmp(&other.at).then(self.count.cmp(&other.count))
+    }
+}
+
+impl<E> Agenda<E> {
+    pub(crate) fn new() -> Self {
+        Self { now: Moment::default(), count: 0, heap: BinaryHeap::new() }
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        self.now
+    }
+
+    pub(crate) fn schedule(&mut self, after: Duration, event: E) {
+        self.count += 1;
+        let entry = Entry { at: self.now + after, count: self.count, event };
+        self.heap.push(Reverse(entry));
+    }
+
+    /// Next event; the clock moves to its time.
+    pub(crate) fn next(&mut self) -> Option<E> {
+        let Reverse(entry) = self.heap.pop()?;
+        self.now = entry.at;
+        Some(entry.event)
+    }
+}
+
+/// Random numbers from a seed, by the splitmix64 generator.
+#[derive(Debug)]
+pub(crate) struct Rng(u64);
+
+impl Rng {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self(seed)
+    }
+
+    pub(crate) fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let z = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    /// Number in `0..bound`; `bound` is not zero.
+    pub(crate) fn below(&mut self, bound: usize) -> usize {
+        (self.next() % bound as u64) as usize
+    }
+
+    /// Number in `0.0..1.0`.
+    pub(crate) fn unit(&mut self) -> f64 {
+        (self.next() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Exponentially distributed number with the given mean.
+    pub(crate) fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.unit()).ln()
+    }
+}
--- /dev/null
+++ b/bench/src/overload/deployment.rs
@@ -0,0 +1,198 @@
+//! The two deployments: services, classes, and the best goodput that their slots allow.
+
+use poplar_core::Importance;
+
+/// Index of a service in its deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ServiceIdx(pub(crate) usize);
+
+/// Index of a class in its deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ClassIdx(pub(crate) usize);
+
+/// One service: targets, and per target slots and connections.
+#[derive(Debug)]
+pub(crate) struct Service {
+    pub(crate) name: &'static str,
+    pub(crate) targets: usize,
+    pub(crate) slots: u32,
+    pub(crate) connections: u32,
+}
+
+/// One class of calls.
+#[derive(Debug)]
+pub(crate) struct Class {
+    pub(crate) name: &'static str,
+    pub(crate) service: ServiceIdx,
+    pub(crate) importance: Importance,
+    /// Mean time of the target's own work, in milliseconds.
+    pub(crate) work_ms: u64,
+    /// Calls made one after the other once the own work is done.
+    pub(crate) calls: &'static [ClassIdx],
+    /// Part of the load that enters with this class, in percent.
+    pub(crate) share: u32,
+    pub(crate) deadline_ms: u64,
+}
+
+/// One deployment.
+#[derive(Debug)]
+pub(crate) struct Deployment {
+    pub(crate) name: &'static str,
+    pub(crate) zones: usize,
+    /// One-way latency to the callers, in milliseconds.
+    pub(crate) client_ms: u64,
+    pub(crate) services: &'static [Service],
+    pub(crate) classes: &'static [Class],
+    /// Service that slows down.
+    pub(crate) deep: ServiceIdx,
+}
+
+/// One-way latency between availability zones, in microseconds.
+pub(crate) const ZONE_MICROS: u64 = 1_000;
+/// One-way latency within an availability zone, in microseconds.
+pub(crate) const LOCAL_MICROS: u64 = 100;
+
+const fn service(name: &'static str, targets: usize, slots: u32, connections: u32) -> Service {
+    Service { name, targets, slots, connections }
+}
+
+const ARMOR: Deployment = Deployment {
+    name: "armor",
+    zones: 4,
+    client_ms: 8,
+    services: &[
+        service("archives", 5, 130, 900),
+        service("reminders", 4, 160, 1_100),
+        service("corrections", 4, 160, 1_100),
+        service("listings", 4, 20, 230),
+    ],
+    classes: &[
+        class("correct", 2, 9, 20, &[ClassIdx(5)], 10, 2_000),
+        class("book", 1, 6, 20, &[ClassIdx(5)], 35, 2_000),
+        class("history", 0, 3, 10, &[], 20, 1_000),
+        class("guide", 3, 2, 40, &[ClassIdx(4)], 35, 1_000),
+        class("archive-read", 0, 2, 10, &[], 0, 1_000),
+        class("archive-search", 0, 6, 10, &[ClassIdx(6)], 0, 2_000),
+        class("listing-read", 3, 6, 40, &[], 0, 2_000),
+    ],
+    deep: ServiceIdx(3),
+};
+
+const VATUVALE: Deployment = Deployment {
+    name: "vatuvale",
+    zones: 3,
+    client_ms: 3,
+    services: &[
+        service("policy-desk", 5, 200, 1_300),
+        service("claims-office", 4, 260, 1_600),
+        service("field-dispatch", 3, 340, 2_150),
+        service("parts-counter", 3, 50, 400),
+    ],
+    classes: &[
+        class("payout", 1, 9, 20, &[ClassIdx(5), ClassIdx(6)], 10, 3_000),
+        class("dispatch", 2, 8, 20, &[ClassIdx(7)], 15, 2_000),
+        class("parts", 3, 5, 60, &[], 35, 1_000),
+        class("cover", 0, 4, 10, &[ClassIdx(8)], 20, 3_000),
+        class("quote", 0, 2, 15, &[ClassIdx(6)], 20, 2_000),
+        class("policy-read", 0, 4, 10, &[], 0, 2_000),
+        class("assess", 2, 4, 15, &[ClassIdx(7)], 0, 2_000),
+        class("parts-check", 3, 4, 60, &[], 0, 2_000),
+        class("claim-status", 1, 4, 10, &[], 0, 2_000),
+    ],
+    deep: ServiceIdx(3),
+};
+
+const fn class(
+    name: &'static str,
+    service: usize,
+    importance: u8,
+    work_ms: u64,
+    calls: &'static [ClassIdx],
+    share: u32,
+    deadline_ms: u64,
+) -> Class {
+    let service = ServiceIdx(service);
+    let importance = Importance(importance);
+    Class { name, service, importance, work_ms, calls, share, deadline_ms }
+}
+
+/// Both deployments, Armor's first.
+pub(crate) const ALL: [&Deployment; 2] = [&ARMOR, &VATUVALE];
+
+impl Deployment {
+    pub(crate) fn class(&self, idx: ClassIdx) -> &Class {
+        &self.classes[idx.0]
+    }
+
+    pub(crate) fn class_indices(&self) -> impl Iterator<Item = ClassIdx> + use<> {
+        (0..self.classes.len()).map(ClassIdx)
+    }
+
+    /// The class itself and every class that its runs call, directly or further down.
+    pub(crate) fn closure(&self, class: ClassIdx) -> Vec<ClassIdx> {
+        let mut all = vec![class];
+        for callee in self.class(class).calls {
+            all.extend(self.closure(*callee));
+        }
+        all
+    }
+
+    /// Seconds for which one request of the class holds a slot of its service without queueing,
+    /// the further calls and their mean way included.
+    fn hold(&self, class: ClassIdx, slowdown: f64) -> f64 {
+        let spec = self.class(class);
+        let factor = if spec.service == self.deep { slowdown } else { 1.0 };
+        let work = spec.work_ms as f64 / 1e3 * factor;
+        let far = 1.0 - 1.0 / self.zones as f64;
+        let way = (LOCAL_MICROS as f64 + far * (ZONE_MICROS - LOCAL_MICROS) as f64) / 1e6;
+        let calls = spec.calls.iter().map(|callee| self.hold(*callee, slowdown) + 2.0 * way);
+        work + calls.sum::<f64>()
+    }
+
+    /// Slot seconds that one request of the class takes at each service.
+    fn demand(&self, class: ClassIdx, slowdown: f64) -> Vec<f64> {
+        let mut demand = vec![0.0; self.services.len()];
+        for part in self.closure(class) {
+            demand[self.class(part).service.0] += self.hold(part, slowdown);
+        }
+        demand
+    }
+
+    fn slots(&self) -> Vec<f64> {
+        self.services.iter().map(|s| s.targets as f64 * f64::from(s.slots)).collect()
+    }
+
+    /// Requests per second that the deployment completes at full speed with the given mix.
+    pub(crate) fn capacity(&self) -> f64 {
+        let mut need = vec![0.0; self.services.len()];
+        for class in self.class_indices() {
+            let share = f64::from(self.class(class).share) / 100.0;
+            for (need, slot) in need.iter_mut().zip(self.demand(class, 1.0)) {
+                *need += share * slot;
+            }
+        }
+        let slots = self.slots();
+        slots.iter().zip(need).map(|(slots, need)| slots / need).fold(f64::MAX, f64::min)
+    }
+
+    /// Most requests per second and class that the slots allow, the most important class first.
+    ///
+    /// Each class takes as much of the offered rate as the slots left by more important ones
+    /// carry when nothing ever waits.
+    pub(crate) fn best(&self, offered: &[f64], slowdown: f64) -> Vec<f64> {
+        let mut order: Vec<_> = self.class_indices().collect();
+        order.sort_by_key(|class| std::cmp::Reverse(self.class(*class).importance));
+        let mut left = self.slots();
+        let mut best = vec![0.0; self.classes.len()];
+        for class in order {
+            let demand = self.demand(class, slowdown);
+            let fits = left.iter().zip(&demand).filter(|(_, need)| **need > 0.0);
+            let most = fits.map(|(left, need)| left / need).fold(f64::MAX, f64::min);
+            best[class.0] = offered[class.0].min(most);
+            for (left, need) in left.iter_mut().zip(&demand) {
+                *left = (*left - best[class.0] * need).max(0.0);
+            }
+        }
+        best
+    }
+}
--- /dev/null
+++ b/bench/src/overload/gate.rs
@@ -0,0 +1,139 @@
+//! What stands before each fake target: a plain queue, or the admission of `poplar-core`.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+use poplar_core::{
+    Admission, Arrival, ErrorKind, Importance, ImportanceScale, Level, Moment, Refusal, Release,
+    TargetLimits, Ticket, Verdict,
+};
+
+/// Way in which calls are handled in one run of the bench.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Policy {
+    /// No control: a target queues what its connections carry, each hop re-sends three times.
+    Naive,
+    /// Slots and an equally long queue per target, each hop re-sends three times after a pause.
+    Fixed,
+    /// The decisions of `poplar-core`.
+    Bridge,
+}
+
+impl Policy {
+    pub(crate) const ALL: [Self; 3] = [Self::Naive, Self::Fixed, Self::Bridge];
+
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Naive => "naive",
+            Self::Fixed => "fixed",
+            Self::Bridge => "poplarbridge",
+        }
+    }
+}
+
+/// Queue in order of arrival, with a fixed number of slots and places.
+#[derive(Debug)]
+pub(crate) struct Fifo {
+    slots: usize,
+    places: usize,
+    running: BTreeSet<Ticket>,
+    queue: VecDeque<Ticket>,
+}
+
+/// Door of one target.
+#[derive(Debug)]
+pub(crate) enum Gate {
+    Fifo(Fifo),
+    Core(Box<Admission>),
+}
+
+impl Gate {
+    pub(crate) fn new(policy: Policy, limits: TargetLimits, scale: ImportanceScale) -> Self {
+        let slots = limits.slots as usize;
+        let places = match policy {
+            Policy::Naive => limits.connections as usize - slots,
+            Policy::Fixed => slots,
+            Policy::Bridge => {
+                let admission = Admission::new(Moment::default(), limits, scale);
+                return Self::Core(Box::new(admission));
+            }
+        };
+        Self::Fifo(Fifo { slots, places, running: BTreeSet::new(), queue: VecDeque::new() })
+    }
+
+    pub(crate) fn arrive(&mut self, now: Moment, call: Arrival) -> Verdict {
+        match self {
+            Self::Core(admission) => admission.arrive(now, call),
+            Self::Fifo(fifo) if fifo.running.len() < fifo.slots => {
+                fifo.running.insert(call.ticket);
+                Verdict::Admit
+            }
+            Self::Fifo(fifo) if fifo.queue.len() < fifo.places => {
+                fifo.queue.push_back(call.ticket);
+                Verdict::Queue { evicted: None }
+            }
+            Self::Fifo(_) => {
+                let (ticket, kind) = (call.ticket, ErrorKind::Overload);
+                Verdict::Refuse(Refusal { ticket, kind, retry_after: Duration::ZERO })
+            }
+        }
+    }
+
+    pub(crate) fn finish(&mut self, now: Moment, ticket: Ticket, latency: Duration) -> Release {
+        match self {
+            Self::Core(admission) => admission.finish(now, ticket, latency),
+            Self::Fifo(fifo) => fifo.end(ticket),
+        }
+    }
+
+    pub(crate) fn cancel(&mut self, now: Moment, ticket: Ticket) -> Release {
+        match self {
+            Self::Core(admission) => admission.cancel(now, ticket),
+            Self::Fifo(fifo) => fifo.end(ticket),
+        }
+    }
+
+    pub(crate) fn tick(&mut self, now: Moment) -> Release {
+        match self {
+            Self::Core(admission) => admission.tick(now),
+            Self::Fifo(_) => Release::default(),
+        }
+    }
+
+    pub(crate) fn level(&mut self, now: Moment) -> Level {
+        match self {
+            Self::Core(admission) => admission.level(now),
+            Self::Fifo(_) => Level::OPEN,
+        }
+    }
+
+    /// Least importance among the calls that wait behind the core's admission.
+    pub(crate) fn lowest_queued(&self) -> Option<Importance> {
+        match self {
+            Self::Core(admission) => admission.lowest_queued(),
+            Self::Fifo(_) => None,
+        }
+    }
+
+    /// Whether a call that arrived now would run at once.
+    pub(crate) fn has_room(&self) -> bool {
+        match self {
+            Self::Core(admission) => admission.in_flight() < admission.limit() as usize,
+            Self::Fifo(fifo) => fifo.running.len() < fifo.slots,
+        }
+    }
+}
+
+impl Fifo {
+    fn end(&mut self, ticket: Ticket) -> Release {
+        self.running.remove(&ticket);
+        let mut release = Release::default();
+        while self.running.len() < self.slots
+            && let Some(next) = self.queue.pop_front()
+        {
+            self.running.insert(next);
+            release.start.push(next);
+        }
+        release
+    }
+}
--- /dev/null
+++ b/bench/src/overload/mod.rs
@@ -0,0 +1,122 @@
+//! Overload: a surge while the deep service runs slow and callers re-send hard.
+//!
+//! Three ways to handle the same load run side by side on a fake clock. See
+//! [overload](../../../docs/design/overload.md).
+
+mod clock;
+mod deployment;
+mod gate;
+mod tally;
+mod world;
+
+use std::time::Duration;
+
+use bpaf::Bpaf;
+
+use deployment::{ALL, Deployment};
+use gate::Policy;
+use tally::Figures;
+use world::{Shape, World};
+
+/// Settings of the measure.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct Options {
+    /// Seed of every random number
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Load under pressure, in multiples of the capacity at full speed
+    #[bpaf(argument("X"), fallback(3.0), display_fallback)]
+    surge: f64,
+    /// Load in calm, in multiples of the same capacity
+    #[bpaf(argument("X"), fallback(0.6), display_fallback)]
+    calm: f64,
+    /// Factor on the service time of the deep service under pressure
+    #[bpaf(argument("X"), fallback(2.0), display_fallback)]
+    slowdown: f64,
+    /// Deployment to run: armor or vatuvale; both without it
+    #[bpaf(argument("NAME"))]
+    deployment: Option<String>,
+    /// Run poplarbridge only
+    only: bool,
+}
+
+/// Runs the measure and prints its tables and last lines.
+pub(crate) fn run(options: &Options) {
+    let chosen = ALL.iter().filter(|deployment| match &options.deployment {
+        Some(name) => deployment.name == name,
+        None => true,
+    });
+    let lines: Vec<_> = chosen.map(|deployment| measure(deployment, options)).collect();
+    if lines.is_empty() {
+        eprintln!("overload: no such deployment; there are armor and vatuvale");
+        std::process::exit(2);
+    }
+    for line in &lines {
+        println!("{}", line.text);
+    }
+    let worse = lines.iter().min_by(|a, b| a.share.total_cmp(&b.share));
+    if let (Some(worse), Some(last)) = (worse, lines.last())
+        && worse.text != last.text
+    {
+        println!("{}", worse.text);
+    }
+}
+
+/// Last line of one deployment.
+struct Line {
+    share: f64,
+    text: String,
+}
+
+fn measure(deployment: &Deployment, options: &Options) -> Line {
+    let Options { seed, surge, calm, slowdown, .. } = *options;
+    let shape = Shape { seed, surge, calm, slowdown, phase: Duration::from_secs(20) };
+    println!("{}: capacity {:.0}/s, surge {surge}, seed {seed}", deployment.name, {
+        deployment.capacity()
+    });
+    let mut line = Line { share: 0.0, text: String::new() };
+    for policy in Policy::ALL {
+        if options.only && policy != Policy::Bridge {
+            continue;
+        }
+        let tally = World::new(deployment, policy, shape).run();
+        let figures = tally.figures(deployment);
+        println!(
+            "  {:<13} goodput {:.3}  wasted {:.3}  recovery {:.2} s  most re-sends {}  \
+             lesser spared {}  refused with room {}",
+            policy.name(),
+            figures.goodput_share,
+            figures.wasted_share,
+            figures.recovery_s,
+            tally.resends,
+            tally.violations,
+            tally.with_room,
+        );
+        print_classes(deployment, &figures);
+        line = Line {
+            share: figures.goodput_share,
+            text: format!(
+                "goodput_share={:.3} wasted_share={:.3} recovery_s={:.2} violations={} seed={seed}",
+                figures.goodput_share, figures.wasted_share, figures.recovery_s, tally.violations,
+            ),
+        };
+    }
+    line
+}
+
+fn print_classes(deployment: &Deployment, figures: &Figures) {
+    for class in deployment.class_indices() {
+        let spec = deployment.class(class);
+        if spec.share == 0 {
+            continue;
+        }
+        println!(
+            "    {:<10} importance {}  offered {:>7.1}/s  best {:>7.1}/s  whole {:>7.1}/s",
+            spec.name,
+            spec.importance,
+            figures.offered[class.0],
+            figures.best[class.0],
+            figures.whole[class.0],
+        );
+    }
+}
--- /dev/null
+++ b/bench/src/overload/world.rs
@@ -0,0 +1,659 @@
+//! Calls, targets and callers of one run, on a fake clock.
+//!
+//! A call holds a slot of its target from its start until its further calls are answered. A
+//! target is a number of slots and a random service time; nothing else of a cluster is simulated.
+
+use std::time::Duration;
+
+use poplar_core::{
+    Arrival, ErrorKind, ImportanceScale, InstanceId, Level, LevelMap, Moment, Name, Rank, Refusal,
+    Release, RequestId, RunTimes, TargetLimits, Ticket, Verdict,
+};
+
+use super::clock::{Agenda, Rng};
+use super::deployment::{ClassIdx, Deployment, LOCAL_MICROS, ZONE_MICROS};
+use super::gate::{Gate, Policy};
+use super::tally::Tally;
+
+/// Re-sends of each caller and, without poplarbridge, of each hop.
+const RESENDS: u32 = 3;
+/// Re-sends that the contract grants one request over its whole chain.
+const BUDGET: u32 = 3;
+/// Time after which a hop without poplarbridge gives up on one send.
+const HOP_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest pause before a caller sends again, in microseconds; it heeds no retry-after.
+const RESEND_PAUSE: f64 = 50_000.0;
+/// Time between two looks for queued calls that are past their deadline.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Shape of the load.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Shape {
+    pub(crate) seed: u64,
+    /// Load under pressure, in multiples of the capacity at full speed.
+    pub(crate) surge: f64,
+    /// Load in calm, in multiples of the same capacity.
+    pub(crate) calm: f64,
+    /// Factor on the service time of the deep service under pressure.
+    pub(crate) slowdown: f64,
+    /// Length of each of the three phases.
+    pub(crate) phase: Duration,
+}
+
+impl Shape {
+    pub(crate) fn starts(&self) -> Moment {
+        Moment::default() + self.phase
+    }
+
+    pub(crate) fn ends(&self) -> Moment {
+        self.starts() + self.phase
+    }
+
+    pub(crate) fn is_surging(&self, now: Moment) -> bool {
+        (self.starts()..self.ends()).contains(&now)
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct NodeIdx(usize);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct RootIdx(pub(crate) usize);
+
+/// Place of a call; the count tells a reused place from the call that had it before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct CallIdx {
+    place: u32,
+    count: u32,
+}
+
+impl CallIdx {
+    fn ticket(self) -> Ticket {
+        Ticket(u64::from(self.count) << 32 | u64::from(self.place))
+    }
+
+    fn from_ticket(ticket: Ticket) -> Self {
+        Self { place: ticket.0 as u32, count: (ticket.0 >> 32) as u32 }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sender {
+    Entry,
+    Run(CallIdx),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    OnWay,
+    Waiting,
+    Running(Moment),
+    Ended,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Answer {
+    Done,
+    NotRun,
+    Failed,
+}
+
+#[derive(Debug)]
+struct Call {
+    count: u32,
+    root: RootIdx,
+    class: ClassIdx,
+    sender: Sender,
+    from: NodeIdx,
+    node: NodeIdx,
+    state: State,
+    /// Sends of the same call before this one.
+    tries: u32,
+    /// Whether somebody still waits for the answer.
+    awaited: bool,
+    /// Further call that is under way.
+    child: Option<CallIdx>,
+    /// Further calls answered.
+    step: usize,
+    /// Slot time of this call and of what it used, in microseconds.
+    spent: u64,
+}
+
+#[derive(Debug)]
+struct Root {
+    rank: Rank,
+    class: ClassIdx,
+    entry: NodeIdx,
+    born: Moment,
+    sends: u32,
+    resends: u32,
+    /// Calls sent beyond the first of each.
+    extra: u32,
+    call: Option<CallIdx>,
+    over: bool,
+}
+
+#[derive(Debug)]
+struct Node {
+    zone: usize,
+    instance: InstanceId,
+    gate: Gate,
+    levels: LevelMap,
+    times: RunTimes,
+    /// Calls under way from this node to each other node.
+    out: Vec<u32>,
+}
+
+#[derive(Debug)]
+enum Event {
+    Offer,
+    Enter(RootIdx),
+    Send { root: RootIdx, class: ClassIdx, sender: Sender, tries: u32 },
+    Reach(CallIdx),
+    Worked(CallIdx),
+    Reply { call: CallIdx, answer: Answer, level: Level },
+    Timeout(CallIdx),
+    Told { root: RootIdx, whole: bool },
+    Expire(RootIdx),
+    Tick,
+}
+
+/// One run.
+pub(crate) struct World<'a> {
+    deployment: &'a Deployment,
+    policy: Policy,
+    shape: Shape,
+    agenda: Agenda<Event>,
+    rng: Rng,
+    nodes: Vec<Node>,
+    members: Vec<Vec<NodeIdx>>,
+    names: Vec<Name>,
+    closures: Vec<Vec<ClassIdx>>,
+    roots: Vec<Root>,
+    calls: Vec<Call>,
+    free: Vec<u32>,
+    tally: Tally,
+}
+
+impl<'a> World<'a> {
+    pub(crate) fn new(deployment: &'a Deployment, policy: Policy, shape: Shape) -> Self {
+        let scale = ImportanceScale::new(deployment.classes.iter().map(|class| class.importance));
+        let mut nodes = Vec::new();
+        let mut members = vec![Vec::new(); deployment.services.len()];
+        let total = deployment.services.iter().map(|service| service.targets).sum();
+        for (idx, service) in deployment.services.iter().enumerate() {
+            for number in 0..service.targets {
+                members[idx].push(NodeIdx(nodes.len()));
+                let limits = TargetLimits::derive(service.slots, service.connections);
+                let name = format!("{}-{number}", service.name);
+                nodes.push(Node {
+                    zone: number % deployment.zones,
+                    instance: InstanceId::from(name.as_str()),
+                    gate: Gate::new(policy, limits, scale.clone()),
+                    levels: LevelMap::new(scale.clone()),
+                    times: RunTimes::new(),
+                    out: vec![0; total],
+                });
+            }
+        }
+        let classes = deployment.class_indices();
+        Self {
+            deployment,
+            policy,
+            shape,
+            agenda: Agenda::new(),
+            rng: Rng::new(shape.seed),
+            nodes,
+            members,
+            names: deployment.classes.iter().map(|class| Name::new(class.name)).collect(),
+            closures: classes.map(|class| deployment.closure(class)).collect(),
+            roots: Vec::new(),
+            calls: Vec::new(),
+            free: Vec::new(),
+            tally: Tally::new(deployment.classes.len(), shape),
+        }
+    }
+
+    /// Runs the three phases and gives back what was counted.
+    pub(crate) fn run(mut self) -> Tally {
+        self.agenda.schedule(Duration::ZERO, Event::Offer);
+        self.agenda.schedule(TICK, Event::Tick);
+        let end = self.shape.ends() + self.shape.phase;
+        while let Some(event) = self.agenda.next() {
+            if self.agenda.now() > end {
+                break;
+            }
+            self.handle(event);
+        }
+        self.tally
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Offer => self.offer(),
+            Event::Enter(root) => self.enter(root),
+            Event::Send { root, class, sender, tries } => self.send(root, class, sender, tries),
+            Event::Reach(call) => self.reach(call),
+            Event::Worked(call) => self.proceed(call),
+            Event::Reply { call, answer, level } => self.reply(call, answer, level),
+            Event::Timeout(call) => self.time_out(call),
+            Event::Told { root, whole } => self.told(root, whole),
+            Event::Expire(root) => self.expire(root),
+            Event::Tick => self.tick(),
+        }
+    }
+
+    /// A caller makes a request, and the next caller is scheduled.
+    fn offer(&mut self) {
+        let now = self.agenda.now();
+        let load = if self.shape.is_surging(now) { self.shape.surge } else { self.shape.calm };
+        let gap = self.rng.exponential(1.0 / (load * self.deployment.capacity()));
+        self.agenda.schedule(Duration::from_secs_f64(gap), Event::Offer);
+        let class = self.draw_class();
+        let id = RequestId(u128::from(self.rng.next()) << 64 | u128::from(self.rng.next()));
+        let spec = self.deployment.class(class);
+        let root = RootIdx(self.roots.len());
+        self.roots.push(Root {
+            rank: Rank::of(spec.importance, id),
+            class,
+            entry: NodeIdx(self.rng.below(self.nodes.len())),
+            born: now,
+            sends: 0,
+            resends: 0,
+            extra: 0,
+            call: None,
+            over: false,
+        });
+        self.tally.offered(now, class);
+        let deadline = Duration::from_millis(spec.deadline_ms);
+        self.agenda.schedule(deadline, Event::Expire(root));
+        self.agenda.schedule(self.client_way(), Event::Enter(root));
+    }
+
+    fn draw_class(&mut self) -> ClassIdx {
+        let mut lot = self.rng.below(100) as u32;
+        for class in self.deployment.class_indices() {
+            let share = self.deployment.class(class).share;
+            if lot < share {
+                return class;
+            }
+            lot -= share;
+        }
+        ClassIdx(0)
+    }
+
+    /// A request, or a caller's re-send of it, comes to its entry.
+    fn enter(&mut self, idx: RootIdx) {
+        let now = self.agenda.now();
+        let root = &mut self.roots[idx.0];
+        if root.over {
+            return;
+        }
+        let again = root.sends > 0;
+        root.sends += 1;
+        let (class, entry) = (root.class, root.entry);
+        if again && !self.may_resend(idx) {
+            return self.tell(idx, false);
+        }
+        if self.policy == Policy::Bridge && self.is_doomed(now, entry, class, idx) {
+            self.check_refusal(idx, class);
+            return self.tell(idx, false);
+        }
+        self.send(idx, class, Sender::Entry, 0);
+    }
+
+    /// Takes one unit of the request's budget; without poplarbridge there is none to respect.
+    fn may_resend(&mut self, idx: RootIdx) -> bool {
+        let root = &mut self.roots[idx.0];
+        if self.policy == Policy::Bridge && root.extra >= BUDGET {
+            return false;
+        }
+        root.extra += 1;
+        self.tally.resent(root.extra);
+        true
+    }
+
+    fn is_doomed(&self, now: Moment, node: NodeIdx, class: ClassIdx, root: RootIdx) -> bool {
+        let names = self.closures[class.0].iter().map(|class| &self.names[class.0]);
+        self.nodes[node.0].levels.is_doomed(now, self.roots[root.0].rank, names)
+    }
+
+    /// Counts a violation if every service of the class could have made room for the request.
+    fn check_refusal(&mut self, root: RootIdx, class: ClassIdx) {
+        let importance = self.roots[root.0].rank.importance();
+        let could_yield = |idx: &NodeIdx| {
+            self.nodes[idx.0].gate.lowest_queued().is_some_and(|lowest| lowest < importance)
+        };
+        let has_room = |idx: &NodeIdx| self.nodes[idx.0].gate.has_room();
+        let services = self.closures[class.0].iter().map(|class| self.deployment.class(*class));
+        let mut members = services.map(|class| &self.members[class.service.0]);
+        let spared = members.clone().all(|all| all.iter().any(|n| could_yield(n) || has_room(n)));
+        let yields = members.any(|all| all.iter().any(could_yield));
+        if spared {
+            self.tally.refused_with_room(self.agenda.now(), yields);
+        }
+    }
+
+    fn send(&mut self, root: RootIdx, class: ClassIdx, sender: Sender, tries: u32) {
+        if self.roots[root.0].over && self.policy == Policy::Bridge {
+            return;
+        }
+        if let Sender::Run(run) = sender
+            && self.live(run).is_none()
+        {
+            return;
+        }
+        let from = self.sender_node(root, sender);
+        let node = self.choose(from, class);
+        let place = self.free.pop().unwrap_or_else(|| {
+            self.calls.push(Call::vacant());
+            self.calls.len() as u32 - 1
+        });
+        let slot = &mut self.calls[place as usize];
+        let count = slot.count + 1;
+        let state = State::OnWay;
+        let (awaited, child, step, spent) = (true, None, 0, 0);
+        *slot = Call {
+            count,
+            root,
+            class,
+            sender,
+            from,
+            node,
+            state,
+            tries,
+            awaited,
+            child,
+            step,
+            spent,
+        };
+        let call = CallIdx { place, count };
+        match sender {
+            Sender::Entry => self.roots[root.0].call = Some(call),
+            Sender::Run(run) => self.calls[run.place as usize].child = Some(call),
+        }
+        self.nodes[from.0].out[node.0] += 1;
+        self.agenda.schedule(self.way(from, node), Event::Reach(call));
+        if self.policy != Policy::Bridge {
+            self.agenda.schedule(HOP_TIMEOUT, Event::Timeout(call));
+        }
+    }
+
+    fn sender_node(&self, root: RootIdx, sender: Sender) -> NodeIdx {
+        match sender {
+            Sender::Entry => self.roots[root.0].entry,
+            Sender::Run(run) => self.calls[run.place as usize].node,
+        }
+    }
+
+    /// Target for a call: the better of two, or any without poplarbridge.
+    fn choose(&mut self, from: NodeIdx, class: ClassIdx) -> NodeIdx {
+        let members = &self.members[self.deployment.class(class).service.0];
+        let one = members[self.rng.below(members.len())];
+        if self.policy != Policy::Bridge {
+            return one;
+        }
+        let two = members[self.rng.below(members.len())];
+        let out = &self.nodes[from.0].out;
+        if out[two.0] < out[one.0] { two } else { one }
+    }
+
+    /// A call comes to the node beside its target.
+    fn reach(&mut self, call: CallIdx) {
+        let Some(at) = self.live(call) else { return };
+        let now = self.agenda.now();
+        let (root, class, node) = (at.root, at.class, at.node);
+        let paid = at.sender != Sender::Entry;
+        let age = now.since(self.roots[root.0].born);
+        let deadline =
+            Duration::from_millis(self.deployment.class(self.roots[root.0].class).deadline_ms);
+        let callees = self.closures[class.0].len() > 1;
+        if self.policy == Policy::Bridge && callees && self.is_doomed(now, node, class, root) {
+            self.check_refusal(root, class);
+            return self.end(call, Answer::NotRun);
+        }
+        let arrival = Arrival {
+            ticket: call.ticket(),
+            rank: self.roots[root.0].rank,
+            age,
+            left: deadline.saturating_sub(age + self.client_way()),
+            rest: self.nodes[node.0].times.expected(&self.names[class.0]),
+            paid,
+        };
+        self.calls[call.place as usize].state = State::Waiting;
+        match self.nodes[node.0].gate.arrive(now, arrival) {
+            Verdict::Admit => self.start(call),
+            Verdict::Queue { evicted } => self.refuse_all(node, evicted),
+            Verdict::Refuse(refusal) => self.refuse_all(node, Some(refusal)),
+        }
+    }
+
+    fn refuse_all(&mut self, node: NodeIdx, refusals: impl IntoIterator<Item = Refusal>) {
+        for refusal in refusals {
+            let call = CallIdx::from_ticket(refusal.ticket);
+            let importance = self.roots[self.calls[call.place as usize].root.0].rank.importance();
+            let lowest = self.nodes[node.0].gate.lowest_queued();
+            if refusal.kind == ErrorKind::Overload && lowest.is_some_and(|l| l < importance) {
+                self.tally.refused_with_room(self.agenda.now(), true);
+            }
+            self.end(call, Answer::NotRun);
+        }
+    }
+
+    fn start(&mut self, call: CallIdx) {
+        let now = self.agenda.now();
+        let at = &mut self.calls[call.place as usize];
+        at.state = State::Running(now);
+        let spec = self.deployment.class(at.class);
+        let slow = spec.service == self.deployment.deep && self.shape.is_surging(now);
+        let factor = if slow { self.shape.slowdown } else { 1.0 };
+        let mean = spec.work_ms as f64 / 1e3 * factor;
+        let work = mean / 2.0 + self.rng.exponential(mean / 2.0);
+        self.agenda.schedule(Duration::from_secs_f64(work), Event::Worked(call));
+    }
+
+    /// A run makes its next further call or ends.
+    fn proceed(&mut self, call: CallIdx) {
+        let Some(at) = self.live(call) else { return };
+        let (root, class, step) = (at.root, at.class, at.step);
+        match self.deployment.class(class).calls.get(step) {
+            Some(callee) => self.send(root, *callee, Sender::Run(call), 0),
+            None => self.end(call, Answer::Done),
+        }
+    }
+
+    /// Ends a call at its target and sends the answer on its way.
+    fn end(&mut self, call: CallIdx, answer: Answer) {
+        let now = self.agenda.now();
+        let at = &mut self.calls[call.place as usize];
+        let (node, class, from) = (at.node, at.class, at.from);
+        let was = std::mem::replace(&mut at.state, State::Ended);
+        let release = match was {
+            State::Running(since) => {
+                let held = now.since(since);
+                at.spent += held.as_micros() as u64;
+                let door = &mut self.nodes[node.0];
+                if answer == Answer::Done {
+                    door.times.observe(&self.names[class.0], held);
+                }
+                door.gate.finish(now, call.ticket(), held)
+            }
+            State::Waiting if answer == Answer::Failed => {
+                self.nodes[node.0].gate.cancel(now, call.ticket())
+            }
+            _ => Release::default(),
+        };
+        let door = &mut self.nodes[node.0];
+        let own = door.gate.level(now);
+        let callees = self.closures[class.0].iter().skip(1).map(|class| &self.names[class.0]);
+        let level = door.levels.joined(now, own, callees);
+        let way = self.way(node, from);
+        self.agenda.schedule(way, Event::Reply { call, answer, level });
+        self.apply(node, release);
+    }
+
+    fn apply(&mut self, node: NodeIdx, release: Release) {
+        for ticket in release.start {
+            self.start(CallIdx::from_ticket(ticket));
+        }
+        self.refuse_all(node, release.refuse);
+    }
+
+    /// An answer comes back to the node that sent the call.
+    fn reply(&mut self, call: CallIdx, answer: Answer, level: Level) {
+        let now = self.agenda.now();
+        let at = &self.calls[call.place as usize];
+        let (root, class, sender) = (at.root, at.class, at.sender);
+        let (from, node) = (at.from, at.node);
+        let (awaited, spent, tries) = (at.awaited, at.spent, at.tries);
+        self.nodes[from.0].out[node.0] -= 1;
+        self.free.push(call.place);
+        if self.policy == Policy::Bridge {
+            let instance = self.nodes[node.0].instance.clone();
+            self.nodes[from.0].levels.learn(now, &self.names[class.0], &instance, level);
+        }
+        let born = self.roots[root.0].born;
+        if !awaited || answer != Answer::Done {
+            self.tally.wasted(born, spent);
+        }
+        if !awaited {
+            return;
+        }
+        match (answer, sender) {
+            (Answer::Done, Sender::Entry) => {
+                self.tally.used(born, spent);
+                self.tell(root, true);
+            }
+            (Answer::Done, Sender::Run(run)) => {
+                let run_at = &mut self.calls[run.place as usize];
+                run_at.spent += spent;
+                run_at.step += 1;
+                run_at.child = None;
+                self.proceed(run);
+            }
+            _ => self.send_again(root, class, sender, tries, answer),
+        }
+    }
+
+    /// Sends a failed call to another target if that is allowed, and gives up on it otherwise.
+    fn send_again(
+        &mut self,
+        root: RootIdx,
+        class: ClassIdx,
+        sender: Sender,
+        tries: u32,
+        answer: Answer,
+    ) {
+        let may = match self.policy {
+            Policy::Bridge => answer == Answer::NotRun && sender != Sender::Entry,
+            Policy::Naive | Policy::Fixed => tries < RESENDS,
+        };
+        if may && self.may_resend(root) {
+            let pause = match self.policy {
+                Policy::Fixed => self.rng.exponential(RESEND_PAUSE / 2.0),
+                Policy::Naive | Policy::Bridge => 0.0,
+            };
+            let event = Event::Send { root, class, sender, tries: tries + 1 };
+            return self.agenda.schedule(Duration::from_micros(pause as u64), event);
+        }
+        match sender {
+            Sender::Entry => self.tell(root, false),
+            Sender::Run(run) => self.end(run, Answer::Failed),
+        }
+    }
+
+    /// A hop without poplarbridge no longer waits; the work goes on.
+    fn time_out(&mut self, call: CallIdx) {
+        let Some(at) = self.live(call) else { return };
+        if !at.awaited {
+            return;
+        }
+        let (root, class, sender, tries) = (at.root, at.class, at.sender, at.tries);
+        self.calls[call.place as usize].awaited = false;
+        self.send_again(root, class, sender, tries, Answer::Failed);
+    }
+
+    fn tell(&mut self, root: RootIdx, whole: bool) {
+        self.agenda.schedule(self.client_way(), Event::Told { root, whole });
+    }
+
+    /// The caller has an answer: it is content, or sends again at once if it still can.
+    fn told(&mut self, idx: RootIdx, whole: bool) {
+        let pause = Duration::from_micros((self.rng.unit() * RESEND_PAUSE) as u64);
+        let way = self.client_way();
+        let root = &mut self.roots[idx.0];
+        if root.over {
+            return;
+        }
+        if whole {
+            root.over = true;
+            self.tally.completed(root.born, root.class);
+        } else if root.resends < RESENDS {
+            root.resends += 1;
+            self.agenda.schedule(pause + way, Event::Enter(idx));
+        }
+    }
+
+    /// The answer is of no use any more; with poplarbridge the whole chain is cancelled.
+    fn expire(&mut self, idx: RootIdx) {
+        let root = &mut self.roots[idx.0];
+        root.over = true;
+        let Some(call) = root.call else { return };
+        if self.policy == Policy::Bridge {
+            self.cancel(call);
+        }
+    }
+
+    fn cancel(&mut self, call: CallIdx) {
+        let Some(at) = self.live(call) else { return };
+        let child = at.child;
+        self.calls[call.place as usize].awaited = false;
+        if let Some(child) = child {
+            self.cancel(child);
+        }
+        self.end(call, Answer::Failed);
+    }
+
+    fn tick(&mut self) {
+        let now = self.agenda.now();
+        for idx in 0..self.nodes.len() {
+            let release = self.nodes[idx].gate.tick(now);
+            self.apply(NodeIdx(idx), release);
+        }
+        self.agenda.schedule(TICK, Event::Tick);
+    }
+
+    /// The call, unless it has ended.
+    fn live(&self, call: CallIdx) -> Option<&Call> {
+        let at = &self.calls[call.place as usize];
+        (at.count == call.count && at.state != State::Ended).then_some(at)
+    }
+
+    fn client_way(&self) -> Duration {
+        Duration::from_millis(self.deployment.client_ms)
+    }
+
+    fn way(&self, from: NodeIdx, to: NodeIdx) -> Duration {
+        let same = self.nodes[from.0].zone == self.nodes[to.0].zone;
+        Duration::from_micros(if same { LOCAL_MICROS } else { ZONE_MICROS })
+    }
+}
+
+impl Call {
+    fn vacant() -> Self {
+        Self {
+            count: 0,
+            root: RootIdx(0),
+            class: ClassIdx(0),
+            sender: Sender::Entry,
+            from: NodeIdx(0),
+            node: NodeIdx(0),
+            state: State::Ended,
+            tries: 0,
+            awaited: false,
+            child: None,
+            step: 0,
+            spent: 0,
+        }
+    }
+}
