Test the callers' side of at most once; mend the binder's vouching

Cause: the binder, the window view and the record of recent sends had no tests. Ruled out: purging departed members inside `vouches`, which would need `&mut self` for a question. Before: `binding_callers`: 11 passed; 1 failed (a_binder_that_saw_more_members_leave_than_it_can_note_vouches_for_none): members that left long ago still counted as predecessors. Conclusion: departed members count for one repeat window only.

--- a/core/src/binding/binder.rs
+++ b/core/src/binding/binder.rs
@@ -172,7 +172,8 @@
         let hold = self.limits.hold;
         let own = (weight(request, &self.own), &self.own);
         let older = |at: Moment| now.since(at) >= hold;
-        let took_over = self.departed.keys().any(|member| (weight(request, member), member) > own);
+        let before = |member: &InstanceId| (weight(request, member), member) > own;
+        let took_over = self.departed.iter().any(|(member, at)| !older(*at) && before(member));
         older(self.started) && self.blind.is_none_or(older) && !took_over
     }
 
--- /dev/null
+++ b/core/tests/binding_callers.rs
@@ -0,0 +1,194 @@
+//! What the callers' side may do: keys without a binding, and questions about recent sends.
+
+use std::time::Duration;
+
+use poplar_core::{
+    AttemptId, AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, CallRule,
+    ErrorKind, Fate, Incarnation, InstanceId, Moment, Outcome, RequestId, RunVerdict, SenderId,
+    Unbound, WindowView, binder_of, overall_fate,
+};
+
+const HOLD: Duration = Duration::from_secs(60);
+const REQ: RequestId = RequestId(7);
+const LOST: BinderAnswer = BinderAnswer::Unknown(ErrorKind::BindingLost);
+
+const fn at(secs: u64) -> Moment {
+    Moment::from_millis(secs * 1_000)
+}
+
+fn fresh(instance: &str) -> Binding {
+    let incarnation = Incarnation(1);
+    Binding { instance: instance.into(), incarnation, window: 3, serial: 0 }
+}
+
+fn binder() -> Binder {
+    let limits = BinderLimits { keys: 2, departed: 2, hold: HOLD };
+    Binder::new(at(0), "own".into(), limits)
+}
+
+/// Name of a member that precedes "own" as the binder of `request`.
+fn binder_before(request: RequestId) -> InstanceId {
+    let own = InstanceId::from("own");
+    let names = (0..64).map(|n| InstanceId::from(format!("m{n}").as_str()));
+    let before = |member: &InstanceId| binder_of(request, [&own, member]) == Some(member);
+    names.into_iter().find(before).expect("some name weighs more")
+}
+
+#[test]
+fn a_binding_reads_back_from_its_text() {
+    let binding = fresh("rennes/1");
+    assert_eq!(binding.to_string().parse(), Ok(binding));
+    for text in ["", "a/1/2", "/1/2/3", "a/1/2/-3", "a/1/2/4294967296"] {
+        assert!(text.parse::<Binding>().is_err(), "{text}");
+    }
+}
+
+#[test]
+fn a_key_keeps_its_binding_whatever_entry_asks() {
+    let mut binder = binder();
+    let bound = binder.bind(at(1), REQ, true, fresh("a"));
+    assert_eq!(bound, BinderAnswer::Bound(fresh("a")));
+    assert_eq!(binder.bind(at(2), REQ, true, fresh("b")), bound);
+    assert_eq!(binder.bind(at(59), REQ, false, fresh("b")), bound);
+}
+
+#[test]
+fn a_binder_that_started_or_took_over_vouches_for_no_unmarked_send() {
+    let mut binder = binder();
+    assert_eq!(binder.bind(at(59), REQ, false, fresh("a")), LOST);
+    assert!(binder.vouches(at(60), REQ));
+    binder.member_left(at(60), &binder_before(REQ));
+    assert_eq!(binder.bind(at(119), REQ, false, fresh("a")), LOST);
+    assert!(matches!(binder.bind(at(120), REQ, false, fresh("a")), BinderAnswer::Bound(_)));
+}
+
+#[test]
+fn a_binder_that_saw_more_members_leave_than_it_can_note_vouches_for_none() {
+    let mut binder = binder();
+    for name in ["x", "y", "z"] {
+        binder.member_left(at(60), &name.into());
+    }
+    assert!(!binder.vouches(at(119), REQ));
+    assert!(binder.vouches(at(120), REQ));
+}
+
+#[test]
+fn not_run_is_told_for_a_key_only_once_no_other_entry_can_run_it() {
+    let mut binder = binder();
+    binder.bind(at(1), REQ, true, fresh("a"));
+    let next = Binding { serial: 1, ..fresh("b") };
+    let bound = BinderAnswer::Bound(next.clone());
+    assert_eq!(binder.bind_next(at(2), REQ, &fresh("a"), fresh("b")), bound);
+    let late = binder.close(at(3), REQ, &fresh("a"), ErrorKind::Overload);
+    assert_eq!(late, bound, "another entry sends it under the next binding");
+    let closed = BinderAnswer::NotRun(ErrorKind::Overload);
+    assert_eq!(binder.close(at(4), REQ, &next, ErrorKind::Overload), closed);
+    assert_eq!(binder.bind_next(at(5), REQ, &next, fresh("c")), closed);
+    assert_eq!(binder.bind(at(6), REQ, true, fresh("c")), closed, "the key is spent");
+}
+
+#[test]
+fn a_binder_that_is_full_mints_nothing_and_forgets_nothing() {
+    let mut binder = binder();
+    binder.bind(at(1), RequestId(1), true, fresh("a"));
+    binder.bind(at(1), RequestId(2), true, fresh("a"));
+    let refused = binder.bind(at(2), RequestId(3), true, fresh("a"));
+    assert_eq!(refused, BinderAnswer::NotRun(ErrorKind::Overload));
+    binder.bind_next(at(50), RequestId(1), &fresh("a"), fresh("b"));
+    let kept = binder.bind(at(109), RequestId(1), false, fresh("c"));
+    assert_eq!(kept, BinderAnswer::Bound(Binding { serial: 1, ..fresh("b") }));
+    assert!(binder.len() <= 2);
+}
+
+#[test]
+fn a_call_to_a_target_never_heard_of_goes_without_a_binding() {
+    let mut view = WindowView::new(1);
+    let call = view.bind(Unbound::new(), &"a".into()).unwrap_err();
+    view.hear(&"a".into(), Incarnation(2), 5);
+    view.hear(&"a".into(), Incarnation(1), 9);
+    let bound = view.bind(call, &"a".into()).unwrap();
+    assert_eq!((bound.binding().incarnation, bound.binding().window), (Incarnation(2), 5));
+}
+
+#[test]
+fn a_not_run_after_an_unknown_send_is_unknown_unless_one_binding_covers_both() {
+    let not_run = Fate::<()>::NotRun(ErrorKind::Overload);
+    let unknown = Fate::Unknown(ErrorKind::Overload);
+    assert_eq!(overall_fate(CallRule::Free, true, not_run.clone()), unknown);
+    assert_eq!(overall_fate(CallRule::Free, false, not_run.clone()), not_run);
+    assert_eq!(overall_fate(CallRule::Bound, true, not_run.clone()), not_run);
+}
+
+const SENDS: AttemptLimits = AttemptLimits { senders: 2, sends: 3, hold: HOLD };
+const SILENT: Fate<&str> = Fate::Unknown(ErrorKind::Connection);
+const ABSENT: Fate<&str> = Fate::NotRun(ErrorKind::Connection);
+
+/// Log of incarnation 1 with what one sender does with it.
+struct Asker {
+    log: AttemptLog<&'static str>,
+    sender: SenderId,
+}
+
+impl Asker {
+    fn new() -> Self {
+        let sender = SenderId { instance: "caller".into(), incarnation: Incarnation(1) };
+        Self { log: AttemptLog::new(Incarnation(1), SENDS), sender }
+    }
+
+    fn begin(&mut self, secs: u64, attempt: u64) -> RunVerdict<&'static str> {
+        self.log.begin(at(secs), &self.sender, REQ, AttemptId(attempt))
+    }
+
+    fn finish(&mut self, secs: u64, attempt: u64) {
+        let done = Outcome::Done("listing");
+        self.log.finish(at(secs), &self.sender, AttemptId(attempt), done);
+    }
+
+    fn ask(&mut self, secs: u64, attempt: u64) -> Fate<&'static str> {
+        self.log.ask(at(secs), &self.sender, REQ, AttemptId(attempt), Incarnation(1))
+    }
+}
+
+#[test]
+fn a_question_on_a_new_connection_tells_running_done_and_not_arrived_apart() {
+    let mut asker = Asker::new();
+    assert_eq!(asker.begin(0, 1), RunVerdict::Run);
+    assert_eq!(asker.ask(1, 1), Fate::Running);
+    asker.finish(2, 1);
+    assert_eq!(asker.ask(3, 1), Fate::Done("listing"));
+    assert_eq!(asker.ask(3, 2), ABSENT);
+    assert_eq!(asker.begin(4, 2), RunVerdict::Known(ABSENT), "the late copy is refused");
+}
+
+#[test]
+fn a_send_that_was_forgotten_is_neither_vouched_for_nor_run() {
+    let mut asker = Asker::new();
+    assert_eq!(asker.ask(0, 2), ABSENT);
+    assert_eq!(asker.ask(60, 2), SILENT);
+    assert_eq!(asker.begin(60, 2), RunVerdict::Known(SILENT));
+    assert_eq!(asker.begin(60, 1), RunVerdict::Known(SILENT));
+    assert_eq!(asker.begin(60, 3), RunVerdict::Run);
+}
+
+#[test]
+fn a_question_about_another_incarnation_is_unknown() {
+    let mut asker = Asker::new();
+    let (sender, attempt) = (asker.sender.clone(), AttemptId(1));
+    assert_eq!(asker.log.ask(at(0), &sender, REQ, attempt, Incarnation(0)), SILENT);
+}
+
+#[test]
+fn a_log_that_is_full_runs_sends_but_vouches_for_none_it_did_not_record() {
+    let mut asker = Asker::new();
+    for attempt in 1..=4 {
+        assert_eq!(asker.begin(0, attempt), RunVerdict::Run);
+    }
+    assert_eq!(asker.log.len(), 3);
+    assert_eq!(asker.ask(1, 4), SILENT);
+    for name in ["b", "c"] {
+        asker.sender.instance = name.into();
+        assert_eq!(asker.begin(1, 1), RunVerdict::Run);
+    }
+    assert_eq!(asker.ask(2, 1), SILENT, "there was no room for this sender");
+    assert_eq!(asker.ask(2, 2), SILENT);
+}
