--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,11 +12,16 @@
 mod contract;
 mod fold;
 mod ids;
+mod limit;
 mod membership;
 mod outcome;
 mod suspects;
 mod time;
 
+pub use admission::{
+    Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Ticket,
+    Verdict as AdmissionVerdict,
+};
 pub use answer::{AnswerError, AnswerHead, Exchange, Expected, Idle, Waiting, WholeAnswer};
 pub use binding::Binding;
 pub use budget::{
@@ -24,10 +29,15 @@
     RetriesSpent, Run, come_back_after, keeper, next_step,
 };
 pub use contract::{ClassTerms, Contract, ContractError, Goal};
+pub use fold::{
+    ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, MAX_REFUSED,
+    RecordFault, Verdict, Word,
+};
 pub use ids::{
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
     rendezvous_owner, rendezvous_weight,
 };
+pub use limit::{ImportanceScale, RunTimes, TargetLimits, retry_after};
 pub use outcome::{ErrorKind, Outcome, Reply, TargetEnd};
 pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
 pub use time::Moment;
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    AttemptId, Binding, Contract, Importance, Incarnation, InstanceId, Name, Offset, Outcome,
-    PublishId, RequestId, Revision,
+    AttemptId, Binding, Grant, Importance, Incarnation, InstanceId, Level, Name, Outcome,
+    RequestId, Revision,
 };
 use serde::{Deserialize, Serialize};
 
@@ -34,8 +34,8 @@
     pub age: Duration,
     /// Hops between the entry and this call.
     pub depth: u8,
-    /// Retry units lent to this call.
-    pub units: u32,
+    /// Retry units lent to this call, and whether it repeats an earlier run.
+    pub grant: Grant,
     /// Binding, for a once-only call.
     pub binding: Option<Binding>,
 }
@@ -60,8 +60,8 @@
     pub outcome: Outcome<Answer>,
     /// Retry units that come back unspent.
     pub units: u32,
-    /// Admission level of the service as the answering node sees it.
-    pub level: u32,
+    /// Admission level that a call of this class meets behind the answering node.
+    pub level: Level,
 }
 
 /// Whole answer of a target.
@@ -121,25 +121,3 @@
     /// State.
     pub state: MemberState,
 }
-
-/// Record on the stream of contracts.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "kind", rename_all = "kebab-case")]
-pub enum ContractRecord {
-    /// A revision that an operator publishes.
-    Publish {
-        /// Act of publishing.
-        id: PublishId,
-        /// Revision that the operator revised.
-        base: Revision,
-        /// Contract.
-        contract: Box<Contract>,
-    },
-    /// The state of the fold up to an offset, so that older records may expire.
-    Snapshot {
-        /// First offset that the state does not cover.
-        next: Offset,
-        /// State of the fold, encoded by `poplar-core`.
-        state: serde_json::Value,
-    },
-}
