--- a/node/src/route.rs
+++ b/node/src/route.rs
@@ -135,7 +135,8 @@
     /// Member that a once-only call can be bound to.
     pub(crate) fn bind(&self, service: &Name) -> Option<Binding> {
         let member = self.pick(self.directory.serving(service))?;
-        Some(Binding { instance: member.instance, incarnation: member.incarnation, window: 0 })
+        let (instance, incarnation) = (member.instance, member.incarnation);
+        Some(Binding { instance, incarnation, window: 0, serial: 0 })
     }
 
     fn choose(
