Set the level where estimated demand meets capacity

Cause: the level was raised by the surplus of one 20 ms window, some ten calls, so that noise and calls let through under an older level pushed it into the most important class; it then fell at a fixed slow rate. Ruled out: a longer window alone, which fills queues at the onset.

--- a/core/src/admission/level.rs
+++ b/core/src/admission/level.rs
@@ -65,6 +65,13 @@
         rank.0 >= self.0
     }
 
+    /// Part of the calls of one importance that passes.
+    pub(crate) fn visible(self, importance: Importance) -> f64 {
+        let base = Rank::at(importance, 0).0;
+        let hidden = u64::from(self.0.saturating_sub(base)).min(LOTS);
+        1.0 - hidden as f64 / LOTS as f64
+    }
+
     /// Level after falling for `span`, skipping importances that the contract does not have.
     pub(crate) fn fallen(self, span: Duration, scale: &ImportanceScale) -> Self {
         let micros = span.min(FALL_TIME * 256).as_micros() as u64;
--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -8,18 +8,19 @@
 mod map;
 mod pressure;
 mod queue;
+mod track;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::ids::Importance;
-use crate::limit::{ImportanceScale, TargetLimits, retry_after, smoothed};
+use crate::limit::{ImportanceScale, TargetLimits, retry_after};
 use crate::outcome::ErrorKind;
 use crate::time::Moment;
 
 pub use level::{Level, Rank};
 pub use map::LevelMap;
-use pressure::Pressure;
+use pressure::{Load, Pressure};
 use queue::{Queue, Waiting};
 
 /// Number of one call at one admission, chosen by the node and unique while the call is known.
@@ -89,7 +90,6 @@
     running: BTreeMap<Ticket, Importance>,
     queue: Queue,
     pressure: Pressure,
-    latency: Duration,
 }
 
 impl Admission {
@@ -101,7 +101,6 @@
             running: BTreeMap::new(),
             queue: Queue::default(),
             pressure: Pressure::new(now, scale),
-            latency: Duration::ZERO,
         }
     }
 
@@ -128,12 +127,8 @@
     /// Ends a run that took `latency` and starts what may start now.
     pub fn finish(&mut self, now: Moment, ticket: Ticket, latency: Duration) -> Release {
         if self.running.remove(&ticket).is_some() {
-            self.latency = match self.latency {
-                Duration::ZERO => latency,
-                mean => smoothed(mean, latency),
-            };
             self.limit = self.limits.slots.min(self.limit + 1);
-            self.pressure.finished();
+            self.pressure.finished(latency);
         }
         self.release(now)
     }
@@ -196,14 +191,19 @@
     }
 
     fn advance(&mut self, now: Moment) {
-        let saturated = !self.has_room();
-        self.pressure.advance(now, saturated, self.queue.len(), self.limits.queue as usize);
+        let load = Load {
+            running: self.running.len(),
+            limit: self.limit,
+            queued: self.queue.len(),
+            places: self.limits.queue,
+        };
+        self.pressure.advance(now, load);
     }
 
     /// Queues the call, lets a lesser one give way to it, or refuses it.
     fn enqueue(&mut self, waiting: Waiting) -> Verdict {
         let full = self.queue.len() >= self.limits.queue as usize;
-        let passes = self.pressure.level().admits(waiting.rank);
+        let passes = waiting.paid || self.pressure.level().admits(waiting.rank);
         let rank = waiting.rank;
         let lowest = self.queue.lowest();
         let outranks = lowest.is_some_and(|lowest| lowest.importance() < rank.importance());
@@ -213,15 +213,11 @@
             return Verdict::Queue { evicted: None };
         }
         if !yields {
-            self.pressure.refused(rank);
             return Verdict::Refuse(self.refusal(&waiting, ErrorKind::Overload));
         }
         let evicted = self.queue.pop_lowest();
         self.queue.insert(waiting);
-        let evicted = evicted.map(|lesser| {
-            self.pressure.refused(lesser.rank);
-            self.refusal(&lesser, ErrorKind::Overload)
-        });
+        let evicted = evicted.map(|lesser| self.refusal(&lesser, ErrorKind::Overload));
         Verdict::Queue { evicted }
     }
 
@@ -242,7 +238,8 @@
 
     fn refusal(&self, waiting: &Waiting, kind: ErrorKind) -> Refusal {
         let ahead = self.queue.len() as u32 + 1;
-        let wait = self.latency * ahead / self.limit.max(1);
+        let latency = self.pressure.latency().unwrap_or_default();
+        let wait = latency * ahead / self.limit.max(1);
         let retry_after = retry_after(wait, waiting.rank.lot());
         Refusal { ticket: waiting.ticket, kind, retry_after }
     }
--- a/core/src/admission/pressure.rs
+++ b/core/src/admission/pressure.rs
@@ -1,46 +1,93 @@
-//! Level of one target, moved once per window by what the window showed.
+//! Level of one target: the rank down to which demand fits what the target completes.
+//!
+//! Once per window the demand per importance is estimated from the calls that the level lets
+//! through, and the level moves to where demand and capacity meet. Lots are uniform, so the
+//! visible part of an importance tells the rate of the whole.
 
 use std::time::Duration;
 
+use crate::ids::Importance;
 use crate::limit::ImportanceScale;
 use crate::time::Moment;
 
 use super::level::{Level, Rank};
+use super::track::Track;
 
 /// Length of one window.
 const WINDOW: Duration = Duration::from_millis(20);
-/// Largest number of ranks remembered per window; bounds the memory.
-const SEEN_MAX: usize = 1_024;
-/// Queue fill, in percent, from which the level rises.
-const HIGH_PERCENT: usize = 60;
-/// Queue fill, in percent, below which the level falls.
-const LOW_PERCENT: usize = 25;
-/// Largest part of the passing calls, in percent, that one window cuts off.
-const CUT_MAX_PERCENT: usize = 50;
-/// Smallest part of the passing calls, in percent, that a rise cuts off.
-const CUT_MIN_PERCENT: usize = 2;
-
-/// Level with the counts of the window that runs.
+/// Windows for which calls may still arrive that were let through under an earlier level.
+const DELAY_WINDOWS: usize = 8;
+/// Part of the queue places that should be taken under pressure.
+const QUEUE_GOAL: f64 = 0.3;
+/// Time in which the queue should come back to its goal.
+const QUEUE_TIME: Duration = Duration::from_millis(300);
+/// Largest part of the capacity by which the state of the queue moves the goal.
+const QUEUE_WEIGHT: f64 = 0.1;
+/// Smallest part of an importance from which its rate is estimated.
+const VISIBLE_MIN: f64 = 0.02;
+/// Factor per window on the rates of hidden demand while slots stay idle.
+const IDLE_FACTOR: f64 = 0.7;
+/// Lots in one importance.
+const LOTS: f64 = 65_536.0;
+
+/// State of the target at the end of a window.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Load {
+    pub(crate) running: usize,
+    pub(crate) limit: u32,
+    pub(crate) queued: usize,
+    pub(crate) places: u32,
+}
+
+/// Demand at one importance.
+#[derive(Debug)]
+struct Demand {
+    importance: Importance,
+    /// Calls of the window whose rank no recent level hid.
+    count: u32,
+    rate: Track,
+}
+
+/// Level with the estimates that it follows from.
+///
+/// Memory is bounded by the 256 importances and the fixed number of windows.
 #[derive(Debug)]
 pub(crate) struct Pressure {
-    scale: ImportanceScale,
     level: Level,
     opened: Moment,
-    /// Ranks that arrived in the window and passed the level.
-    seen: Vec<Rank>,
-    finished: usize,
-    /// Whether a call that the level passes had to be refused.
-    overflowed: bool,
+    /// Levels of the last windows, oldest first.
+    recent: [Level; DELAY_WINDOWS],
+    /// Rising importance.
+    demands: Vec<Demand>,
+    latency: Track,
+    finished: u32,
+    /// Sum of the latencies of the window, in seconds.
+    held: f64,
 }
 
 impl Pressure {
     pub(crate) fn new(now: Moment, scale: ImportanceScale) -> Self {
-        let level = Level::OPEN;
-        Self { scale, level, opened: now, seen: Vec::new(), finished: 0, overflowed: false }
+        let mut pressure = Self {
+            level: Level::OPEN,
+            opened: now,
+            recent: [Level::OPEN; DELAY_WINDOWS],
+            demands: Vec::new(),
+            latency: Track::default(),
+            finished: 0,
+            held: 0.0,
+        };
+        pressure.revise(scale);
+        pressure
     }
 
+    /// Keeps the estimates of the importances that remain.
     pub(crate) fn revise(&mut self, scale: ImportanceScale) {
-        self.scale = scale;
+        let mut known = std::mem::take(&mut self.demands);
+        for importance in scale.iter() {
+            let idx = known.iter().position(|demand| demand.importance == importance);
+            let fresh = || Demand { importance, count: 0, rate: Track::default() };
+            self.demands.push(idx.map_or_else(fresh, |idx| known.swap_remove(idx)));
+        }
     }
 
     pub(crate) fn level(&self) -> Level {
@@ -48,45 +95,89 @@
     }
 
     pub(crate) fn arrived(&mut self, rank: Rank) {
-        if self.level.admits(rank) && self.seen.len() < SEEN_MAX {
-            self.seen.push(rank);
+        if !self.hidden().admits(rank) {
+            return;
+        }
+        let above = self.demands.partition_point(|demand| demand.importance <= rank.importance());
+        if let Some(demand) = above.checked_sub(1).and_then(|idx| self.demands.get_mut(idx)) {
+            demand.count += 1;
         }
     }
 
-    pub(crate) fn finished(&mut self) {
+    pub(crate) fn finished(&mut self, latency: Duration) {
         self.finished += 1;
+        self.held += latency.as_secs_f64();
     }
 
-    pub(crate) fn refused(&mut self, rank: Rank) {
-        self.overflowed |= self.level.admits(rank);
+    /// Mean latency of the target, once anything has finished.
+    pub(crate) fn latency(&self) -> Option<Duration> {
+        self.latency.value().map(Duration::from_secs_f64)
     }
 
     /// Closes the window if it is over.
-    pub(crate) fn advance(&mut self, now: Moment, saturated: bool, queued: usize, places: usize) {
+    pub(crate) fn advance(&mut self, now: Moment, load: Load) {
         let span = now.since(self.opened);
         if span < WINDOW {
             return;
         }
-        let percent = queued * 100 / places.max(1);
-        if saturated && (self.overflowed || percent >= HIGH_PERCENT) {
-            self.raise();
-        } else if !saturated || percent < LOW_PERCENT {
-            self.level = self.level.fallen(span, &self.scale);
-        }
-        self.seen.clear();
-        self.finished = 0;
-        self.overflowed = false;
         self.opened = now;
+        self.estimate(span, load);
+        self.level = self.goal(load).map_or(Level::OPEN, |goal| self.fitting(goal));
+        self.recent.rotate_left(1);
+        self.recent[DELAY_WINDOWS - 1] = self.level;
+    }
+
+    /// Highest level that callers may still have applied to the calls that arrive now.
+    fn hidden(&self) -> Level {
+        self.recent.iter().copied().max().unwrap_or_default()
+    }
+
+    fn estimate(&mut self, span: Duration, load: Load) {
+        let hidden = self.hidden();
+        let idle = load.queued == 0 && load.running < load.limit as usize;
+        for demand in &mut self.demands {
+            let visible = hidden.visible(demand.importance);
+            let count = f64::from(std::mem::take(&mut demand.count));
+            if visible >= VISIBLE_MIN {
+                let rate = count / span.as_secs_f64() / visible;
+                demand.rate.observe(
+                    span.mul_f64(visible),
+                    rate,
+                    (count + 1.0).sqrt() / (count + 1.0),
+                );
+            }
+            if idle && visible < 1.0 {
+                demand.rate.scale(IDLE_FACTOR);
+            }
+        }
+        let finished = f64::from(std::mem::take(&mut self.finished));
+        let held = std::mem::take(&mut self.held);
+        if finished > 0.0 {
+            self.latency.observe(span, held / finished, 1.0 / finished.sqrt());
+        }
+    }
+
+    /// Calls per second that should arrive: what the target completes, and a little more or less
+    /// to bring the queue to its goal. None before anything has finished.
+    fn goal(&self, load: Load) -> Option<f64> {
+        let latency = self.latency.value().filter(|latency| *latency > 0.0)?;
+        let capacity = f64::from(load.limit) / latency;
+        let surplus = QUEUE_GOAL * f64::from(load.places) - load.queued as f64;
+        let change = surplus / QUEUE_TIME.as_secs_f64();
+        Some(capacity + change.clamp(-QUEUE_WEIGHT * capacity, QUEUE_WEIGHT * capacity))
     }
 
-    /// Raises the level so far that the calls seen above it match those that finished.
-    fn raise(&mut self) {
-        self.seen.sort_unstable();
-        let seen = self.seen.len();
-        let surplus = seen.saturating_sub(self.finished);
-        let cut = surplus.clamp(seen * CUT_MIN_PERCENT / 100, seen * CUT_MAX_PERCENT / 100);
-        if let Some(rank) = self.seen.get(cut) {
-            self.level = self.level.max(Level::at(*rank));
+    /// Level down to which the demand fits the rate.
+    fn fitting(&self, rate: f64) -> Level {
+        let mut left = rate;
+        for demand in self.demands.iter().rev() {
+            let asked = demand.rate.value().unwrap_or(0.0);
+            if asked > left {
+                let lot = LOTS * (1.0 - left / asked);
+                return Level::at(Rank::at(demand.importance, lot.min(LOTS - 1.0) as u16));
+            }
+            left -= asked;
         }
+        Level::OPEN
     }
 }
--- a/core/src/admission/queue.rs
+++ b/core/src/admission/queue.rs
@@ -14,7 +14,7 @@
 pub(crate) struct Waiting {
     pub(crate) ticket: Ticket,
     pub(crate) rank: Rank,
-    paid: bool,
+    pub(crate) paid: bool,
     /// Microseconds since an origin before the process's own, so that older requests sort first.
     born: i64,
     /// Last moment at which starting the call is of use.
@@ -30,9 +30,11 @@
     ticket: Ticket,
 }
 
-/// Order in which waiting calls give way: least rank first, then the youngest request.
+/// Order in which waiting calls give way: importance, work not yet paid for, lot, youngest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Yield {
+    importance: Importance,
+    paid: bool,
     rank: Rank,
     born: Reverse<i64>,
     ticket: Ticket,
@@ -68,7 +70,13 @@
     }
 
     fn yields(&self) -> Yield {
-        Yield { rank: self.rank, born: Reverse(self.born), ticket: self.ticket }
+        Yield {
+            importance: self.rank.importance(),
+            paid: self.paid,
+            rank: self.rank,
+            born: Reverse(self.born),
+            ticket: self.ticket,
+        }
     }
 
     fn expiry(&self) -> Expiry {
--- a/core/src/limit.rs
+++ b/core/src/limit.rs
@@ -72,6 +72,11 @@
         Self { steps }
     }
 
+    /// Importances in rising order.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = Importance> + '_ {
+        self.steps.iter().copied()
+    }
+
     /// Next importance below the given one, if the contract has any.
     pub(crate) fn below(&self, importance: Importance) -> Option<Importance> {
         let idx = self.steps.partition_point(|step| *step < importance);
