--- a/bench/src/overload/gate.rs
+++ b/bench/src/overload/gate.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Admission, Arrival, ErrorKind, Importance, ImportanceScale, Level, Moment, Refusal, Release,
-    TargetLimits, Ticket, Verdict,
+    Admission, AdmissionVerdict, Arrival, ErrorKind, Importance, ImportanceScale, Level, Moment,
+    Refusal, Release, TargetLimits, Ticket,
 };
 
 /// Way in which calls are handled in one run of the bench.
@@ -61,20 +61,20 @@
         Self::Fifo(Fifo { slots, places, running: BTreeSet::new(), queue: VecDeque::new() })
     }
 
-    pub(crate) fn arrive(&mut self, now: Moment, call: Arrival) -> Verdict {
+    pub(crate) fn arrive(&mut self, now: Moment, call: Arrival) -> AdmissionVerdict {
         match self {
             Self::Core(admission) => admission.arrive(now, call),
             Self::Fifo(fifo) if fifo.running.len() < fifo.slots => {
                 fifo.running.insert(call.ticket);
-                Verdict::Admit
+                AdmissionVerdict::Admit
             }
             Self::Fifo(fifo) if fifo.queue.len() < fifo.places => {
                 fifo.queue.push_back(call.ticket);
-                Verdict::Queue { evicted: None }
+                AdmissionVerdict::Queue { evicted: None }
             }
             Self::Fifo(_) => {
                 let (ticket, kind) = (call.ticket, ErrorKind::Overload);
-                Verdict::Refuse(Refusal { ticket, kind, retry_after: Duration::ZERO })
+                AdmissionVerdict::Refuse(Refusal { ticket, kind, retry_after: Duration::ZERO })
             }
         }
     }
--- a/bench/src/overload/world.rs
+++ b/bench/src/overload/world.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Arrival, ErrorKind, ImportanceScale, InstanceId, Level, LevelMap, Moment, Name, Rank, Refusal,
-    Release, RequestId, RunTimes, TargetLimits, Ticket, Verdict,
+    AdmissionVerdict, Arrival, ErrorKind, ImportanceScale, InstanceId, Level, LevelMap, Moment,
+    Name, Rank, Refusal, Release, RequestId, RunTimes, TargetLimits, Ticket,
 };
 
 use super::clock::{Agenda, Rng};
@@ -422,9 +422,9 @@
         };
         self.calls[call.place as usize].state = State::Waiting;
         match self.nodes[node.0].gate.arrive(now, arrival) {
-            Verdict::Admit => self.start(call),
-            Verdict::Queue { evicted } => self.refuse_all(node, evicted),
-            Verdict::Refuse(refusal) => self.refuse_all(node, Some(refusal)),
+            AdmissionVerdict::Admit => self.start(call),
+            AdmissionVerdict::Queue { evicted } => self.refuse_all(node, evicted),
+            AdmissionVerdict::Refuse(refusal) => self.refuse_all(node, Some(refusal)),
         }
     }
 
