--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -16,6 +16,8 @@
 
 /// Calls in flight beyond which no further one is started, so that memory stays bounded.
 const IN_FLIGHT: usize = 20_000;
+/// Errors of targets that a report quotes.
+const FAILURES: usize = 5;
 /// Time between two progress lines.
 const PROGRESS: Duration = Duration::from_secs(1);
 
@@ -74,6 +76,8 @@
     pub ran_twice: u64,
     /// Requests that were told "not run" but ran, by the targets' own counts.
     pub refused_ran: u64,
+    /// First words of the targets' own errors, at most [`FAILURES`].
+    pub failures: Vec<String>,
     /// Targets that gave their counts.
     pub counted: u64,
     /// Refusals, unknown outcomes and failures by kind.
@@ -81,11 +85,11 @@
 }
 
 /// What came of one call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 enum Verdict {
     Whole,
     Wrong,
-    Failed,
+    Failed(String),
     Refused(ErrorKind),
     Unknown(ErrorKind),
 }
@@ -192,7 +196,9 @@
     match outcome {
         Outcome::NotRun { kind, .. } => Verdict::Refused(kind),
         Outcome::Unknown { kind } => Verdict::Unknown(kind),
-        Outcome::Done(answer) if answer.status != 200 => Verdict::Failed,
+        Outcome::Done(answer) if answer.status != 200 => {
+            Verdict::Failed(String::from_utf8_lossy(&answer.body).into_owned())
+        }
         Outcome::Done(answer) => match serde_json::from_slice::<Document>(&answer.body) {
             Ok(document) if is_own(graph, class, request, nonce, &document) => Verdict::Whole,
             _ => Verdict::Wrong,
@@ -229,7 +235,12 @@
         let (count, kind) = match verdict {
             Verdict::Whole => (&mut self.whole, None),
             Verdict::Wrong => (&mut self.wrong, None),
-            Verdict::Failed => (&mut self.failed, None),
+            Verdict::Failed(text) => {
+                if self.failures.len() < FAILURES {
+                    self.failures.push(text);
+                }
+                (&mut self.failed, None)
+            }
             Verdict::Refused(kind) => (&mut self.refused, Some(kind)),
             Verdict::Unknown(ErrorKind::Connection) => (&mut self.cut, Some(ErrorKind::Connection)),
             Verdict::Unknown(kind) => (&mut self.unknown, Some(kind)),
