--- a/node/src/announce.rs
+++ b/node/src/announce.rs
@@ -1,8 +1,8 @@
 //! Announcements: what the target beside this node says of itself, told on to the members' stream.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use poplar_core::{ImportanceScale, Incarnation, InstanceId, Moment, Name, TargetLimits};
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
@@ -31,6 +31,7 @@
     target: Arc<Target>,
     gate: Arc<Gate>,
     sequence: AtomicU64,
+    successor: Mutex<Option<InstanceId>>,
     records: mpsc::UnboundedSender<MemberRecord>,
 }
 
@@ -49,6 +50,7 @@
             target: registry.find("target")?,
             gate: registry.find("admission")?,
             sequence: AtomicU64::new(0),
+            successor: Mutex::default(),
             records,
         })
     }
@@ -79,6 +81,17 @@
         known
     }
 
+    /// Service of the target, if one announced itself.
+    pub(crate) fn service(&self) -> Option<Name> {
+        self.target.announced().map(|announced| announced.service)
+    }
+
+    /// Tells that this instance left, and who took its once-only table over.
+    pub(crate) fn leave(&self, successor: Option<InstanceId>) {
+        *self.successor.lock().unwrap_or_else(PoisonError::into_inner) = successor;
+        self.change(Stage::Left, MemberState::Left);
+    }
+
     fn tell(&self, state: MemberState) {
         let Some(announced) = self.target.announced() else { return };
         let record = MemberRecord {
@@ -90,6 +103,7 @@
             address: self.identity.peer_address.to_string(),
             slots: announced.slots,
             state,
+            successor: self.successor.lock().unwrap_or_else(PoisonError::into_inner).clone(),
         };
         self.directory.learn(record.clone());
         // The receiver lives as long as the process; after it nothing is left to tell.
--- a/node/src/contracts.rs
+++ b/node/src/contracts.rs
@@ -1,14 +1,18 @@
-//! Contracts in force at this node: the fold of the log's stream, shared by every service.
+//! Contracts in force at this node: the reader of the log's stream, shared by every service.
 
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use poplar_core::{
-    ClassTerms, Contract, ContractRecord, Fold, Moment, Name, Offset, PublishId, Revision, Verdict,
-    Word,
+    ClassTerms, Contract, Fold, InstanceId, Judged, LogBatch, LogReader, Moment, Name, PublishId,
+    ReadAction, Revision, Word,
 };
-use poplar_kernel::Service;
+use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
-use tokio::sync::watch;
+use tokio::sync::mpsc;
+
+/// Hints that wait to be followed; further ones are dropped, since the log tells the same.
+const HINTS: usize = 16;
 
 /// Terms of one class together with the revision that they come from.
 #[derive(Debug, Clone)]
@@ -27,64 +31,87 @@
 /// Service that holds the contracts in force.
 #[derive(Debug)]
 pub(crate) struct Contracts {
-    fold: RwLock<Fold>,
-    moved: watch::Sender<Offset>,
+    clock: Clock,
+    reader: Mutex<LogReader>,
+    hints: mpsc::Sender<String>,
 }
 
 impl Contracts {
-    /// Service that knows no contract yet.
-    pub(crate) fn new() -> Self {
-        Self { fold: RwLock::new(Fold::new()), moved: watch::Sender::new(Offset::default()) }
+    /// Service that knows no contract yet; `retention` is how long the log keeps a record.
+    ///
+    /// The receiver gets the addresses of nodes that have a later revision in force.
+    pub(crate) fn new(
+        clock: Clock,
+        own: InstanceId,
+        retention: Duration,
+    ) -> (Self, mpsc::Receiver<String>) {
+        let (hints, hinted) = mpsc::channel(HINTS);
+        let reader = Mutex::new(LogReader::new(clock.now(), own, retention));
+        (Self { clock, reader, hints }, hinted)
     }
 
-    /// Judges the record at `offset`; `None` stands for one that could not be decoded.
-    pub(crate) fn take(&self, offset: Offset, record: Option<&ContractRecord>) -> Verdict {
-        let mut fold = self.fold.write().unwrap_or_else(PoisonError::into_inner);
-        let verdict = match record {
-            Some(record) => fold.apply(offset, record),
-            None => fold.skip(offset),
-        };
-        self.moved.send_replace(fold.next());
-        verdict
+    /// Next action of the reader; `live` are the nodes that may append.
+    pub(crate) fn poll(&self, live: &[InstanceId]) -> ReadAction {
+        self.lock().poll(self.clock.now(), live)
     }
 
-    /// Takes over a peer's state if it covers more; says whether it did.
-    pub(crate) fn adopt(&self, peer: &Fold) -> bool {
-        let mut fold = self.fold.write().unwrap_or_else(PoisonError::into_inner);
-        let taken = fold.adopt(peer);
-        self.moved.send_replace(fold.next());
-        taken
+    /// Takes in what a read brought.
+    pub(crate) fn on_read(&self, batch: &LogBatch) -> Vec<Judged> {
+        self.lock().on_read(self.clock.now(), fastrand::u64(..), batch)
     }
 
-    /// Channel that tells each move of the fold.
-    pub(crate) fn moves(&self) -> watch::Receiver<Offset> {
-        self.moved.subscribe()
+    /// Notes that an append was acknowledged.
+    pub(crate) fn on_append(&self) {
+        self.lock().on_append(self.clock.now());
     }
 
-    /// State, for a peer that lacks it and for snapshots.
-    pub(crate) fn fold(&self) -> Fold {
-        self.read().clone()
+    /// Notes an error of the log.
+    pub(crate) fn on_error(&self) {
+        self.lock().on_error(self.clock.now(), fastrand::u64(..));
     }
 
-    /// First offset that is not folded yet.
-    pub(crate) fn next(&self) -> Offset {
-        self.read().next()
+    /// Takes over a peer's state if it covers more; says whether it did.
+    pub(crate) fn on_peer(&self, peer: &Fold) -> bool {
+        self.lock().on_peer(self.clock.now(), peer)
+    }
+
+    /// Takes note of the revision that the node at `address` has in force.
+    pub(crate) fn hint(&self, customer: &Name, revision: Revision, address: &str) {
+        if revision > self.revision(customer) {
+            // A full channel drops the hint; the next call brings another.
+            let _ = self.hints.try_send(address.to_owned());
+        }
+    }
+
+    /// State, for a peer that lacks it.
+    pub(crate) fn fold(&self) -> Fold {
+        self.lock().fold().clone()
     }
 
     /// What this node can say of an act of publishing.
     pub(crate) fn word(&self, customer: &Name, id: PublishId) -> Word {
-        self.read().word(customer, id)
+        self.lock().fold().word(customer, id)
+    }
+
+    /// Revision in force for `customer`; zero if there is none.
+    pub(crate) fn revision(&self, customer: &Name) -> Revision {
+        self.lock().fold().revision(customer)
     }
 
     /// Contract in force for `customer`.
     pub(crate) fn current(&self, customer: &Name) -> Option<InForce> {
-        let fold = self.read();
-        let found = fold.in_force(customer)?;
+        let reader = self.lock();
+        let found = reader.fold().in_force(customer)?;
         Some(InForce { revision: found.revision, contract: found.contract.clone() })
     }
 
-    fn read(&self) -> std::sync::RwLockReadGuard<'_, Fold> {
-        self.fold.read().unwrap_or_else(PoisonError::into_inner)
+    /// Time since this node last knew every record of the log.
+    pub(crate) fn staleness(&self) -> Duration {
+        self.lock().staleness(self.clock.now())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LogReader> {
+        self.reader.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -101,8 +128,9 @@
         "contracts"
     }
 
-    fn dump(&self, _now: Moment) -> Value {
-        let fold = self.read();
+    fn dump(&self, now: Moment) -> Value {
+        let reader = self.lock();
+        let fold = reader.fold();
         let rows: Vec<_> = fold
             .customers()
             .filter_map(|customer| fold.in_force(customer))
@@ -115,6 +143,10 @@
                 })
             })
             .collect();
-        json!({ "next_offset": fold.next(), "in_force": rows })
+        json!({
+            "next_offset": fold.next(),
+            "stale_ms": reader.staleness(now).as_millis() as u64,
+            "in_force": rows,
+        })
     }
 }
--- a/node/src/directory.rs
+++ b/node/src/directory.rs
@@ -32,6 +32,31 @@
         members.filter(|member| member.state == MemberState::Serving).cloned().collect()
     }
 
+    /// Every member known, whatever its state.
+    pub(crate) fn all(&self) -> Vec<MemberRecord> {
+        let services = self.by_service.read().unwrap_or_else(PoisonError::into_inner);
+        services.values().flat_map(HashMap::values).cloned().collect()
+    }
+
+    /// Number of members known in each state.
+    pub(crate) fn counts(&self) -> [(&'static str, usize); 3] {
+        let members = self.all();
+        let count = |state| members.iter().filter(|member| member.state == state).count();
+        [
+            ("serving", count(MemberState::Serving)),
+            ("draining", count(MemberState::Draining)),
+            ("left", count(MemberState::Left)),
+        ]
+    }
+
+    /// Instances known to take work, of every service.
+    pub(crate) fn live(&self) -> Vec<InstanceId> {
+        let services = self.by_service.read().unwrap_or_else(PoisonError::into_inner);
+        let members = services.values().flat_map(HashMap::values);
+        let serving = members.filter(|member| member.state == MemberState::Serving);
+        serving.map(|member| member.instance.clone()).collect()
+    }
+
     /// Member of `service` with the given instance, whatever its state.
     pub(crate) fn member(&self, service: &Name, instance: &InstanceId) -> Option<MemberRecord> {
         let services = self.by_service.read().unwrap_or_else(PoisonError::into_inner);
--- a/node/src/ends/admin.rs
+++ b/node/src/ends/admin.rs
@@ -3,13 +3,16 @@
 use std::sync::Arc;
 
 use poem::http::StatusCode;
-use poem::web::{Data, Json};
+use poem::web::{Data, Json, Path};
 use poem::{EndpointExt, IntoResponse, Route, get, handler, post};
+use poplar_core::Name;
 use poplar_kernel::{Clock, Registry};
 use poplar_wire::{Announcement, MemberState};
 use serde_json::{Value, json};
 
 use crate::announce::Announcer;
+use crate::contracts::Contracts;
+use crate::metrics::Metrics;
 use crate::target::Stage;
 
 /// What the handlers need.
@@ -18,12 +21,17 @@
     pub(crate) clock: Clock,
     pub(crate) registry: Arc<Registry>,
     pub(crate) announcer: Arc<Announcer>,
+    pub(crate) contracts: Arc<Contracts>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) customer: Name,
 }
 
 /// Routes of the admin end.
 pub(crate) fn routes(admin: Admin) -> impl poem::Endpoint {
     Route::new()
         .at("/state", get(state))
+        .at("/metrics", get(metrics))
+        .at("/contracts/:customer/publications/:id", get(word))
         .at("/target/announce", post(announce))
         .at("/target/renew", post(renew))
         .at("/target/drain", post(drain))
@@ -36,6 +44,21 @@
     Json(admin.registry.dump(admin.clock.now()))
 }
 
+#[handler]
+fn metrics(admin: Data<&Admin>) -> String {
+    admin.metrics.text(&admin.customer)
+}
+
+/// This node's word on one act of publishing; an operator is told "accepted" only with it.
+#[handler]
+fn word(admin: Data<&Admin>, path: Path<(String, String)>) -> poem::Response {
+    let Path((customer, id)) = path;
+    let Ok(id) = id.parse() else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    Json(admin.contracts.word(&Name::new(&customer), id)).into_response()
+}
+
 #[handler]
 fn announce(admin: Data<&Admin>, announcement: Json<Announcement>) -> Json<Value> {
     admin.announcer.announce(announcement.0);
--- a/node/src/ends/caller.rs
+++ b/node/src/ends/caller.rs
@@ -109,15 +109,12 @@
             label(&mut resp, header::OUTCOME, "done");
             resp
         }
-        Outcome::NotRun { kind, retry_after } => {
-            let mut resp = failure("not-run", kind);
-            if kind.reply().retryable {
-                come_back(&mut resp, retry_after);
-            }
-            resp
-        }
+        Outcome::NotRun { kind, .. } => failure("not-run", kind),
         Outcome::Unknown { kind } => failure("unknown", kind),
     };
+    if let Some(retry_after) = out.retry_after {
+        come_back(&mut resp, retry_after);
+    }
     if let Some(binding) = out.binding {
         label(&mut resp, header::BINDING, &binding_text(&binding));
     }
--- a/node/src/ends/peer.rs
+++ b/node/src/ends/peer.rs
@@ -11,10 +11,17 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use poplar_wire::{CodecError, MESSAGE_LIMIT_BYTES};
+use poplar_wire::{
+    AskReply, BindRequest, CallRequest, CodecError, HANDOVER_LIMIT_BYTES, MESSAGE_LIMIT_BYTES,
+    MemberRecord, decode, encode,
+};
 use tokio::net::TcpStream;
 
-use crate::route::CALL_PATH;
+use crate::contracts::Contracts;
+use crate::directory::Directory;
+use crate::follow::{CONTRACTS_PATH, MEMBERS_PATH};
+use crate::handover::SUCCEED_PATH;
+use crate::route::{ASK_PATH, BIND_PATH, CALL_PATH};
 use crate::work::Work;
 
 /// Calls that one connection may carry at once.
@@ -24,15 +31,33 @@
 /// Pause between pings of an idle connection, so that a dead peer's connection is dropped.
 const PING_EVERY: Duration = Duration::from_secs(30);
 
+/// Services that messages from other nodes go to.
+pub(crate) struct Peers {
+    pub(crate) work: Arc<Work>,
+    pub(crate) contracts: Arc<Contracts>,
+    pub(crate) directory: Arc<Directory>,
+}
+
+/// Why a message got no answer.
+#[derive(Debug, thiserror::Error)]
+enum MessageError {
+    /// No message has this path.
+    #[error("no message has this path")]
+    UnknownPath,
+    /// The message could not be decoded, or its answer not encoded.
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+}
+
 /// Serves one connection.
 pub(crate) fn connection(
     socket: TcpStream,
     graceful: &GracefulShutdown,
-    work: Arc<Work>,
+    peers: Arc<Peers>,
 ) -> impl Future<Output = ()> + Send + use<> {
     let service = service_fn(move |req| {
-        let work = work.clone();
-        async move { Ok::<_, std::convert::Infallible>(answer(&work, req).await) }
+        let peers = peers.clone();
+        async move { Ok::<_, std::convert::Infallible>(answer(&peers, req).await) }
     });
     let connection = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
@@ -48,26 +73,47 @@
     }
 }
 
-async fn answer(work: &Arc<Work>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn answer(peers: &Peers, req: Request<Incoming>) -> Response<Full<Bytes>> {
     let path = req.uri().path().to_owned();
-    let Ok(body) = Limited::new(req.into_body(), MESSAGE_LIMIT_BYTES).collect().await else {
+    let limit = if path == SUCCEED_PATH { HANDOVER_LIMIT_BYTES } else { MESSAGE_LIMIT_BYTES };
+    let Ok(body) = Limited::new(req.into_body(), limit).collect().await else {
         return status(StatusCode::PAYLOAD_TOO_LARGE);
     };
     let body = body.to_bytes();
-    let answer = match path.as_str() {
-        CALL_PATH => match poplar_wire::decode(&body) {
-            Ok(call) => poplar_wire::encode(&work.serve(call).await),
-            Err(error) => Err(error),
-        },
-        _ => return status(StatusCode::NOT_FOUND),
+    encoded(dispatch(peers, &path, &body).await)
+}
+
+/// Answers one message; the path says which one it is.
+async fn dispatch(peers: &Peers, path: &str, body: &[u8]) -> Result<Bytes, MessageError> {
+    let Peers { work, contracts, directory } = peers;
+    let answer = match path {
+        CALL_PATH => {
+            let call: CallRequest = decode(body)?;
+            contracts.hint(&call.meta.customer, call.meta.revision, &call.sender.address);
+            encode(&work.serve(call).await)
+        }
+        ASK_PATH => encode(&AskReply { fate: work.ask(decode(body)?).await }),
+        BIND_PATH => {
+            decode::<BindRequest>(body)?;
+            encode(&work.offer())
+        }
+        SUCCEED_PATH => encode(&work.succeed(decode(body)?)),
+        CONTRACTS_PATH => encode(&contracts.fold()),
+        MEMBERS_PATH => {
+            let known: Vec<MemberRecord> = decode(body)?;
+            known.into_iter().for_each(|member| directory.learn(member));
+            encode(&directory.all())
+        }
+        _ => return Err(MessageError::UnknownPath),
     };
-    encoded(answer)
+    Ok(answer?)
 }
 
-fn encoded(answer: Result<Bytes, CodecError>) -> Response<Full<Bytes>> {
+fn encoded(answer: Result<Bytes, MessageError>) -> Response<Full<Bytes>> {
     match answer {
         Ok(bytes) => Response::new(Full::new(bytes)),
-        Err(_) => status(StatusCode::BAD_REQUEST),
+        Err(MessageError::UnknownPath) => status(StatusCode::NOT_FOUND),
+        Err(MessageError::Codec(_)) => status(StatusCode::BAD_REQUEST),
     }
 }
 
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -5,14 +5,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use poplar_core::{AttemptId, Binding, Budget, ErrorKind, Grant, Moment, Name, Outcome, RequestId};
+use poplar_core::{
+    AttemptId, Binding, Budget, CallRule, ErrorKind, Grant, Lineage, Moment, Name, Outcome, Rank,
+    RequestId, call_rule, come_back_after,
+};
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
 use poplar_wire::{Answer, CallMeta};
 use serde_json::{Value, json};
 
-use crate::contracts::{Contracts, Terms};
-use crate::route::{Delivery, Route};
-use crate::runs::{Run, Runs};
+use crate::contracts::{Contracts, InForce, Terms};
+use crate::levels::Levels;
+use crate::metrics::Metrics;
+use crate::route::{Delivered, Delivery, Route};
+use crate::runs::Runs;
 
 /// Time to come back that a refusal names while nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -34,6 +39,8 @@
 #[derive(Debug)]
 pub(crate) struct Outbound {
     pub(crate) outcome: Outcome<Answer>,
+    /// Time after which the caller may come back, where that can help.
+    pub(crate) retry_after: Option<Duration>,
     /// Binding that the caller is to send the request with.
     pub(crate) binding: Option<Binding>,
 }
@@ -43,6 +50,8 @@
     clock: Clock,
     customer: Name,
     contracts: Arc<Contracts>,
+    levels: Arc<Levels>,
+    metrics: Arc<Metrics>,
     runs: Arc<Runs>,
     route: Arc<Route>,
     in_flight: AtomicU32,
@@ -68,6 +77,8 @@
             clock,
             customer,
             contracts: registry.find("contracts")?,
+            levels: registry.find("levels")?,
+            metrics: registry.find("metrics")?,
             runs: registry.find("runs")?,
             route: registry.find("route")?,
             in_flight: AtomicU32::new(0),
@@ -89,42 +100,53 @@
     pub(crate) async fn serve(&self, call: Inbound) -> Outbound {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
         let _taken = Taken(&self.in_flight);
-        let terms = match self.terms(&call) {
-            Ok(terms) => terms,
-            Err(kind) => return refuse(kind),
+        let (bound, class) = (call.binding.is_some(), call.class.clone());
+        let served = match call.parent {
+            Some(token) => self.serve_child(call, token).await,
+            None => self.serve_root(call).await,
         };
-        match call.parent {
-            Some(token) => match self.runs.find(token) {
-                Some(run) => self.serve_child(call, terms, &run).await,
-                None => refuse(ErrorKind::BadRequest),
-            },
-            None if self.sealed.load(Ordering::Acquire) => refuse(ErrorKind::Draining),
-            None => self.serve_root(call, terms).await,
-        }
+        let out = served.unwrap_or_else(|kind| refuse(kind, bound));
+        self.count(class, &out);
+        out
     }
 
-    fn customer<'a>(&'a self, call: &'a Inbound) -> &'a Name {
-        call.customer.as_ref().unwrap_or(&self.customer)
+    /// Counts the answer; a class that no contract names has one row for all its names.
+    fn count(&self, class: Name, out: &Outbound) {
+        let contract = self.contracts.current(&self.customer);
+        let named = contract.is_some_and(|found| found.contract.classes.contains_key(&class));
+        let row = if named { class } else { Name::new("") };
+        self.metrics.answered(&row, &out.outcome);
     }
 
-    fn terms(&self, call: &Inbound) -> Result<Terms, ErrorKind> {
-        let contract = self.contracts.current(self.customer(call)).ok_or(ErrorKind::NoContract)?;
-        contract.terms(&call.class).ok_or(ErrorKind::UnknownClass)
+    fn terms(&self, call: &Inbound) -> Result<(InForce, Terms), ErrorKind> {
+        let customer = call.customer.as_ref().unwrap_or(&self.customer);
+        let contract = self.contracts.current(customer).ok_or(ErrorKind::NoContract)?;
+        let terms = contract.terms(&call.class).ok_or(ErrorKind::UnknownClass)?;
+        Ok((contract, terms))
     }
 
-    async fn serve_root(&self, call: Inbound, terms: Terms) -> Outbound {
-        let class = &terms.class;
+    async fn serve_root(&self, call: Inbound) -> Result<Outbound, ErrorKind> {
+        if self.sealed.load(Ordering::Acquire) {
+            return Err(ErrorKind::Draining);
+        }
+        let (contract, terms) = self.terms(&call)?;
+        let class = terms.class;
         let once = !class.repeatable;
-        if once && call.binding.is_none() {
-            let Some(binding) = self.route.bind(&class.service) else {
-                return refuse(ErrorKind::NoTarget);
-            };
-            return Outbound { binding: Some(binding), ..refuse(ErrorKind::BindingNeeded) };
+        let request = call.request.unwrap_or_else(|| RequestId(fastrand::u128(..)));
+        let binding = call.binding.filter(|_| once);
+        if binding.is_none() {
+            let rank = Rank::of(class.importance, request);
+            if self.levels.is_doomed(&contract, &call.class, rank) {
+                return Err(ErrorKind::Overload);
+            }
+        }
+        if once && binding.is_none() {
+            let binding = self.route.offer(&class.service).await.ok_or(ErrorKind::NoTarget)?;
+            let refused = refuse(ErrorKind::BindingNeeded, false);
+            return Ok(Outbound { binding: Some(binding), ..refused });
         }
-        let request = call.request.unwrap_or_else(draw_request);
-        let left = call.left.unwrap_or(class.deadline).min(class.deadline);
         let meta = CallMeta {
-            customer: self.customer(&call).clone(),
+            customer: contract.contract.customer.clone(),
             revision: terms.revision,
             root: request,
             request,
@@ -132,28 +154,35 @@
             class: call.class,
             importance: class.importance,
             once,
-            left,
+            left: call.left.unwrap_or(class.deadline).min(class.deadline),
             age: Duration::ZERO,
             depth: 0,
             grant: Grant { units: 0, rerun: false },
-            binding: call.binding.filter(|_| once),
+            binding,
+        };
+        let delivery = Delivery {
+            meta,
+            rule: if once { CallRule::Bound } else { CallRule::Free },
+            within: Lineage::from_once(once),
+            service: class.service,
+            siblings: 1,
+            body: call.body,
         };
-        let service = class.service.clone();
-        let delivery = Delivery { meta, service, siblings: 1, body: call.body };
         let budget = Mutex::new(Budget::grant(class.retries));
-        let outcome = self.route.deliver(delivery, &budget).await;
-        Outbound { outcome, binding: None }
+        Ok(self.route.deliver(delivery, &budget).await.into())
     }
 
-    async fn serve_child(&self, call: Inbound, terms: Terms, run: &Run) -> Outbound {
-        let class = &terms.class;
+    async fn serve_child(&self, call: Inbound, token: RequestId) -> Result<Outbound, ErrorKind> {
+        let run = self.runs.find(token).ok_or(ErrorKind::BadRequest)?;
         let parent = &run.meta;
-        if !parent.once && !class.repeatable {
-            return refuse(ErrorKind::OnceInRepeatable);
-        }
+        let call = Inbound { customer: Some(parent.customer.clone()), ..call };
+        let (_, terms) = self.terms(&call)?;
+        let class = terms.class;
+        let above = Lineage::from_once(parent.once);
+        let rule = call_rule(above, class.repeatable, false)?;
+        let within = above.below(class.repeatable);
         let now = self.clock.now();
-        let left = run.deadline.since(now);
-        let binding = if class.repeatable { None } else { self.route.bind(&class.service) };
+        let left = run.left(now);
         let meta = CallMeta {
             customer: parent.customer.clone(),
             revision: terms.revision,
@@ -162,26 +191,37 @@
             attempt: AttemptId(0),
             class: call.class,
             importance: parent.importance,
-            once: parent.once,
+            once: within == Lineage::Once,
             left: call.left.unwrap_or(left).min(left),
             age: parent.age + now.since(run.since),
             depth: parent.depth.saturating_add(1),
             grant: Grant { units: 0, rerun: false },
-            binding,
+            binding: None,
         };
-        let service = class.service.clone();
-        let delivery = Delivery { meta, service, siblings: 1, body: call.body };
-        let outcome = self.route.deliver(delivery, run.budget()).await;
-        Outbound { outcome, binding: None }
+        let service = class.service;
+        let delivery = Delivery { meta, rule, within, service, siblings: 1, body: call.body };
+        Ok(self.route.deliver(delivery, run.budget()).await.into())
     }
 }
 
-fn refuse(kind: ErrorKind) -> Outbound {
-    Outbound { outcome: Outcome::NotRun { kind, retry_after: RETRY_AFTER }, binding: None }
+impl From<Delivered> for Outbound {
+    fn from(done: Delivered) -> Self {
+        Self { outcome: done.outcome, retry_after: done.retry_after, binding: done.offer }
+    }
 }
 
-fn draw_request() -> RequestId {
-    RequestId(fastrand::u128(..))
+/// Refusal by this node itself.
+///
+/// A request that came with a binding may have run before through another entry, so this node
+/// cannot say that it did not.
+fn refuse(kind: ErrorKind, bound: bool) -> Outbound {
+    let spread = come_back_after(RETRY_AFTER, fastrand::u64(..));
+    let retry_after = kind.reply().retryable.then_some(spread);
+    let outcome = match bound {
+        true => Outcome::Unknown { kind },
+        false => Outcome::NotRun { kind, retry_after: spread },
+    };
+    Outbound { outcome, retry_after, binding: None }
 }
 
 impl Service for Entry {
--- a/node/src/follow.rs
+++ b/node/src/follow.rs
@@ -1,92 +1,199 @@
-//! Tasks that follow the platform's streams and append to them.
+//! Tasks that follow the platform's streams, append to them, and pull from peers.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use poplar_core::{ContractRecord, Offset};
+use poplar_core::{ContractRecord, Fold, LogBatch, LogEntry, Offset, ReadAction};
+use poplar_kernel::{Clock, Registry, RegistryError};
 use poplar_wire::MemberRecord;
 use slog::{Logger, info, warn};
 use tokio::sync::mpsc;
 
 use crate::contracts::Contracts;
 use crate::directory::Directory;
-use crate::platform::{Batch, LogRecord, Platform};
+use crate::links::Links;
+use crate::platform::{Batch, Platform, PlatformError};
 
+/// Path at which a peer gives its fold of the contracts.
+pub(crate) const CONTRACTS_PATH: &str = "/contracts";
+/// Path at which peers exchange the members that they know.
+pub(crate) const MEMBERS_PATH: &str = "/members";
 /// Stream of contract records.
 const CONTRACTS: &str = "contracts";
 /// Stream of member records.
 const MEMBERS: &str = "members";
+/// Time a read of the members' stream may wait at the log for new records.
+const MEMBERS_WAIT: Duration = Duration::from_secs(5);
 /// Shortest pause after a failure of the log.
 const PAUSE_MIN: Duration = Duration::from_millis(100);
 /// Longest pause after a failure of the log.
 const PAUSE_MAX: Duration = Duration::from_secs(2);
 
-/// Follows the members' stream for as long as the process lives.
-pub(crate) async fn follow_members(platform: Platform, directory: Arc<Directory>, logger: Logger) {
-    follow(platform, MEMBERS, logger, |record| {
-        if let Ok(member) = serde_json::from_value::<MemberRecord>(record.body) {
-            directory.learn(member);
-        }
-    })
-    .await;
-}
-
-/// Follows the contracts' stream for as long as the process lives.
-pub(crate) async fn follow_contracts(
+/// What the tasks share.
+#[derive(Clone)]
+pub(crate) struct Follower {
+    clock: Clock,
     platform: Platform,
+    peers: Vec<SocketAddr>,
     contracts: Arc<Contracts>,
+    directory: Arc<Directory>,
+    links: Arc<Links>,
     logger: Logger,
-) {
-    let notes = logger.clone();
-    follow(platform, CONTRACTS, logger, move |record| {
-        let decoded = serde_json::from_value::<ContractRecord>(record.body).ok();
-        let verdict = contracts.take(record.offset, decoded.as_ref());
-        info!(notes, "contract record judged";
-            "offset" => %record.offset, "verdict" => ?verdict);
-    })
-    .await;
 }
 
-/// Appends member records in order, each until the log has confirmed it.
-pub(crate) async fn append_members(
-    platform: Platform,
-    mut records: mpsc::UnboundedReceiver<MemberRecord>,
-    logger: Logger,
-) {
-    while let Some(record) = records.recv().await {
-        let Ok(body) = serde_json::to_vec(&record) else { continue };
-        let mut pause = PAUSE_MIN;
-        while let Err(error) = platform.append(MEMBERS, body.clone().into()).await {
-            warn!(logger, "append not confirmed"; "error" => %error);
-            pause = next_pause(pause).await;
+impl Follower {
+    /// Follower that finds what it needs in `registry`; `peers` are the ones in the settings.
+    pub(crate) fn new(
+        clock: Clock,
+        platform: Platform,
+        peers: Vec<SocketAddr>,
+        registry: &Registry,
+        logger: Logger,
+    ) -> Result<Self, RegistryError> {
+        Ok(Self {
+            clock,
+            platform,
+            peers,
+            contracts: registry.find("contracts")?,
+            directory: registry.find("directory")?,
+            links: registry.find("links")?,
+            logger,
+        })
+    }
+
+    /// Does what the reader of contracts asks for, as long as the process lives.
+    pub(crate) async fn contracts(self) {
+        loop {
+            match self.contracts.poll(&self.directory.live()) {
+                ReadAction::Read { from, wait } => self.read_contracts(from, wait).await,
+                ReadAction::Append(record) => self.append_contract(&record).await,
+                ReadAction::Pull => self.pull_contracts().await,
+                ReadAction::Wait(until) => {
+                    tokio::time::sleep_until(self.clock.instant(until).into()).await;
+                }
+            }
         }
     }
-}
 
-async fn follow(
-    platform: Platform,
-    stream: &'static str,
-    logger: Logger,
-    mut take: impl FnMut(LogRecord),
-) {
-    let mut next = Offset::default();
-    let mut pause = PAUSE_MIN;
-    loop {
-        match platform.read(stream, next).await {
-            Ok(Batch { start, records }) => {
-                pause = PAUSE_MIN;
-                next = next.max(start);
-                for record in records {
-                    next = Offset(record.offset.0 + 1);
-                    take(record);
+    /// Pulls from the nodes that are known to have a later revision in force.
+    pub(crate) async fn hints(self, mut hints: mpsc::Receiver<String>) {
+        while let Some(address) = hints.recv().await {
+            if let Ok(peer) = address.parse() {
+                self.pull_from(peer).await;
+            }
+        }
+    }
+
+    /// Follows the members' stream as long as the process lives; peers stand in when it fails.
+    pub(crate) async fn members(self) {
+        let mut next = Offset::default();
+        let mut pause = PAUSE_MIN;
+        loop {
+            match self.platform.read(MEMBERS, next, MEMBERS_WAIT).await {
+                Ok(batch) => {
+                    pause = PAUSE_MIN;
+                    next = self.learn(next, batch);
+                }
+                Err(error) => {
+                    warn!(self.logger, "read failed"; "stream" => MEMBERS, "error" => %error);
+                    self.exchange_members().await;
+                    pause = next_pause(pause).await;
                 }
             }
-            Err(error) => {
-                warn!(logger, "read failed"; "stream" => stream, "error" => %error);
+        }
+    }
+
+    /// Appends member records in order, each until the log has confirmed it.
+    pub(crate) async fn append_members(self, mut records: mpsc::UnboundedReceiver<MemberRecord>) {
+        while let Some(record) = records.recv().await {
+            let Ok(body) = serde_json::to_vec(&record) else { continue };
+            let mut pause = PAUSE_MIN;
+            while let Err(error) = self.platform.append(MEMBERS, body.clone().into()).await {
+                warn!(self.logger, "append not confirmed"; "error" => %error);
                 pause = next_pause(pause).await;
             }
         }
     }
+
+    async fn read_contracts(&self, from: Offset, wait: Duration) {
+        match self.platform.read(CONTRACTS, from, wait).await {
+            Ok(batch) => {
+                for judged in self.contracts.on_read(&decoded(batch)) {
+                    info!(self.logger, "contract record judged";
+                        "offset" => %judged.offset, "verdict" => ?judged.verdict);
+                }
+            }
+            Err(error) => self.failed(&error),
+        }
+    }
+
+    async fn append_contract(&self, record: &ContractRecord) {
+        let Ok(body) = serde_json::to_vec(record) else { return self.contracts.on_error() };
+        match self.platform.append(CONTRACTS, body.into()).await {
+            Ok(offset) => {
+                self.contracts.on_append();
+                info!(self.logger, "state appended"; "offset" => %offset);
+            }
+            Err(error) => self.failed(&error),
+        }
+    }
+
+    fn failed(&self, error: &PlatformError) {
+        self.contracts.on_error();
+        warn!(self.logger, "log failed"; "stream" => CONTRACTS, "error" => %error);
+    }
+
+    async fn pull_contracts(&self) {
+        if let Some(peer) = self.any_peer() {
+            self.pull_from(peer).await;
+        }
+    }
+
+    async fn pull_from(&self, peer: SocketAddr) {
+        let pulled: Result<Fold, _> = self.links.exchange(peer, CONTRACTS_PATH, &()).await;
+        if let Ok(fold) = pulled
+            && self.contracts.on_peer(&fold)
+        {
+            info!(self.logger, "contracts pulled"; "peer" => %peer, "next" => %fold.next());
+        }
+    }
+
+    /// Gives a peer the members known here, and takes in those that it knows.
+    async fn exchange_members(&self) {
+        let Some(peer) = self.any_peer() else { return };
+        let known = self.directory.all();
+        let learnt: Result<Vec<MemberRecord>, _> =
+            self.links.exchange(peer, MEMBERS_PATH, &known).await;
+        learnt.into_iter().flatten().for_each(|member| self.directory.learn(member));
+    }
+
+    /// Peer drawn at random from the settings and the members known.
+    fn any_peer(&self) -> Option<SocketAddr> {
+        let members = self.directory.all().into_iter().filter_map(|m| m.address.parse().ok());
+        let peers: Vec<SocketAddr> = members.chain(self.peers.iter().copied()).collect();
+        fastrand::choice(peers)
+    }
+
+    fn learn(&self, next: Offset, batch: Batch) -> Offset {
+        let mut next = next.max(batch.start);
+        for record in batch.records {
+            next = Offset(record.offset.0.saturating_add(1));
+            if let Ok(member) = serde_json::from_value(record.body) {
+                self.directory.learn(member);
+            }
+        }
+        next
+    }
+}
+
+/// Batch as the reader judges it; a body that is no record is left for it to pass over.
+fn decoded(batch: Batch) -> LogBatch {
+    let entries = batch.records.into_iter().map(|record| LogEntry {
+        offset: record.offset,
+        record: serde_json::from_value(record.body).ok(),
+    });
+    LogBatch { start: batch.start, end: batch.next, records: entries.collect() }
 }
 
 /// Waits for `pause`, spread at random, and returns the next, longer pause.
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -48,6 +48,17 @@
     finished: bool,
 }
 
+/// Load of the target beside this node.
+#[derive(Debug, Default)]
+pub(crate) struct Load {
+    /// Calls that wait.
+    pub(crate) queued: usize,
+    /// Calls that may run at once.
+    pub(crate) limit: u32,
+    /// Rank below which calls are refused.
+    pub(crate) level: Level,
+}
+
 /// Place of a call that has arrived and is not running yet; cancelled on drop.
 struct Place {
     gate: Arc<Gate>,
@@ -91,6 +102,14 @@
         Ok(place.into_permit(self.clock.now(), meta.class.clone()))
     }
 
+    /// Load as the metrics show it.
+    pub(crate) fn load(&self) -> Load {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some(admission) = state.admission.as_mut() else { return Load::default() };
+        Load { queued: admission.queued(), limit: admission.limit(), level: admission.level(now) }
+    }
+
     /// Level that goes back with an answer.
     pub(crate) fn level(&self) -> Level {
         let now = self.clock.now();
--- /dev/null
+++ b/node/src/handover.rs
@@ -0,0 +1,58 @@
+//! Handover of the once-only table to a successor, at the end of a graceful stop.
+
+use std::sync::Arc;
+
+use poplar_core::{Handover, InstanceId, Name};
+use poplar_kernel::{Registry, RegistryError};
+use poplar_wire::Answer;
+
+use crate::directory::Directory;
+use crate::links::Links;
+use crate::once::Once;
+
+/// Path of the table's handover.
+pub(crate) const SUCCEED_PATH: &str = "/succeed";
+/// Members that are asked before the table is given up.
+const TRIES: usize = 3;
+
+/// What a handover needs.
+pub(crate) struct Leaver {
+    own: InstanceId,
+    directory: Arc<Directory>,
+    links: Arc<Links>,
+    once: Arc<Once>,
+}
+
+impl Leaver {
+    /// Leaver that finds what it needs in `registry`.
+    pub(crate) fn new(own: InstanceId, registry: &Registry) -> Result<Self, RegistryError> {
+        Ok(Self {
+            own,
+            directory: registry.find("directory")?,
+            links: registry.find("links")?,
+            once: registry.find("once")?,
+        })
+    }
+
+    /// Hands the table to a serving member of the service, and names it.
+    ///
+    /// To be called when nothing runs any more. Without a successor the outcomes of the kept
+    /// requests are unknown from now on.
+    pub(crate) async fn hand_over(&self, service: &Name) -> Option<InstanceId> {
+        let handover = self.once.hand_over()?;
+        let mut members = self.directory.serving(service);
+        members.retain(|member| member.instance != self.own);
+        fastrand::shuffle(&mut members);
+        for member in members.into_iter().take(TRIES) {
+            let Ok(peer) = member.address.parse() else { continue };
+            if self.offer(peer, &handover).await {
+                return Some(member.instance);
+            }
+        }
+        None
+    }
+
+    async fn offer(&self, peer: std::net::SocketAddr, handover: &Handover<Answer>) -> bool {
+        self.links.exchange(peer, SUCCEED_PATH, handover).await.unwrap_or(false)
+    }
+}
--- /dev/null
+++ b/node/src/levels.rs
@@ -0,0 +1,98 @@
+//! Admission levels that this node learnt from answers.
+
+use std::sync::{Mutex, PoisonError};
+
+use poplar_core::{
+    Contract, ImportanceScale, InstanceId, Level, LevelMap, Moment, Name, Rank, Revision,
+};
+use poplar_kernel::{Clock, Service};
+use serde_json::{Value, json};
+
+use crate::contracts::InForce;
+
+/// Most classes below one class that are looked at; a graph of calls is no deeper than 18.
+const BELOW_MAX: usize = 256;
+
+/// Service that knows which calls would be refused further down.
+#[derive(Debug)]
+pub(crate) struct Levels {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    revision: Revision,
+    map: LevelMap,
+}
+
+impl Levels {
+    /// Service without knowledge.
+    pub(crate) fn new(clock: Clock) -> Self {
+        let map = LevelMap::new(ImportanceScale::new([]));
+        Self { clock, state: Mutex::new(State { revision: Revision::default(), map }) }
+    }
+
+    /// Takes in the level that came with an answer.
+    pub(crate) fn learn(&self, class: &Name, instance: &InstanceId, level: Level) {
+        let now = self.clock.now();
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.map.learn(now, class, instance, level);
+    }
+
+    /// Whether `class` or a class below it would refuse a call of this rank.
+    pub(crate) fn is_doomed(&self, contract: &InForce, class: &Name, rank: Rank) -> bool {
+        let now = self.clock.now();
+        let mut classes = below(&contract.contract, class);
+        classes.push(class);
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.revise(contract);
+        state.map.is_doomed(now, rank, classes)
+    }
+
+    /// Level to send back with an answer to a call of `class`.
+    pub(crate) fn joined(&self, contract: &InForce, class: &Name, own: Level) -> Level {
+        let now = self.clock.now();
+        let classes = below(&contract.contract, class);
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.revise(contract);
+        state.map.joined(now, own, classes)
+    }
+}
+
+impl State {
+    fn revise(&mut self, contract: &InForce) {
+        if self.revision != contract.revision {
+            self.revision = contract.revision;
+            self.map.revise(ImportanceScale::derive(&contract.contract));
+        }
+    }
+}
+
+/// Classes that a run of `class` calls, directly or through others, each once.
+fn below<'a>(contract: &'a Contract, class: &Name) -> Vec<&'a Name> {
+    let mut found: Vec<&Name> = Vec::new();
+    let mut open: Vec<&Name> = callees(contract, class).collect();
+    while let Some(next) = open.pop() {
+        if found.len() < BELOW_MAX && !found.contains(&next) {
+            found.push(next);
+            open.extend(callees(contract, next));
+        }
+    }
+    found
+}
+
+fn callees<'a>(contract: &'a Contract, class: &Name) -> impl Iterator<Item = &'a Name> {
+    contract.classes.get(class).into_iter().flat_map(|terms| &terms.calls)
+}
+
+impl Service for Levels {
+    fn name(&self) -> &'static str {
+        "levels"
+    }
+
+    fn dump(&self, now: Moment) -> Value {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        json!({ "revision": state.revision, "known": format!("{:?}", state.map), "now": now })
+    }
+}
--- /dev/null
+++ b/node/src/metrics.rs
@@ -0,0 +1,143 @@
+//! Metrics of the process, in the text format that scrapers read.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use poplar_core::{Moment, Name, Outcome};
+use poplar_kernel::{Registry as Services, RegistryError, Service};
+use prometheus_client::encoding::{EncodeLabelSet, text::encode};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::{Registry, Unit};
+use serde_json::{Value, json};
+
+use crate::contracts::Contracts;
+use crate::directory::Directory;
+use crate::gate::Gate;
+use crate::work::Work;
+
+/// Labels of an answered call.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Answered {
+    class: String,
+    outcome: &'static str,
+    error: &'static str,
+}
+
+/// Labels of a count of members.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct State {
+    state: &'static str,
+}
+
+/// Service that counts, and reads the other services' gauges when it is asked.
+pub(crate) struct Metrics {
+    registry: Registry,
+    answered: Family<Answered, Counter>,
+    retries: Counter,
+    gauges: Gauges,
+    contracts: Arc<Contracts>,
+    directory: Arc<Directory>,
+    gate: Arc<Gate>,
+    work: Arc<Work>,
+}
+
+/// Gauges that are set when the metrics are read.
+#[derive(Default)]
+struct Gauges {
+    in_flight: Gauge,
+    queued: Gauge,
+    limit: Gauge,
+    level: Gauge,
+    members: Family<State, Gauge>,
+    revision: Gauge,
+    stale: Gauge<f64, AtomicU64>,
+}
+
+impl Metrics {
+    /// Service that finds what it reads in `services`.
+    pub(crate) fn new(services: &Services) -> Result<Self, RegistryError> {
+        let answered = Family::default();
+        let retries = Counter::default();
+        let gauges = Gauges::default();
+        let mut registry = Registry::with_prefix("poplar");
+        registry.register("calls", "Calls that got their final answer here", answered.clone());
+        registry.register("resends", "Sends beyond the first of each call", retries.clone());
+        gauges.register(&mut registry);
+        Ok(Self {
+            registry,
+            answered,
+            retries,
+            gauges,
+            contracts: services.find("contracts")?,
+            directory: services.find("directory")?,
+            gate: services.find("admission")?,
+            work: services.find("work")?,
+        })
+    }
+
+    /// Counts the final answer to a call.
+    pub(crate) fn answered<A>(&self, class: &Name, outcome: &Outcome<A>) {
+        let (outcome, error) = match outcome {
+            Outcome::Done(_) => ("done", ""),
+            Outcome::NotRun { kind, .. } => ("not-run", kind.label()),
+            Outcome::Unknown { kind } => ("unknown", kind.label()),
+        };
+        let labels = Answered { class: class.to_string(), outcome, error };
+        self.answered.get_or_create(&labels).inc();
+    }
+
+    /// Counts the sends of a call beyond its first.
+    pub(crate) fn resent(&self, sends: u64) {
+        self.retries.inc_by(sends);
+    }
+
+    /// Text for scrapers.
+    pub(crate) fn text(&self, customer: &Name) -> String {
+        self.refresh(customer);
+        let mut text = String::new();
+        // Writing into a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    fn refresh(&self, customer: &Name) {
+        let load = self.gate.load();
+        self.gauges.in_flight.set(i64::from(self.work.in_flight()));
+        self.gauges.queued.set(load.queued as i64);
+        self.gauges.limit.set(i64::from(load.limit));
+        self.gauges.level.set(i64::from(load.level.0));
+        self.gauges.revision.set(self.contracts.revision(customer).0 as i64);
+        self.gauges.stale.set(self.contracts.staleness().as_secs_f64());
+        for (state, count) in self.directory.counts() {
+            self.gauges.members.get_or_create(&State { state }).set(count as i64);
+        }
+    }
+}
+
+impl Gauges {
+    fn register(&self, registry: &mut Registry) {
+        let gauge = |registry: &mut Registry, name, help, gauge: &Gauge| {
+            registry.register(name, help, gauge.clone());
+        };
+        gauge(registry, "in_flight", "Calls at the target beside this node", &self.in_flight);
+        gauge(registry, "queued", "Calls that wait for the target", &self.queued);
+        gauge(registry, "limit", "Calls that the target may run at once", &self.limit);
+        gauge(registry, "level", "Rank below which calls are refused", &self.level);
+        gauge(registry, "contract_revision", "Revision in force", &self.revision);
+        registry.register("members", "Members known, by state", self.members.clone());
+        let help = "Time since every record of the log of contracts was known";
+        registry.register_with_unit("log_lag", help, Unit::Seconds, self.stale.clone());
+    }
+}
+
+impl Service for Metrics {
+    fn name(&self) -> &'static str {
+        "metrics"
+    }
+
+    fn dump(&self, _now: Moment) -> Value {
+        json!({ "resends": self.retries.get() })
+    }
+}
--- /dev/null
+++ b/node/src/once.rs
@@ -0,0 +1,225 @@
+//! Once-only requests at the target beside this node: the table, its sealing and its successor.
+//!
+//! See [at most once](../../docs/design/at-most-once.md).
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use poplar_core::{
+    Binding, Contract, ErrorKind, Fate, Handover, Incarnation, InstanceId, Moment, Outcome,
+    RequestId, Revision, RunLimits, RunTable, RunVerdict, SealedTable, Successor, SuccessorFull,
+};
+use poplar_kernel::{Clock, Service};
+use poplar_wire::Answer;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+/// Most once-only requests on record.
+const KEYS: usize = 32_768;
+/// Most bytes of kept answers, with the room set aside for running requests.
+const ANSWER_BYTES: usize = 16 << 20;
+/// Time after which a new window is opened.
+const WINDOW: Duration = Duration::from_secs(10);
+/// Time for which keys are kept until a contract says how long.
+const HOLD: Duration = Duration::from_secs(3_600);
+/// Most requests in the tables taken over from other incarnations.
+const SUCCESSOR_KEYS: usize = 65_536;
+
+/// Service that decides which once-only requests run.
+#[derive(Debug)]
+pub(crate) struct Once {
+    clock: Clock,
+    state: Mutex<State>,
+    ended: Notify,
+}
+
+#[derive(Debug)]
+struct State {
+    table: Table,
+    successor: Successor<Answer>,
+    revision: Revision,
+}
+
+/// Table of this incarnation, by stage; a later stage never goes back to an earlier one.
+#[derive(Debug)]
+enum Table {
+    Open(Box<RunTable<Answer>>),
+    Sealed(Box<SealedTable<Answer>>),
+    HandedOver,
+}
+
+/// What the node may do with one copy of a once-only request.
+#[derive(Debug)]
+pub(crate) enum Copy {
+    /// Run it, then report the outcome to [`Once::finish`].
+    Run,
+    /// Tell the sender this; the binding is for its next send.
+    Known(Fate<Answer>, Option<Binding>),
+}
+
+impl Once {
+    /// Service of one incarnation.
+    pub(crate) fn new(clock: Clock, instance: InstanceId, incarnation: Incarnation) -> Self {
+        let limits = RunLimits { keys: KEYS, bytes: ANSWER_BYTES, window: WINDOW, hold: HOLD };
+        let table = RunTable::new(clock.now(), instance, incarnation, limits);
+        let state = State {
+            table: Table::Open(Box::new(table)),
+            successor: Successor::new(HOLD, SUCCESSOR_KEYS),
+            revision: Revision::default(),
+        };
+        Self { clock, state: Mutex::new(state), ended: Notify::new() }
+    }
+
+    /// Takes the repeat windows of a contract revision over, if it is a new one.
+    pub(crate) fn revise(&self, revision: Revision, contract: &Contract) {
+        let mut state = self.lock();
+        if state.revision == revision {
+            return;
+        }
+        state.revision = revision;
+        let once = contract.classes.values().filter(|terms| !terms.repeatable);
+        let hold = once.map(|terms| terms.repeat_window).max().unwrap_or(HOLD);
+        if let Table::Open(table) = &mut state.table {
+            table.set_hold(hold);
+        }
+    }
+
+    /// Fresh binding to this incarnation; none once it is sealed.
+    pub(crate) fn offer(&self, last: Option<&Binding>) -> Option<Binding> {
+        let now = self.clock.now();
+        self.lock().offer(now, last)
+    }
+
+    /// Decides on one copy; `room` is the size in bytes of its largest answer.
+    pub(crate) fn admit(&self, request: RequestId, binding: &Binding, room: usize) -> Copy {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let fate = match &mut state.table {
+            Table::Open(table) => match table.admit(now, request, binding, room) {
+                RunVerdict::Run => return Copy::Run,
+                RunVerdict::Known(fate) => fate,
+            },
+            Table::Sealed(table) => table.answer(request, binding),
+            Table::HandedOver => Fate::Unknown(ErrorKind::Connection),
+        };
+        let fate = state.or_successor(now, request, binding, fate);
+        state.known(now, binding, fate)
+    }
+
+    /// Refuses one copy that is not to run; a tombstone is on record when this returns.
+    pub(crate) fn refuse(&self, request: RequestId, binding: &Binding, kind: ErrorKind) -> Copy {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let fate = match &mut state.table {
+            Table::Open(table) => table.refuse(now, request, binding, kind),
+            Table::Sealed(table) => table.answer(request, binding),
+            Table::HandedOver => Fate::Unknown(ErrorKind::Connection),
+        };
+        let fate = state.or_successor(now, request, binding, fate);
+        state.known(now, binding, fate)
+    }
+
+    /// Records how an admitted request ended.
+    pub(crate) fn finish(&self, request: RequestId, outcome: &Outcome<Answer>) {
+        let now = self.clock.now();
+        let size = match outcome {
+            Outcome::Done(answer) => answer.body.len(),
+            _ => 0,
+        };
+        match &mut self.lock().table {
+            Table::Open(table) => table.finish(now, request, outcome.clone(), size),
+            Table::Sealed(table) => table.finish(request, outcome.clone(), size),
+            Table::HandedOver => false,
+        };
+        self.ended.notify_waiters();
+    }
+
+    /// Waits until the running copy has ended, and tells what became of it.
+    pub(crate) async fn join(&self, request: RequestId, binding: &Binding) -> Copy {
+        loop {
+            let ended = self.ended.notified();
+            match self.refuse(request, binding, ErrorKind::Connection) {
+                Copy::Known(Fate::Running, _) => ended.await,
+                known => return known,
+            }
+        }
+    }
+
+    /// Admits nothing more from now on.
+    pub(crate) fn seal(&self) {
+        let mut state = self.lock();
+        let table = std::mem::replace(&mut state.table, Table::HandedOver);
+        state.table = match table {
+            Table::Open(table) => Table::Sealed(Box::new(table.seal())),
+            other => other,
+        };
+    }
+
+    /// Takes the sealed table out for a successor; none before the seal or if it is empty.
+    pub(crate) fn hand_over(&self) -> Option<Handover<Answer>> {
+        let mut state = self.lock();
+        let table = std::mem::replace(&mut state.table, Table::HandedOver);
+        match table {
+            Table::Sealed(table) => Some(table.handover()),
+            other => {
+                state.table = other;
+                None
+            }
+        }
+    }
+
+    /// Takes over the table of an incarnation that leaves.
+    pub(crate) fn succeed(&self, handover: Handover<Answer>) -> Result<(), SuccessorFull> {
+        let now = self.clock.now();
+        self.lock().successor.take(now, handover)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn offer(&mut self, now: Moment, last: Option<&Binding>) -> Option<Binding> {
+        match &mut self.table {
+            Table::Open(table) => Some(table.mint(now, last)),
+            Table::Sealed(_) | Table::HandedOver => None,
+        }
+    }
+
+    /// A binding that is lost to this incarnation may be known from a table taken over.
+    fn or_successor(
+        &mut self,
+        now: Moment,
+        request: RequestId,
+        binding: &Binding,
+        fate: Fate<Answer>,
+    ) -> Fate<Answer> {
+        match fate {
+            Fate::Unknown(ErrorKind::BindingLost) => self.successor.answer(now, request, binding),
+            fate => fate,
+        }
+    }
+
+    fn known(&mut self, now: Moment, binding: &Binding, fate: Fate<Answer>) -> Copy {
+        let refused = matches!(fate, Fate::NotRun(_));
+        let offer = if refused { self.offer(now, Some(binding)) } else { None };
+        Copy::Known(fate, offer)
+    }
+}
+
+impl Service for Once {
+    fn name(&self) -> &'static str {
+        "once"
+    }
+
+    fn dump(&self, _now: Moment) -> Value {
+        match &self.lock().table {
+            Table::Open(table) => {
+                json!({ "stage": "open", "keys": table.len(), "bytes": table.bytes() })
+            }
+            Table::Sealed(table) => json!({ "stage": "sealed", "running": table.running() }),
+            Table::HandedOver => json!({ "stage": "handed-over" }),
+        }
+    }
+}
--- a/node/src/platform.rs
+++ b/node/src/platform.rs
@@ -13,8 +13,6 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
-/// Time a read may wait at the log for new records.
-pub(crate) const READ_WAIT: Duration = Duration::from_secs(5);
 /// Records asked for in one read, which bounds the memory that one answer takes.
 const READ_RECORDS: usize = 256;
 /// Largest answer of the log, in bytes.
@@ -34,6 +32,8 @@
 pub(crate) struct Batch {
     /// Oldest offset that the log still keeps.
     pub(crate) start: Offset,
+    /// Offset that the next append will get.
+    pub(crate) next: Offset,
     /// Records in order of their offsets.
     pub(crate) records: Vec<LogRecord>,
 }
@@ -76,11 +76,18 @@
     }
 
     /// Reads records of `stream` from `from` on, waiting for the first one.
-    pub(crate) async fn read(&self, stream: &str, from: Offset) -> Result<Batch, PlatformError> {
-        let wait_ms = READ_WAIT.as_millis();
+    ///
+    /// `wait` bounds the time that the log may hold the read.
+    pub(crate) async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        wait: Duration,
+    ) -> Result<Batch, PlatformError> {
+        let wait_ms = wait.as_millis();
         let path =
             format!("/streams/{stream}/records?from={from}&wait_ms={wait_ms}&limit={READ_RECORDS}");
-        self.exchange(Method::GET, &path, Bytes::new(), READ_WAIT + APPEND_TIMEOUT).await
+        self.exchange(Method::GET, &path, Bytes::new(), wait + APPEND_TIMEOUT).await
     }
 
     /// Appends one record to `stream`.
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use poplar_core::Incarnation;
+use poplar_core::{Incarnation, Name};
 use poplar_kernel::{
     Clock, Draining, Life, LogFormat, Registry, RegistryError, Serving, part, root_logger,
 };
-use poplar_wire::MemberState;
+use poplar_wire::{MemberRecord, MemberState, Sender};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -18,12 +18,17 @@
 use crate::directory::Directory;
 use crate::ends::{admin, caller, listener, peer};
 use crate::entry::Entry;
-use crate::follow;
+use crate::follow::Follower;
 use crate::gate::Gate;
+use crate::handover::Leaver;
+use crate::levels::Levels;
 use crate::links::Links;
+use crate::metrics::Metrics;
+use crate::once::Once;
 use crate::platform::Platform;
 use crate::route::Route;
 use crate::runs::Runs;
+use crate::sends::Sends;
 use crate::settings::Settings;
 use crate::target::{Stage, Target};
 use crate::work::Work;
@@ -35,6 +40,9 @@
 /// Time for which a draining node goes on refusing, so that no member still sends to it.
 const DRAIN_LINGER: Duration = Duration::from_millis(500);
 
+/// Time for which the word of the leave may still reach the log.
+const LEAVE_LINGER: Duration = Duration::from_millis(200);
+
 /// Why the process could not start.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum StartError {
@@ -59,6 +67,13 @@
     entry: Arc<Entry>,
     work: Arc<Work>,
     announcer: Arc<Announcer>,
+    leaver: Leaver,
+}
+
+/// Channels from the services to the tasks that follow the log.
+struct Channels {
+    hints: mpsc::Receiver<String>,
+    appends: mpsc::UnboundedReceiver<MemberRecord>,
 }
 
 /// Runs the node until it is told to stop.
@@ -75,13 +90,13 @@
     let sockets = bind(&settings).await?;
     let clock = Clock::start();
     let (records, appends) = mpsc::unbounded_channel();
-    let services = build(clock, &settings, &sockets, records)?;
-    spawn_followers(&settings, &services, appends, &root)?;
+    let (services, hints) = build(clock, &settings, &sockets, records)?;
+    spawn_followers(clock, &settings, &services, Channels { hints, appends }, &root)?;
     print_ready(&sockets)?;
     let life = life.serve();
     info!(logger, "serving"; "instance" => %settings.instance);
     let mut terminate = signal(SignalKind::terminate())?;
-    let ends = spawn_ends(sockets, &life, &services, clock);
+    let ends = spawn_ends(sockets, &life, &services, clock, settings.customer.clone())?;
     terminate.recv().await;
     info!(logger, "draining");
     let life = drain(life.drain(), &services, clock, &logger).await;
@@ -106,29 +121,36 @@
     clock: Clock,
     settings: &Settings,
     sockets: &Sockets,
-    records: mpsc::UnboundedSender<poplar_wire::MemberRecord>,
-) -> Result<Services, StartError> {
-    let identity = Identity {
-        instance: settings.instance.clone(),
-        incarnation: first_incarnation(),
-        zone: settings.zone.clone(),
-        peer_address: sockets.peer.local_addr()?,
-    };
+    records: mpsc::UnboundedSender<MemberRecord>,
+) -> Result<(Services, mpsc::Receiver<String>), StartError> {
+    let incarnation = first_incarnation();
+    let instance = settings.instance.clone();
+    let peer_address = sockets.peer.local_addr()?;
+    let own = Sender { instance: instance.clone(), incarnation, address: peer_address.to_string() };
+    let zone = settings.zone.clone();
+    let identity = Identity { instance: instance.clone(), incarnation, zone, peer_address };
+    let retention = Duration::from_secs(settings.log_retention_s);
+    let (contracts, hints) = Contracts::new(clock, instance.clone(), retention);
     let registry = Arc::new(Registry::default());
-    registry.register(Arc::new(Contracts::new()));
+    registry.register(Arc::new(contracts));
     registry.register(Arc::new(Directory::default()));
+    registry.register(Arc::new(Levels::new(clock)));
     registry.register(Arc::new(Links::default()));
     registry.register(Arc::new(Runs::default()));
     registry.register(Arc::new(Target::new()));
     registry.register(Arc::new(Gate::new(clock)));
+    registry.register(Arc::new(Once::new(clock, instance.clone(), incarnation)));
+    registry.register(Arc::new(Sends::new(clock, incarnation)));
     let work = Arc::new(Work::new(clock, &registry)?);
     registry.register(work.clone());
-    registry.register(Arc::new(Route::new(clock, settings.instance.clone(), &registry)?));
+    registry.register(Arc::new(Metrics::new(&registry)?));
+    registry.register(Arc::new(Route::new(clock, own, &registry)?));
     let entry = Arc::new(Entry::new(clock, settings.customer.clone(), &registry)?);
     registry.register(entry.clone());
     let announcer = Arc::new(Announcer::new(clock, identity, &registry, records)?);
     registry.register(announcer.clone());
-    Ok(Services { registry, entry, work, announcer })
+    let leaver = Leaver::new(instance, &registry)?;
+    Ok((Services { registry, entry, work, announcer, leaver }, hints))
 }
 
 /// Incarnation of a new process: an instance keeps nothing, so the wall clock stands in.
@@ -138,18 +160,20 @@
 }
 
 fn spawn_followers(
+    clock: Clock,
     settings: &Settings,
     services: &Services,
-    appends: mpsc::UnboundedReceiver<poplar_wire::MemberRecord>,
+    channels: Channels,
     root: &Logger,
 ) -> Result<(), StartError> {
     let platform = Platform::new(settings.log_address);
+    let peers = settings.peers.clone();
     let logger = part(root, "log");
-    let directory = services.registry.find("directory")?;
-    let contracts = services.registry.find("contracts")?;
-    tokio::spawn(follow::follow_members(platform.clone(), directory, logger.clone()));
-    tokio::spawn(follow::follow_contracts(platform.clone(), contracts, logger.clone()));
-    tokio::spawn(follow::append_members(platform, appends, logger));
+    let follower = Follower::new(clock, platform, peers, &services.registry, logger)?;
+    tokio::spawn(follower.clone().contracts());
+    tokio::spawn(follower.clone().hints(channels.hints));
+    tokio::spawn(follower.clone().members());
+    tokio::spawn(follower.append_members(channels.appends));
     Ok(())
 }
 
@@ -166,19 +190,27 @@
     life: &Life<Serving>,
     services: &Services,
     clock: Clock,
-) -> Vec<tokio::task::JoinHandle<()>> {
+    customer: Name,
+) -> Result<Vec<tokio::task::JoinHandle<()>>, StartError> {
     let entry = services.entry.clone();
     let callers = listener::accept(sockets.caller, life.watch(), move |socket, graceful| {
         caller::connection(socket, graceful, entry.clone())
     });
-    let work = services.work.clone();
+    let served = Arc::new(peer::Peers {
+        work: services.work.clone(),
+        contracts: services.registry.find("contracts")?,
+        directory: services.registry.find("directory")?,
+    });
     let peers = listener::accept(sockets.peer, life.watch(), move |socket, graceful| {
-        peer::connection(socket, graceful, work.clone())
+        peer::connection(socket, graceful, served.clone())
     });
     let admin = admin::Admin {
         clock,
         registry: services.registry.clone(),
         announcer: services.announcer.clone(),
+        contracts: services.registry.find("contracts")?,
+        metrics: services.registry.find("metrics")?,
+        customer,
     };
     let routes = admin::routes(admin);
     let admin = async move {
@@ -188,7 +220,7 @@
         }
     };
     tokio::spawn(admin);
-    vec![tokio::spawn(callers), tokio::spawn(peers)]
+    Ok(vec![tokio::spawn(callers), tokio::spawn(peers)])
 }
 
 /// Refuses new work, tells the members, and waits until nothing is in flight.
@@ -209,8 +241,14 @@
     if busy(services) {
         warn!(logger, "calls cut off by the drain limit"; "calls" => services.work.in_flight());
     }
-    services.announcer.change(Stage::Left, MemberState::Left);
-    tokio::time::sleep(DRAIN_POLL).await;
+    if let Some(service) = services.announcer.service() {
+        let successor = services.leaver.hand_over(&service).await;
+        if let Some(successor) = &successor {
+            info!(logger, "once-only table handed over"; "successor" => %successor);
+        }
+        services.announcer.leave(successor);
+    }
+    tokio::time::sleep(LEAVE_LINGER).await;
     life
 }
 
--- a/node/src/route.rs
+++ b/node/src/route.rs
@@ -1,35 +1,61 @@
 //! Calls that this node sends to targets: the caller's half of a hop.
 
+mod trip;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use poplar_core::{
-    AttemptId, Binding, Budget, Call, CallTerms, ErrorKind, InstanceId, Loan, Moment, Name, Next,
-    Outcome, RequestId, RetriesSpent, next_step,
+    AttemptId, Binding, Budget, CallRule, ErrorKind, Fate, InstanceId, Lineage, Moment, Name,
+    Outcome, RequestId,
 };
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
-use poplar_wire::{Answer, CallMeta, CallReply, CallRequest, MemberRecord};
+use poplar_wire::{
+    Answer, AskReply, AskRequest, BindRequest, CallMeta, CallReply, CallRequest, MemberRecord,
+    MemberState, Sender,
+};
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::contracts::Contracts;
 use crate::directory::Directory;
+use crate::levels::Levels;
 use crate::links::{LinkError, Links};
-use crate::work::Work;
+use crate::metrics::Metrics;
+use crate::work::{Work, outcome_of};
+
+use trip::Trip;
 
 /// Path of calls between nodes.
 pub(crate) const CALL_PATH: &str = "/call";
+/// Path of questions about a send.
+pub(crate) const ASK_PATH: &str = "/ask";
+/// Path of requests for a binding.
+pub(crate) const BIND_PATH: &str = "/bind";
 /// Time to come back that a refusal names while nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Pause before a question that found no connection is asked again.
+const ASK_PAUSE: Duration = Duration::from_millis(50);
+/// Questions about one send before its outcome counts as unknown.
+const ASK_TRIES: u32 = 3;
+/// Instances whose offered bindings are remembered.
+const OFFERS: usize = 1_024;
+/// Time for which an offered binding is used; shorter than the window it was minted in.
+const OFFER_AGE: Duration = Duration::from_secs(5);
 
 /// Call to be delivered to some target of a service.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(crate) struct Delivery {
-    /// Terms; attempt, grant and times are set anew for each send.
+    /// Terms; attempt, grant, binding and times are set anew for each send.
     pub(crate) meta: CallMeta,
+    /// How the call is made.
+    pub(crate) rule: CallRule,
+    /// What the call itself may do, its own class included.
+    pub(crate) within: Lineage,
     /// Service whose targets can run it.
     pub(crate) service: Name,
     /// Calls, this one included, that the same run may make side by side.
@@ -38,14 +64,25 @@
     pub(crate) body: Bytes,
 }
 
+/// How a delivery ended.
+#[derive(Debug)]
+pub(crate) struct Delivered {
+    /// What became of the call.
+    pub(crate) outcome: Outcome<Answer>,
+    /// Time after which the caller may come back, where that can help.
+    pub(crate) retry_after: Option<Duration>,
+    /// Binding for the next send of an outside caller, where this one definitely did not run.
+    pub(crate) offer: Option<Binding>,
+}
+
 /// How one send ended.
 enum Reply {
     /// The other node's whole reply to this very send.
     Whole(CallReply),
     /// The other node saw nothing of it.
     Unseen,
-    /// No whole reply came, so the call may have run.
-    Lost(ErrorKind),
+    /// No whole reply came; this is what the other node said when asked, if it could be asked.
+    Asked(Fate<Answer>),
 }
 
 /// Call that waits at an instance, counted until it is dropped.
@@ -54,106 +91,83 @@
     instance: InstanceId,
 }
 
+/// Binding that an instance offered last.
+struct Heard {
+    binding: Binding,
+    at: Moment,
+}
+
 /// Service that chooses targets and sends calls to them.
 pub(crate) struct Route {
     clock: Clock,
-    own: InstanceId,
+    own: Sender,
+    contracts: Arc<Contracts>,
     directory: Arc<Directory>,
+    levels: Arc<Levels>,
     links: Arc<Links>,
+    metrics: Arc<Metrics>,
     work: Arc<Work>,
     attempts: AtomicU64,
     waiting: Mutex<HashMap<InstanceId, u32>>,
+    heard: Mutex<HashMap<InstanceId, Heard>>,
 }
 
 impl Route {
     /// Service that finds what it needs in `registry`.
     pub(crate) fn new(
         clock: Clock,
-        own: InstanceId,
+        own: Sender,
         registry: &Registry,
     ) -> Result<Self, RegistryError> {
         Ok(Self {
             clock,
             own,
+            contracts: registry.find("contracts")?,
             directory: registry.find("directory")?,
+            levels: registry.find("levels")?,
             links: registry.find("links")?,
+            metrics: registry.find("metrics")?,
             work: registry.find("work")?,
             attempts: AtomicU64::new(1),
             waiting: Mutex::default(),
+            heard: Mutex::default(),
         })
     }
 
     /// Delivers one call, sending it again as far as outcome, deadline and budget allow.
-    pub(crate) async fn deliver(&self, call: Delivery, budget: &Mutex<Budget>) -> Outcome<Answer> {
-        let deadline = self.clock.now() + call.meta.left;
-        let mut sends = Call::new();
+    pub(crate) async fn deliver(&self, call: Delivery, budget: &Mutex<Budget>) -> Delivered {
+        Trip::new(self, call, budget).run().await
+    }
+
+    /// Fresh binding to some target of `service`, for an outside caller to send with.
+    pub(crate) async fn offer(&self, service: &Name) -> Option<Binding> {
         let mut tried = Vec::new();
-        let mut last = not_run(ErrorKind::RetriesSpent);
         loop {
-            let meta = self.meta(&call.meta, deadline);
-            let Some(member) = self.choose(&call.service, &meta, &tried) else {
-                return if tried.is_empty() { no_target(&meta) } else { last };
-            };
-            let Ok(loan) = lend(&mut sends, budget, call.siblings) else { return last };
-            let meta = CallMeta { grant: loan.grant(), ..meta };
-            let once = meta.once;
-            tried.push(member.instance.clone());
-            let reply = self.send(&member, meta, call.body.clone()).await;
-            let outcome = settle(&mut sends, budget, loan, reply);
-            let terms = CallTerms {
-                once,
-                ran: sends.may_have_run(),
-                suspect: false,
-                elsewhere: self.elsewhere(&call, &tried),
-                units: hold(budget).left(),
-                left: deadline.since(self.clock.now()),
-            };
-            match next_step(outcome, &terms, fastrand::u64(..)) {
-                Next::Resend => last = not_run(ErrorKind::RetriesSpent),
-                Next::Final { outcome, .. } => return outcome,
-            }
-            if sends.may_have_run() {
-                last = Outcome::Unknown { kind: ErrorKind::RetriesSpent };
+            let member = self.choose(service, &tried)?;
+            if let Some(binding) = self.ask_binding(&member).await {
+                return Some(binding);
             }
+            tried.push(member.instance);
         }
     }
 
-    /// Terms of the next send.
-    fn meta(&self, first: &CallMeta, deadline: Moment) -> CallMeta {
-        let left = deadline.since(self.clock.now());
-        let age = first.age + first.left.saturating_sub(left);
-        let attempt = AttemptId(self.attempts.fetch_add(1, Ordering::Relaxed));
-        CallMeta { left, age, attempt, ..first.clone() }
-    }
-
-    /// Whether a target that was not tried may take the call.
-    fn elsewhere(&self, call: &Delivery, tried: &[InstanceId]) -> bool {
-        let members = self.directory.serving(&call.service);
-        call.meta.binding.is_none() && members.iter().any(|m| !tried.contains(&m.instance))
-    }
-
-    /// Member that a once-only call can be bound to.
-    pub(crate) fn bind(&self, service: &Name) -> Option<Binding> {
-        let member = self.pick(self.directory.serving(service))?;
-        let (instance, incarnation) = (member.instance, member.incarnation);
-        Some(Binding { instance, incarnation, window: 0, serial: 0 })
-    }
-
-    fn choose(
-        &self,
-        service: &Name,
-        meta: &CallMeta,
-        tried: &[InstanceId],
-    ) -> Option<MemberRecord> {
-        if let Some(binding) = &meta.binding {
-            let member = self.directory.member(service, &binding.instance)?;
-            return (member.incarnation == binding.incarnation).then_some(member);
-        }
+    /// Member that is to get the next send, none of `tried`.
+    fn choose(&self, service: &Name, tried: &[InstanceId]) -> Option<MemberRecord> {
         let mut members = self.directory.serving(service);
         members.retain(|member| !tried.contains(&member.instance));
         self.pick(members)
     }
 
+    /// Member that answers for `binding`: the bound one, or its successor once it left.
+    fn bound_member(&self, service: &Name, binding: &Binding) -> Option<MemberRecord> {
+        let member = self.directory.member(service, &binding.instance)?;
+        if member.incarnation != binding.incarnation || member.state == MemberState::Left {
+            let successor = member.successor.as_ref()?;
+            return self.directory.member(service, successor);
+        }
+        Some(member)
+    }
+
     /// Less loaded of two members drawn at random, by the calls that wait there from here.
     fn pick(&self, members: Vec<MemberRecord>) -> Option<MemberRecord> {
         let waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
@@ -164,26 +178,94 @@
         Some(chosen.clone())
     }
 
-    /// Sends the call to one member; `None` in place of a reply that never came whole.
+    /// Binding that a member offers when asked.
+    async fn ask_binding(&self, member: &MemberRecord) -> Option<Binding> {
+        let offered = match member.instance == self.own.instance {
+            true => self.work.offer(),
+            false => {
+                let ask = BindRequest { sender: self.own.clone() };
+                self.links.exchange(member.address.parse().ok()?, BIND_PATH, &ask).await.ok()?
+            }
+        };
+        self.hear(offered.as_ref());
+        offered
+    }
+
+    /// Binding that a member offered a short time ago.
+    fn heard(&self, member: &MemberRecord) -> Option<Binding> {
+        let now = self.clock.now();
+        let heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let last = heard.get(&member.instance)?;
+        let usable =
+            last.binding.incarnation == member.incarnation && now.since(last.at) < OFFER_AGE;
+        usable.then(|| Binding { serial: 0, ..last.binding.clone() })
+    }
+
+    /// Remembers an offered binding.
+    fn hear(&self, offered: Option<&Binding>) {
+        let Some(binding) = offered.cloned() else { return };
+        let at = self.clock.now();
+        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        if heard.len() >= OFFERS && !heard.contains_key(&binding.instance) {
+            heard.retain(|_, last| at.since(last.at) < OFFER_AGE);
+        }
+        if heard.len() < OFFERS {
+            heard.insert(binding.instance.clone(), Heard { binding, at });
+        }
+    }
+
+    /// Sends the call to one member and learns from the reply.
     async fn send(&self, member: &MemberRecord, meta: CallMeta, body: Bytes) -> Reply {
-        let (request, attempt, left) = (meta.request, meta.attempt, meta.left);
+        let deadline = self.clock.now() + meta.left;
+        let (class, customer) = (meta.class.clone(), meta.customer.clone());
+        let ask = AskRequest {
+            sender: self.own.clone(),
+            incarnation: member.incarnation,
+            request: meta.request,
+            attempt: meta.attempt,
+            binding: meta.binding.clone(),
+            left: meta.left,
+        };
         let _waiting = self.count(&member.instance);
-        let exchange = self.exchange(member, CallRequest { meta, body });
-        match tokio::time::timeout(left, exchange).await {
-            Ok(Ok(reply)) if whole(&reply, request, attempt) => Reply::Whole(reply),
-            Ok(Ok(_)) => Reply::Lost(ErrorKind::BadAnswer),
+        let call = CallRequest { sender: self.own.clone(), meta, body };
+        let exchange = tokio::time::timeout(ask.left, self.exchange(member, call)).await;
+        match exchange {
+            Ok(Ok(reply)) if whole(&reply, ask.request, ask.attempt) => {
+                self.levels.learn(&class, &member.instance, reply.level);
+                self.contracts.hint(&customer, reply.revision, &member.address);
+                self.hear(reply.offer.as_ref());
+                Reply::Whole(reply)
+            }
+            Ok(Ok(_)) => Reply::Asked(Fate::Unknown(ErrorKind::BadAnswer)),
             Ok(Err(error)) if error.unseen() => Reply::Unseen,
-            Ok(Err(_)) => Reply::Lost(ErrorKind::Connection),
-            Err(_) => Reply::Lost(ErrorKind::Deadline),
+            Ok(Err(_)) => Reply::Asked(self.ask(member, ask, deadline).await),
+            Err(_) => Reply::Asked(Fate::Unknown(ErrorKind::Deadline)),
         }
     }
 
+    /// Asks on a new connection what became of a send whose connection failed.
+    async fn ask(&self, member: &MemberRecord, ask: AskRequest, deadline: Moment) -> Fate<Answer> {
+        let unknown = Fate::Unknown(ErrorKind::Connection);
+        let Ok(peer) = member.address.parse() else { return unknown };
+        for _ in 0..ASK_TRIES {
+            let left = deadline.since(self.clock.now());
+            let ask = AskRequest { left, ..ask.clone() };
+            let exchange = self.links.exchange(peer, ASK_PATH, &ask);
+            match tokio::time::timeout(left, exchange).await {
+                Ok(Ok(AskReply { fate })) => return fate,
+                Ok(Err(_)) => tokio::time::sleep(ASK_PAUSE).await,
+                Err(_) => return Fate::Unknown(ErrorKind::Deadline),
+            }
+        }
+        unknown
+    }
+
     async fn exchange(
         &self,
         member: &MemberRecord,
         call: CallRequest,
     ) -> Result<CallReply, LinkError> {
-        if member.instance == self.own {
+        if member.instance == self.own.instance {
             return Ok(self.work.serve(call).await);
         }
         let unusable = SocketAddr::from(([0, 0, 0, 0], 0));
@@ -191,6 +273,10 @@
         self.links.exchange(peer, CALL_PATH, &call).await
     }
 
+    fn next_attempt(&self) -> AttemptId {
+        AttemptId(self.attempts.fetch_add(1, Ordering::Relaxed))
+    }
+
     fn count(&self, instance: &InstanceId) -> Waiting<'_> {
         let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
         *waiting.entry(instance.clone()).or_default() += 1;
@@ -210,37 +296,6 @@
     }
 }
 
-/// Pays for the next send.
-fn lend(sends: &mut Call, budget: &Mutex<Budget>, siblings: u32) -> Result<Loan, RetriesSpent> {
-    let mut budget = hold(budget);
-    let share = budget.share(siblings);
-    sends.send(&mut budget, share)
-}
-
-/// Takes in how a send ended and gives the outcome as far as it is known.
-fn settle(sends: &mut Call, budget: &Mutex<Budget>, loan: Loan, reply: Reply) -> Outcome<Answer> {
-    match reply {
-        Reply::Whole(reply) => {
-            sends.answered(&mut hold(budget), loan, reply.units, &reply.outcome);
-            reply.outcome
-        }
-        Reply::Unseen => {
-            let outcome = not_run(ErrorKind::Connection);
-            let units = loan.grant().units;
-            sends.answered(&mut hold(budget), loan, units, &outcome);
-            outcome
-        }
-        Reply::Lost(kind) => {
-            sends.lost(loan);
-            Outcome::Unknown { kind }
-        }
-    }
-}
-
-fn hold(budget: &Mutex<Budget>) -> MutexGuard<'_, Budget> {
-    budget.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Whether `reply` is the whole answer to this very send.
 fn whole(reply: &CallReply, request: RequestId, attempt: AttemptId) -> bool {
     let own = reply.request == request && reply.attempt == attempt;
@@ -254,13 +309,6 @@
     Outcome::NotRun { kind, retry_after: RETRY_AFTER }
 }
 
-fn no_target(meta: &CallMeta) -> Outcome<Answer> {
-    match meta.binding {
-        Some(_) => Outcome::Unknown { kind: ErrorKind::BindingLost },
-        None => Outcome::NotRun { kind: ErrorKind::NoTarget, retry_after: RETRY_AFTER },
-    }
-}
-
 impl Service for Route {
     fn name(&self) -> &'static str {
         "route"
--- /dev/null
+++ b/node/src/route/trip.rs
@@ -0,0 +1,275 @@
+//! One call on its way: its sends, the binding it carries and what may follow each end.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use poplar_core::{
+    Binding, Bound, Budget, Call, CallRule, CallTerms, ErrorKind, Evidence, Fate, InstanceId, Loan,
+    Moment, Next, Outcome, Resend, RetriesSpent, Unbound, next_step, overall_fate, resend_rule,
+};
+use poplar_wire::{Answer, CallMeta, MemberRecord};
+
+use super::{Delivered, Delivery, Reply, Route, not_run, outcome_of};
+
+/// Binding that the next send is to carry.
+enum Ties {
+    /// None: any target may run the call.
+    Free,
+    /// One that is still to be minted here.
+    Unbound(Unbound),
+    /// The one that was minted here last.
+    Bound(Bound),
+    /// The one that an outside caller, its only minter, sent along.
+    Given(Binding),
+}
+
+/// Call on its way.
+pub(super) struct Trip<'a> {
+    route: &'a Route,
+    call: Delivery,
+    budget: &'a Mutex<Budget>,
+    sends: Call,
+    ties: Ties,
+    tried: Vec<InstanceId>,
+    /// Whether an earlier send ended unknown.
+    open: bool,
+    deadline: Moment,
+    offer: Option<Binding>,
+}
+
+impl<'a> Trip<'a> {
+    /// Call that was not sent yet.
+    pub(super) fn new(route: &'a Route, call: Delivery, budget: &'a Mutex<Budget>) -> Self {
+        let ties = match (&call.rule, &call.meta.binding) {
+            (CallRule::Free, _) => Ties::Free,
+            (_, Some(binding)) => Ties::Given(binding.clone()),
+            (_, None) => Ties::Unbound(Unbound::new()),
+        };
+        let deadline = route.clock.now() + call.meta.left;
+        let (sends, tried) = (Call::new(), Vec::new());
+        Self { route, call, budget, sends, ties, tried, open: false, deadline, offer: None }
+    }
+
+    /// Sends the call until it has an outcome that stays.
+    pub(super) async fn run(mut self) -> Delivered {
+        let mut last = None;
+        loop {
+            let Some(member) = self.next_member().await else {
+                let outcome = last.unwrap_or_else(|| self.nobody());
+                return self.end(outcome);
+            };
+            let Ok(loan) = self.lend() else {
+                let outcome = last.unwrap_or_else(|| not_run(ErrorKind::RetriesSpent));
+                return self.end(outcome);
+            };
+            let meta = self.meta(&loan);
+            self.tried.push(member.instance.clone());
+            let reply = self.route.send(&member, meta, self.call.body.clone()).await;
+            let outcome = self.settle(loan, reply);
+            let overall = self.overall(outcome.clone());
+            if !self.may_send_again(&outcome) {
+                return self.end(overall);
+            }
+            last = Some(overall);
+        }
+    }
+
+    /// Member for the next send; a once-only call is bound to it first.
+    async fn next_member(&mut self) -> Option<MemberRecord> {
+        let service = &self.call.service;
+        match &self.ties {
+            Ties::Free => self.route.choose(service, &self.tried),
+            Ties::Bound(bound) => self.route.bound_member(service, bound.binding()),
+            Ties::Given(binding) => self.route.bound_member(service, binding),
+            Ties::Unbound(_) => self.bind().await,
+        }
+    }
+
+    /// Mints the binding for the next send.
+    async fn bind(&mut self) -> Option<MemberRecord> {
+        loop {
+            let member = self.route.choose(&self.call.service, &self.tried)?;
+            if self.try_bind(&member) {
+                return Some(member);
+            }
+            if self.route.ask_binding(&member).await.is_some() && self.try_bind(&member) {
+                return Some(member);
+            }
+            self.tried.push(member.instance);
+        }
+    }
+
+    fn try_bind(&mut self, member: &MemberRecord) -> bool {
+        let Some(heard) = self.route.heard(member) else { return false };
+        match std::mem::replace(&mut self.ties, Ties::Free) {
+            Ties::Unbound(unbound) => {
+                self.ties = Ties::Bound(unbound.adopt(heard));
+                true
+            }
+            other => {
+                self.ties = other;
+                false
+            }
+        }
+    }
+
+    /// Terms of the next send.
+    fn meta(&self, loan: &Loan) -> CallMeta {
+        let first = &self.call.meta;
+        let left = self.left();
+        CallMeta {
+            left,
+            age: first.age + first.left.saturating_sub(left),
+            attempt: self.route.next_attempt(),
+            grant: loan.grant(),
+            binding: self.binding().cloned(),
+            ..first.clone()
+        }
+    }
+
+    /// Pays for the next send.
+    fn lend(&mut self) -> Result<Loan, RetriesSpent> {
+        let mut budget = hold(self.budget);
+        let share = budget.share(self.call.siblings);
+        self.sends.send(&mut budget, share)
+    }
+
+    /// Takes in how a send ended, and gives its outcome as far as it is known.
+    fn settle(&mut self, loan: Loan, reply: Reply) -> Outcome<Answer> {
+        let mut budget = hold(self.budget);
+        match reply {
+            Reply::Whole(reply) => {
+                self.sends.answered(&mut budget, loan, reply.units, &reply.outcome);
+                self.offer = reply.offer;
+                reply.outcome
+            }
+            Reply::Unseen => {
+                let units = loan.grant().units;
+                let outcome = self.unseen();
+                self.sends.answered(&mut budget, loan, units, &outcome);
+                outcome
+            }
+            Reply::Asked(Fate::NotRun(kind)) => {
+                let outcome = not_run(kind);
+                let units = loan.grant().units;
+                self.sends.answered(&mut budget, loan, units, &outcome);
+                outcome
+            }
+            Reply::Asked(fate) => {
+                self.sends.lost(loan);
+                outcome_of(fate)
+            }
+        }
+    }
+
+    /// Outcome of a send that never left this process.
+    ///
+    /// It says nothing about earlier sends under the same binding: an outside caller may have made
+    /// some through another entry.
+    fn unseen(&self) -> Outcome<Answer> {
+        let kind = ErrorKind::Connection;
+        match self.ties {
+            Ties::Given(_) => Outcome::Unknown { kind },
+            Ties::Bound(_) if self.open => Outcome::Unknown { kind },
+            _ => not_run(kind),
+        }
+    }
+
+    /// Decides whether another send follows one that ended with `outcome`.
+    fn may_send_again(&mut self, outcome: &Outcome<Answer>) -> bool {
+        if hold(self.budget).left() == 0 || self.left().is_zero() {
+            return false;
+        }
+        let fate = fate_of(outcome);
+        let again = match (resend_rule(self.call.rule, self.call.within, &fate), &self.ties) {
+            // Only the caller that mints the bindings may take the next one.
+            (Resend::Never, _) | (Resend::NextBinding, Ties::Given(_)) => false,
+            (Resend::Anywhere, _) => self.elsewhere(),
+            (Resend::SameBinding, _) => true,
+            (Resend::NextBinding, _) => self.elsewhere() && self.release(),
+        };
+        self.open |= again && matches!(fate, Fate::Unknown(_));
+        again
+    }
+
+    /// Gives the call free for the next binding, after the last one was told not run.
+    fn release(&mut self) -> bool {
+        let Ties::Bound(bound) = std::mem::replace(&mut self.ties, Ties::Free) else {
+            return false;
+        };
+        let evidence = Evidence::Told(bound.binding().clone());
+        let (ties, released) = match bound.release(&evidence) {
+            Ok(unbound) => (Ties::Unbound(unbound), true),
+            Err(bound) => (Ties::Bound(bound), false),
+        };
+        // What the last binding left open is settled by the word that it did not run.
+        self.open &= !released;
+        self.ties = ties;
+        released
+    }
+
+    /// Outcome over all sends.
+    fn overall(&self, last: Outcome<Answer>) -> Outcome<Answer> {
+        let open = self.open;
+        match (overall_fate(self.call.rule, open, fate_of(&last)), last) {
+            (Fate::Unknown(kind), Outcome::NotRun { .. }) => Outcome::Unknown { kind },
+            (_, last) => last,
+        }
+    }
+
+    fn nobody(&self) -> Outcome<Answer> {
+        match self.ties {
+            Ties::Bound(_) | Ties::Given(_) => Outcome::Unknown { kind: ErrorKind::BindingLost },
+            Ties::Free | Ties::Unbound(_) => not_run(ErrorKind::NoTarget),
+        }
+    }
+
+    /// Whether a target that was not tried may take the call.
+    fn elsewhere(&self) -> bool {
+        let members = self.route.directory.serving(&self.call.service);
+        members.iter().any(|member| !self.tried.contains(&member.instance))
+    }
+
+    fn binding(&self) -> Option<&Binding> {
+        match &self.ties {
+            Ties::Free | Ties::Unbound(_) => None,
+            Ties::Bound(bound) => Some(bound.binding()),
+            Ties::Given(binding) => Some(binding),
+        }
+    }
+
+    fn left(&self) -> std::time::Duration {
+        self.deadline.since(self.route.clock.now())
+    }
+
+    /// Ends the trip; an offer goes back only with the not run that it belongs to.
+    fn end(self, outcome: Outcome<Answer>) -> Delivered {
+        self.route.metrics.resent(u64::from(self.sends.sends().saturating_sub(1)));
+        let terms = CallTerms {
+            once: true,
+            ran: false,
+            suspect: false,
+            elsewhere: false,
+            units: 0,
+            left: self.left(),
+        };
+        let given = matches!(self.ties, Ties::Given(_));
+        let refused = matches!(outcome, Outcome::NotRun { .. });
+        let offer = self.offer.filter(|_| given && refused);
+        match next_step(outcome.clone(), &terms, fastrand::u64(..)) {
+            Next::Final { outcome, retry_after } => Delivered { outcome, retry_after, offer },
+            Next::Resend => Delivered { outcome, retry_after: None, offer },
+        }
+    }
+}
+
+fn hold(budget: &Mutex<Budget>) -> MutexGuard<'_, Budget> {
+    budget.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn fate_of(outcome: &Outcome<Answer>) -> Fate<()> {
+    match outcome {
+        Outcome::Done(_) => Fate::Done(()),
+        Outcome::NotRun { kind, .. } => Fate::NotRun(*kind),
+        Outcome::Unknown { kind } => Fate::Unknown(*kind),
+    }
+}
--- a/node/src/runs.rs
+++ b/node/src/runs.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use poplar_core::{Budget, Moment, RequestId};
 use poplar_kernel::Service;
@@ -52,6 +53,16 @@
         self.token
     }
 
+    /// Calls that the run has made so far.
+    pub(crate) fn calls(&self) -> u32 {
+        self.ordinal.load(Ordering::Relaxed)
+    }
+
+    /// Time until its answer is of no use.
+    pub(crate) fn left(&self, now: Moment) -> Duration {
+        self.deadline.since(now)
+    }
+
     /// Retry budget that this run holds.
     pub(crate) fn budget(&self) -> &Mutex<Budget> {
         &self.budget
--- /dev/null
+++ b/node/src/sends.rs
@@ -0,0 +1,124 @@
+//! Recent sends of repeatable calls that reached this node, for questions on a new connection.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use poplar_core::{
+    AttemptId, AttemptLimits, AttemptLog, ErrorKind, Fate, Incarnation, Moment, Outcome, RequestId,
+    RunVerdict, SenderId,
+};
+use poplar_kernel::{Clock, Service};
+use poplar_wire::{Answer, AskRequest, Sender};
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+/// Most senders followed.
+const SENDERS: usize = 1_024;
+/// Most sends remembered.
+const SENDS: usize = 8_192;
+/// Largest body that is kept for a question, in bytes; after a larger one the outcome is unknown.
+const KEPT_BYTES: usize = 2 << 10;
+/// Time for which a send is remembered after it ended; longer than a silent connection lives.
+const HOLD: Duration = Duration::from_secs(4);
+
+/// Service that remembers recent sends.
+#[derive(Debug)]
+pub(crate) struct Sends {
+    clock: Clock,
+    log: Mutex<AttemptLog<Answer>>,
+    ended: Notify,
+}
+
+/// Send that was let in; counts as cancelled if it is dropped before it ended.
+pub(crate) struct OpenSend {
+    sends: Arc<Sends>,
+    sender: SenderId,
+    attempt: AttemptId,
+    finished: bool,
+}
+
+impl Sends {
+    /// Service of one incarnation.
+    pub(crate) fn new(clock: Clock, incarnation: Incarnation) -> Self {
+        let limits = AttemptLimits { senders: SENDERS, sends: SENDS, hold: HOLD };
+        Self { clock, log: Mutex::new(AttemptLog::new(incarnation, limits)), ended: Notify::new() }
+    }
+
+    /// Lets a send in, or tells what is known of it.
+    pub(crate) fn begin(
+        self: &Arc<Self>,
+        sender: &Sender,
+        request: RequestId,
+        attempt: AttemptId,
+    ) -> Result<OpenSend, Fate<Answer>> {
+        let now = self.clock.now();
+        let sender = sender_id(sender);
+        match self.lock().begin(now, &sender, request, attempt) {
+            RunVerdict::Known(fate) => Err(fate),
+            RunVerdict::Run => {
+                Ok(OpenSend { sends: self.clone(), sender, attempt, finished: false })
+            }
+        }
+    }
+
+    /// Waits until the send has ended, and tells what became of it.
+    pub(crate) async fn ask(&self, ask: &AskRequest) -> Fate<Answer> {
+        let sender = sender_id(&ask.sender);
+        loop {
+            let ended = self.ended.notified();
+            let now = self.clock.now();
+            let fate = self.lock().ask(now, &sender, ask.request, ask.attempt, ask.incarnation);
+            match fate {
+                Fate::Running => ended.await,
+                known => return known,
+            }
+        }
+    }
+
+    fn finish(&self, sender: &SenderId, attempt: AttemptId, outcome: Outcome<Answer>) {
+        let now = self.clock.now();
+        self.lock().finish(now, sender, attempt, outcome);
+        self.ended.notify_waiters();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, AttemptLog<Answer>> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl OpenSend {
+    /// Records how the send ended.
+    pub(crate) fn finish(mut self, outcome: &Outcome<Answer>) {
+        self.finished = true;
+        let kept = match outcome {
+            Outcome::Done(answer) if answer.body.len() > KEPT_BYTES => {
+                Outcome::Unknown { kind: ErrorKind::Connection }
+            }
+            other => other.clone(),
+        };
+        self.sends.finish(&self.sender, self.attempt, kept);
+    }
+}
+
+impl Drop for OpenSend {
+    fn drop(&mut self) {
+        if !self.finished {
+            let outcome = Outcome::Unknown { kind: ErrorKind::Cancelled };
+            self.sends.finish(&self.sender, self.attempt, outcome);
+        }
+    }
+}
+
+fn sender_id(sender: &Sender) -> SenderId {
+    SenderId { instance: sender.instance.clone(), incarnation: sender.incarnation }
+}
+
+impl Service for Sends {
+    fn name(&self) -> &'static str {
+        "sends"
+    }
+
+    fn dump(&self, _now: Moment) -> Value {
+        json!({ "remembered": self.lock().len() })
+    }
+}
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -19,6 +19,9 @@
     pub(crate) log_address: SocketAddr,
     #[serde(default)]
     pub(crate) peers: Vec<SocketAddr>,
+    /// Time for which the platform's log keeps a record, in seconds.
+    #[serde(default = "default_retention")]
+    pub(crate) log_retention_s: u64,
     #[serde(default = "default_format")]
     pub(crate) log_format: String,
 }
@@ -42,6 +45,10 @@
     }
 }
 
+fn default_retention() -> u64 {
+    86_400
+}
+
 fn default_format() -> String {
     "text".to_owned()
 }
--- a/node/src/target.rs
+++ b/node/src/target.rs
@@ -39,7 +39,9 @@
 pub(crate) enum Ran {
     /// The target's own whole answer.
     Answer(Answer),
-    /// The target saw nothing of the request, or shed it by its explicit signal.
+    /// The target shed the request by its explicit signal.
+    Shed,
+    /// The target saw nothing of the request.
     NotRun(ErrorKind),
     /// The target may have run the request.
     Unknown(ErrorKind),
@@ -118,7 +120,7 @@
             Err(_) => return Ran::Unknown(ErrorKind::Connection),
         };
         if sheds(&resp) {
-            return Ran::NotRun(ErrorKind::Overload);
+            return Ran::Shed;
         }
         if !echoes(&resp, token) {
             return Ran::Unknown(ErrorKind::BadAnswer);
--- a/node/src/work.rs
+++ b/node/src/work.rs
@@ -1,18 +1,24 @@
 //! Calls that this node has its own target run: the callee's half of a hop.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use poplar_core::{ErrorKind, ImportanceScale, Moment, Outcome, Refusal, RequestId};
+use poplar_core::{
+    Binding, ErrorKind, Fate, Handover, ImportanceScale, Level, Moment, Name, Outcome, Refusal,
+    RequestId,
+};
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
-use poplar_wire::{Answer, CallMeta, CallReply, CallRequest};
+use poplar_wire::{Answer, AskRequest, CallMeta, CallReply, CallRequest};
 use serde_json::{Value, json};
 
-use crate::contracts::Contracts;
+use crate::contracts::{Contracts, Terms};
 use crate::gate::Gate;
+use crate::levels::Levels;
+use crate::once::{Copy, Once};
 use crate::runs::{Run, Runs};
+use crate::sends::Sends;
 use crate::target::{Ran, Target};
 
 /// Time to come back that a refusal names while nothing better is known.
@@ -24,12 +30,32 @@
     clock: Clock,
     contracts: Arc<Contracts>,
     gate: Arc<Gate>,
+    levels: Arc<Levels>,
+    once: Arc<Once>,
     runs: Arc<Runs>,
+    sends: Arc<Sends>,
     target: Arc<Target>,
-    sealed: std::sync::atomic::AtomicBool,
+    sealed: AtomicBool,
     in_flight: AtomicU32,
 }
 
+/// How a call that was served ended.
+#[derive(Debug)]
+struct Served {
+    outcome: Outcome<Answer>,
+    /// Retry units that were not spent.
+    units: u32,
+    /// Binding for the next send, where this one definitely did not run.
+    offer: Option<Binding>,
+}
+
+/// What a call needs so that the target can run it.
+#[derive(Debug)]
+struct Ready {
+    terms: Terms,
+    address: String,
+}
+
 /// Call in flight, counted until it is dropped.
 struct Counted<'a>(&'a AtomicU32);
 
@@ -46,16 +72,20 @@
             clock,
             contracts: registry.find("contracts")?,
             gate: registry.find("admission")?,
+            levels: registry.find("levels")?,
+            once: registry.find("once")?,
             runs: registry.find("runs")?,
+            sends: registry.find("sends")?,
             target: registry.find("target")?,
-            sealed: false.into(),
+            sealed: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
         })
     }
 
-    /// Takes nothing new from now on.
+    /// Takes nothing new from now on; what runs may still end.
     pub(crate) fn seal(&self) {
         self.sealed.store(true, Ordering::Release);
+        self.once.seal();
     }
 
     /// Calls that have not ended.
@@ -63,73 +93,212 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
-    fn count(&self) -> Counted<'_> {
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
-        Counted(&self.in_flight)
+    /// Serves one call.
+    pub(crate) async fn serve(self: &Arc<Self>, call: CallRequest) -> CallReply {
+        let (request, attempt) = (call.meta.request, call.meta.attempt);
+        let (customer, class) = (call.meta.customer.clone(), call.meta.class.clone());
+        let ready = self.ready(&call.meta);
+        let bound = match &ready {
+            Ok(ready) => !ready.terms.class.repeatable,
+            Err(_) => call.meta.binding.is_some(),
+        };
+        let served = match bound {
+            true => self.serve_bound(call, ready).await,
+            false => self.serve_free(call, ready).await,
+        };
+        let Served { outcome, units, offer } = served;
+        let revision = self.contracts.revision(&customer);
+        CallReply {
+            request,
+            attempt,
+            outcome,
+            units,
+            level: self.level(&customer, &class),
+            offer,
+            revision,
+        }
     }
 
-    /// Serves one call; a once-only call goes on even if the sender's connection is lost.
-    pub(crate) async fn serve(self: &Arc<Self>, call: CallRequest) -> CallReply {
-        let CallRequest { meta, body } = call;
-        let (request, attempt) = (meta.request, meta.attempt);
-        let _counted = self.count();
-        let (outcome, units) = if meta.once {
-            let (this, spent) = (self.clone(), (unknown(ErrorKind::Connection), 0));
-            let work = tokio::spawn(async move { this.admit(meta, body).await });
-            work.await.unwrap_or(spent)
-        } else {
-            self.admit(meta, body).await
+    /// Level that a call of `class` meets here or below.
+    fn level(&self, customer: &Name, class: &Name) -> Level {
+        let own = self.gate.level();
+        let contract = self.contracts.current(customer);
+        contract.map_or(own, |contract| self.levels.joined(&contract, class, own))
+    }
+
+    /// Tells what became of a send whose connection failed, once that is certain.
+    pub(crate) async fn ask(&self, ask: AskRequest) -> Fate<Answer> {
+        let lost = Fate::Unknown(ErrorKind::Deadline);
+        let fate = async {
+            match &ask.binding {
+                None => self.sends.ask(&ask).await,
+                Some(binding) => match self.once.join(ask.request, binding).await {
+                    Copy::Known(fate, _) => fate,
+                    Copy::Run => Fate::Unknown(ErrorKind::Connection),
+                },
+            }
         };
-        CallReply { request, attempt, outcome, units, level: self.gate.level() }
+        tokio::time::timeout(ask.left, fate).await.unwrap_or(lost)
     }
 
-    async fn admit(&self, meta: CallMeta, body: Bytes) -> (Outcome<Answer>, u32) {
-        let units = meta.grant.units;
+    /// Binding to the target beside this node, ahead of a once-only call.
+    pub(crate) fn offer(&self) -> Option<Binding> {
+        self.once.offer(None)
+    }
+
+    /// Takes over the table of an instance that leaves; says whether it did.
+    pub(crate) fn succeed(&self, handover: Handover<Answer>) -> bool {
+        !self.sealed.load(Ordering::Acquire) && self.once.succeed(handover).is_ok()
+    }
+
+    /// Whether the target can run calls of this kind now.
+    fn ready(&self, meta: &CallMeta) -> Result<Ready, ErrorKind> {
+        let contract = self.contracts.current(&meta.customer).ok_or(ErrorKind::NoContract)?;
+        let terms = contract.terms(&meta.class).ok_or(ErrorKind::UnknownClass)?;
+        let scale = || ImportanceScale::derive(&contract.contract);
+        self.gate.revise(contract.revision, scale);
+        self.once.revise(contract.revision, &contract.contract);
         if self.sealed.load(Ordering::Acquire) {
-            return (not_run(ErrorKind::Draining), units);
+            return Err(ErrorKind::Draining);
         }
-        let Some(contract) = self.contracts.current(&meta.customer) else {
-            return (not_run(ErrorKind::NoContract), units);
+        let announced = self.target.serving(self.clock.now()).ok_or(ErrorKind::NoTarget)?;
+        if announced.service != terms.class.service {
+            return Err(ErrorKind::UnknownClass);
+        }
+        Ok(Ready { terms, address: announced.address })
+    }
+
+    /// Serves a repeatable call; it is cancelled with its connection.
+    async fn serve_free(&self, call: CallRequest, ready: Result<Ready, ErrorKind>) -> Served {
+        let CallRequest { sender, meta, body } = call;
+        let units = meta.grant.units;
+        let ready = match ready {
+            Ok(ready) => ready,
+            Err(kind) => return Served::refused(kind, units),
+        };
+        let open = match self.sends.begin(&sender, meta.request, meta.attempt) {
+            Ok(open) => open,
+            Err(fate) => return Served { outcome: outcome_of(fate), units, offer: None },
         };
-        let Some(terms) = contract.terms(&meta.class) else {
-            return (not_run(ErrorKind::UnknownClass), units);
+        let _counted = self.count();
+        let served = self.admit_and_run(meta, body, ready).await;
+        open.finish(&served.outcome);
+        served
+    }
+
+    /// Serves a once-only call; once admitted it goes on even if its connection is lost.
+    async fn serve_bound(
+        self: &Arc<Self>,
+        call: CallRequest,
+        ready: Result<Ready, ErrorKind>,
+    ) -> Served {
+        let CallRequest { meta, body, .. } = call;
+        let (request, units, left) = (meta.request, meta.grant.units, meta.left);
+        let Some(binding) = meta.binding.clone() else {
+            let refused = Served::refused(ErrorKind::BindingNeeded, units);
+            return Served { offer: self.once.offer(None), ..refused };
         };
-        let Some(announced) = self.target.serving(self.clock.now()) else {
-            return (not_run(ErrorKind::NoTarget), units);
+        let ready = match ready {
+            Ok(ready) => ready,
+            Err(kind) => return Served::known(self.once.refuse(request, &binding, kind), units),
         };
-        self.gate.revise(contract.revision, || ImportanceScale::derive(&contract.contract));
+        let room = ready.terms.class.largest_answer as usize;
+        match self.once.admit(request, &binding, room) {
+            Copy::Run => self.run_detached(meta, body, ready, binding).await,
+            Copy::Known(Fate::Running, _) => {
+                let ended = self.once.join(request, &binding);
+                let lost = Copy::Known(Fate::Unknown(ErrorKind::Deadline), None);
+                Served::known(tokio::time::timeout(left, ended).await.unwrap_or(lost), units)
+            }
+            known => Served::known(known, units),
+        }
+    }
+
+    /// Runs an admitted once-only call in a task of its own, so that its answer is kept.
+    async fn run_detached(
+        self: &Arc<Self>,
+        meta: CallMeta,
+        body: Bytes,
+        ready: Ready,
+        binding: Binding,
+    ) -> Served {
+        let this = self.clone();
+        let run = tokio::spawn(async move {
+            let _counted = this.count();
+            let request = meta.request;
+            let served = this.admit_and_run(meta, body, ready).await;
+            this.once.finish(request, &served.outcome);
+            let refused = matches!(served.outcome, Outcome::NotRun { .. });
+            Served { offer: this.once.offer(refused.then_some(&binding)), ..served }
+        });
+        run.await.unwrap_or_else(|_| Served::lost(ErrorKind::Connection))
+    }
+
+    async fn admit_and_run(&self, meta: CallMeta, body: Bytes, ready: Ready) -> Served {
+        let units = meta.grant.units;
         let permit = match self.gate.enter(&meta).await {
             Ok(permit) => permit,
             Err(Refusal { kind, retry_after, .. }) => {
-                return (Outcome::NotRun { kind, retry_after }, units);
+                let outcome = Outcome::NotRun { kind, retry_after };
+                return Served { outcome, units, offer: None };
             }
         };
         let open = self.runs.open(RequestId(fastrand::u128(..)), meta, self.clock.now());
-        let largest = terms.class.largest_answer;
-        let outcome = self.run(&open.run, &announced.address, largest, body).await;
+        let largest = ready.terms.class.largest_answer;
+        let outcome = self.run(&open.run, &ready.address, largest, body).await;
         if matches!(outcome, Outcome::Done(_)) {
             permit.finish();
         }
-        (outcome, open.run.close())
+        Served { outcome, units: open.run.close(), offer: None }
     }
 
     async fn run(&self, run: &Run, address: &str, largest: u64, body: Bytes) -> Outcome<Answer> {
         let work = self.target.run(address, &run.meta, run.token(), largest, body);
-        match tokio::time::timeout(run.meta.left, work).await {
+        let ran = tokio::time::timeout(run.left(self.clock.now()), work).await;
+        match ran {
             Ok(Ran::Answer(answer)) => Outcome::Done(answer),
+            Ok(Ran::Shed) => outcome_of(poplar_core::shed_fate(run.calls())),
             Ok(Ran::NotRun(kind)) => not_run(kind),
-            Ok(Ran::Unknown(kind)) => unknown(kind),
-            Err(_) => unknown(ErrorKind::Deadline),
+            Ok(Ran::Unknown(kind)) => Outcome::Unknown { kind },
+            Err(_) => Outcome::Unknown { kind: ErrorKind::Deadline },
+        }
+    }
+
+    fn count(&self) -> Counted<'_> {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        Counted(&self.in_flight)
+    }
+}
+
+impl Served {
+    fn refused(kind: ErrorKind, units: u32) -> Self {
+        Self { outcome: not_run(kind), units, offer: None }
+    }
+
+    fn known(copy: Copy, units: u32) -> Self {
+        match copy {
+            Copy::Known(fate, offer) => Self { outcome: outcome_of(fate), units, offer },
+            Copy::Run => Self::lost(ErrorKind::Connection),
         }
     }
+
+    fn lost(kind: ErrorKind) -> Self {
+        Self { outcome: Outcome::Unknown { kind }, units: 0, offer: None }
+    }
 }
 
-fn not_run(kind: ErrorKind) -> Outcome<Answer> {
-    Outcome::NotRun { kind, retry_after: RETRY_AFTER }
+/// Outcome that a sender is told for a fate.
+pub(crate) fn outcome_of(fate: Fate<Answer>) -> Outcome<Answer> {
+    match fate {
+        Fate::Done(answer) => Outcome::Done(answer),
+        Fate::NotRun(kind) => not_run(kind),
+        Fate::Unknown(kind) => Outcome::Unknown { kind },
+        Fate::Running => Outcome::Unknown { kind: ErrorKind::Deadline },
+    }
 }
 
-fn unknown(kind: ErrorKind) -> Outcome<Answer> {
-    Outcome::Unknown { kind }
+fn not_run(kind: ErrorKind) -> Outcome<Answer> {
+    Outcome::NotRun { kind, retry_after: RETRY_AFTER }
 }
 
 impl Service for Work {
--- a/wire/src/codec.rs
+++ b/wire/src/codec.rs
@@ -4,9 +4,12 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-/// Largest message between nodes, in bytes; a longer one is refused before it is decoded.
+/// Largest message between nodes but for a handover, in bytes; its reader stops there.
 pub const MESSAGE_LIMIT_BYTES: usize = 4 << 20;
 
+/// Largest handover of a table of once-only requests, in bytes.
+pub const HANDOVER_LIMIT_BYTES: usize = 24 << 20;
+
 /// Why a message could not be encoded or decoded.
 #[derive(Debug, thiserror::Error)]
 pub enum CodecError {
@@ -16,7 +19,7 @@
     /// The bytes are not such a message.
     #[error("message cannot be decoded: {0}")]
     Decode(#[from] rmp_serde::decode::Error),
-    /// The message exceeds [`MESSAGE_LIMIT_BYTES`].
+    /// The message exceeds [`HANDOVER_LIMIT_BYTES`], the larger of the two limits.
     #[error("message of {0} bytes is too large")]
     TooLarge(usize),
 }
@@ -36,7 +39,7 @@
 ///
 /// `TooLarge` above the limit, `Decode` if `bytes` hold something else.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
-    if bytes.len() > MESSAGE_LIMIT_BYTES {
+    if bytes.len() > HANDOVER_LIMIT_BYTES {
         return Err(CodecError::TooLarge(bytes.len()));
     }
     Ok(rmp_serde::from_slice(bytes)?)
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -6,9 +6,10 @@
 mod message;
 mod text;
 
-pub use codec::{CodecError, MESSAGE_LIMIT_BYTES, decode, encode};
+pub use codec::{CodecError, HANDOVER_LIMIT_BYTES, MESSAGE_LIMIT_BYTES, decode, encode};
 pub use message::{
-    Announcement, Answer, CallMeta, CallReply, CallRequest, MemberRecord, MemberState,
+    Announcement, Answer, AskReply, AskRequest, BindRequest, CallMeta, CallReply, CallRequest,
+    MemberRecord, MemberState, Sender,
 };
 pub use poplar_core::ContractRecord;
 
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    AttemptId, Binding, Grant, Importance, Incarnation, InstanceId, Level, Name, Outcome,
+    AttemptId, Binding, Fate, Grant, Importance, Incarnation, InstanceId, Level, Name, Outcome,
     RequestId, Revision,
 };
 use serde::{Deserialize, Serialize};
@@ -40,9 +40,22 @@
     pub binding: Option<Binding>,
 }
 
+/// Node that sends a call, so that the receiver can tell its sends apart and pull from it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sender {
+    /// Instance of the node.
+    pub instance: InstanceId,
+    /// Incarnation of the node; a restarted node numbers its sends anew.
+    pub incarnation: Incarnation,
+    /// Address for messages from other nodes, `ip:port`.
+    pub address: String,
+}
+
 /// Call from one node to the node beside a chosen target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallRequest {
+    /// Node that sends.
+    pub sender: Sender,
     /// Terms of the call.
     pub meta: CallMeta,
     /// Body for the target.
@@ -62,6 +75,41 @@
     pub units: u32,
     /// Admission level that a call of this class meets behind the answering node.
     pub level: Level,
+    /// Binding for the next send of a once-only call, where this one definitely did not run.
+    pub offer: Option<Binding>,
+    /// Contract revision that the answering node has in force for the customer.
+    pub revision: Revision,
+}
+
+/// Question on a new connection: what became of a send whose connection failed?
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AskRequest {
+    /// Node that sent the call.
+    pub sender: Sender,
+    /// Incarnation that the call was sent to.
+    pub incarnation: Incarnation,
+    /// Call.
+    pub request: RequestId,
+    /// Send of the call.
+    pub attempt: AttemptId,
+    /// Binding that the call carried.
+    pub binding: Option<Binding>,
+    /// Time for which the answer may be waited for while the call runs.
+    pub left: Duration,
+}
+
+/// Answer to [`AskRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AskReply {
+    /// What the node knows of the send.
+    pub fate: Fate<Answer>,
+}
+
+/// Request for a binding to the target beside a node, ahead of a once-only call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BindRequest {
+    /// Node that asks.
+    pub sender: Sender,
 }
 
 /// Whole answer of a target.
@@ -120,4 +168,7 @@
     pub slots: u32,
     /// State.
     pub state: MemberState,
+    /// Instance that took the once-only table over, when this one left.
+    #[serde(default)]
+    pub successor: Option<InstanceId>,
 }
