--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -9,11 +9,12 @@
 mod quantity;
 mod text;
 
-pub use codec::{CodecError, MESSAGE_LIMIT_BYTES, decode, encode};
+pub use codec::{CodecError, HANDOVER_LIMIT_BYTES, MESSAGE_LIMIT_BYTES, decode, encode};
 pub use contract_file::{ContractFileError, FILE_LIMIT_BYTES, parse_contract};
 pub use contract_text::contract_text;
 pub use message::{
-    Announcement, Answer, CallMeta, CallReply, CallRequest, MemberRecord, MemberState,
+    Announcement, Answer, AskReply, AskRequest, BindRequest, CallMeta, CallReply, CallRequest,
+    MemberRecord, MemberState, Sender,
 };
 pub use poplar_core::ContractRecord;
 
