Publish through the core's publisher, and keep a client's word to what it saw

Cause: poplarctl folded the stream a second time, beside core; a client told "not run" when a second send was refused although the first may have run; and a refused once-only call spent its sends on fetching bindings. Ruled out: publishing without a node's word. Conclusion: one publisher; one rule for what a client may say.

--- a/client/src/attempts.rs
+++ b/client/src/attempts.rs
@@ -38,6 +38,8 @@
     deadline: Moment,
     /// Sends that may still be made.
     left: u32,
+    /// Sends that may still be made to be given a binding, which run nothing.
+    handshakes: u32,
     /// Whether no earlier send can have run.
     first: bool,
     /// Binding to send with the next send.
@@ -50,6 +52,7 @@
         Self {
             deadline: now + call.deadline,
             left: call.sends.saturating_sub(1),
+            handshakes: call.sends,
             first: true,
             binding: None,
         }
@@ -75,14 +78,17 @@
         match received.outcome {
             Outcome::Done(_) => Step::Finish(received.outcome),
             Outcome::NotRun { kind, retry_after } => {
-                // A refusal ends the old binding: its holder keeps a tombstone for the request.
+                // The holder of a binding speaks for every send under it, and a request that needs
+                // a binding was not run without one. Any other refusal speaks for one send only.
+                self.first |= self.binding.is_some() || kind == ErrorKind::BindingNeeded;
                 self.binding = received.binding;
-                let after =
-                    if kind == ErrorKind::BindingNeeded { Duration::ZERO } else { retry_after };
-                if kind.reply().retryable && self.may_send(now, after) {
-                    return Step::Send(after);
+                if kind == ErrorKind::BindingNeeded && self.may_shake_hands() {
+                    return Step::Send(Duration::ZERO);
                 }
-                Step::Finish(received.outcome)
+                if kind.reply().retryable && self.may_send(now, retry_after) {
+                    return Step::Send(retry_after);
+                }
+                Step::Finish(self.refusal(kind, retry_after))
             }
             Outcome::Unknown { kind } => {
                 self.first = false;
@@ -97,11 +103,23 @@
 
     /// Outcome when no node can be connected to: not run, unless an earlier send may have.
     pub fn give_up(&self) -> Outcome<Answer> {
-        let kind = ErrorKind::Connection;
-        if self.first {
-            return Outcome::NotRun { kind, retry_after: COME_BACK };
+        self.refusal(ErrorKind::Connection, COME_BACK)
+    }
+
+    fn refusal(&self, kind: ErrorKind, retry_after: Duration) -> Outcome<Answer> {
+        match self.first {
+            true => Outcome::NotRun { kind, retry_after },
+            false => Outcome::Unknown { kind },
         }
-        Outcome::Unknown { kind }
+    }
+
+    /// Takes one send from those that fetch a binding, if one was given.
+    fn may_shake_hands(&mut self) -> bool {
+        if self.handshakes == 0 || self.binding.is_none() {
+            return false;
+        }
+        self.handshakes -= 1;
+        true
     }
 
     /// Takes one send from what is left if it would come before the deadline.
--- /dev/null
+++ b/client/tests/attempts.rs
@@ -0,0 +1,90 @@
+//! What a client tells its caller is never more than its sends have shown.
+
+use std::time::Duration;
+
+use poplar_client::{Answer, Attempts, Call, ErrorKind, Outcome, Received, Step};
+use poplar_core::Moment;
+
+const NOW: Moment = Moment::from_millis(0);
+const SOON: Duration = Duration::from_millis(100);
+
+fn attempts() -> Attempts {
+    Attempts::new(&Call::new("armor", "read-listing", Duration::from_secs(1)), NOW)
+}
+
+fn refused(kind: ErrorKind) -> Received {
+    let outcome = Outcome::NotRun { kind, retry_after: SOON };
+    Received { outcome, binding: None }
+}
+
+fn unknown(kind: ErrorKind) -> Received {
+    Received { outcome: Outcome::Unknown { kind }, binding: None }
+}
+
+fn needs(binding: &str) -> Received {
+    Received { binding: Some(binding.to_owned()), ..refused(ErrorKind::BindingNeeded) }
+}
+
+/// Receives the same until the call is over; returns the sends made and the outcome.
+fn exhaust(attempts: &mut Attempts, received: &Received) -> (u32, Outcome<Answer>) {
+    let mut sends = 1;
+    loop {
+        match attempts.receive(NOW, received.clone()) {
+            Step::Finish(outcome) => return (sends, outcome),
+            Step::Send(_) => sends += 1,
+        }
+    }
+}
+
+#[test]
+fn a_refused_call_comes_back_when_told_and_at_most_as_often_as_it_may() {
+    let mut attempts = attempts();
+    let refusal = refused(ErrorKind::Overload);
+    assert_eq!(attempts.receive(NOW, refusal.clone()), Step::Send(SOON));
+    assert!(attempts.is_first());
+    let (sends, outcome) = exhaust(&mut attempts, &refusal);
+    assert_eq!(sends + 1, Call::SENDS);
+    assert_eq!(outcome, refusal.outcome);
+}
+
+#[test]
+fn a_call_is_over_when_the_time_to_come_back_lies_behind_its_deadline() {
+    let late = Moment::from_millis(950);
+    let refusal = refused(ErrorKind::Overload);
+    assert_eq!(attempts().receive(late, refusal.clone()), Step::Finish(refusal.outcome));
+}
+
+#[test]
+fn a_refusal_after_an_unknown_send_is_unknown() {
+    let mut attempts = attempts();
+    attempts.receive(NOW, unknown(ErrorKind::Connection));
+    assert!(!attempts.is_first());
+    let (_, outcome) = exhaust(&mut attempts, &refused(ErrorKind::Overload));
+    assert_eq!(outcome, Outcome::Unknown { kind: ErrorKind::Overload });
+    assert_eq!(attempts.give_up(), Outcome::Unknown { kind: ErrorKind::Connection });
+}
+
+#[test]
+fn the_holder_of_a_binding_speaks_for_every_send_under_it() {
+    let mut attempts = attempts();
+    assert_eq!(attempts.receive(NOW, needs("0.1.a")), Step::Send(Duration::ZERO));
+    attempts.receive(NOW, unknown(ErrorKind::Connection));
+    assert_eq!(attempts.binding(), Some("0.1.a"));
+    attempts.receive(NOW, refused(ErrorKind::Draining));
+    assert!(attempts.is_first() && attempts.binding().is_none());
+}
+
+#[test]
+fn a_node_that_only_hands_out_bindings_does_not_keep_a_call_for_ever() {
+    let (sends, outcome) = exhaust(&mut attempts(), &needs("0.1.a"));
+    assert!(sends <= 2 * Call::SENDS);
+    assert!(matches!(outcome, Outcome::NotRun { kind: ErrorKind::BindingNeeded, .. }));
+}
+
+#[test]
+fn a_lost_binding_ends_the_call_at_once() {
+    let mut attempts = attempts();
+    attempts.receive(NOW, needs("0.1.a"));
+    let lost = unknown(ErrorKind::BindingLost);
+    assert_eq!(attempts.receive(NOW, lost.clone()), Step::Finish(lost.outcome));
+}
--- a/core/src/limit.rs
+++ b/core/src/limit.rs
@@ -6,8 +6,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use serde::Serialize;
-
 use crate::contract::{Contract, ContractError};
 use crate::ids::{Importance, Name};
 
@@ -29,7 +27,7 @@
 const CLASSES_MAX: usize = 4_096;
 
 /// Limits of one target, derived from its announcement.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetLimits {
     /// Requests that may run at once.
     pub slots: u32,
@@ -133,7 +131,7 @@
 }
 
 /// Limits of one class, derived from the contract alone.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClassLimits {
     /// Steps of importance that are shed before this class; zero is shed first.
     pub step: usize,
--- a/ctl/src/check.rs
+++ b/ctl/src/check.rs
@@ -1,6 +1,5 @@
 //! The limits that follow from a contract, for the operator who is about to sign it.
 
-use std::collections::BTreeMap;
 use std::fmt;
 use std::path::Path;
 
@@ -11,13 +10,42 @@
 use crate::error::CtlError;
 use crate::options::TargetOption;
 
+/// What the columns of the table say.
+const LEGEND: &str = "\
+step: shed from 0 upwards; depth: calls on the longest chain; calls: in the whole request;
+sends: most sends in the whole request, re-sends included; window: time for which the
+answer of a once-only request is kept";
+
 /// Limits that follow from a contract and from what targets would announce.
 #[derive(Debug, Serialize)]
 pub(crate) struct Derived {
     customer: Name,
     goal: Goal,
-    classes: BTreeMap<Name, ClassLimits>,
-    targets: BTreeMap<Name, TargetLimits>,
+    classes: Vec<ClassRow>,
+    targets: Vec<TargetRow>,
+}
+
+/// Limits of one class.
+#[derive(Debug, Serialize)]
+struct ClassRow {
+    class: Name,
+    step: usize,
+    depth: u32,
+    calls: u64,
+    sends: u64,
+    deadline_ms: u64,
+    window_ms: u64,
+    answer_bytes: u64,
+}
+
+/// Limits of one target.
+#[derive(Debug, Serialize)]
+struct TargetRow {
+    service: Name,
+    slots: u32,
+    cold: u32,
+    queue: u32,
+    connections: u32,
 }
 
 /// Derives the limits of a contract that was read from `file`.
@@ -34,10 +62,23 @@
     if let Some(target) = unknown {
         return Err(CtlError::Service { service: target.service.clone() });
     }
-    let targets = targets.into_iter().map(|target| (target.service, target.limits)).collect();
+    let targets = targets.into_iter().map(target_row).collect();
+    let mut classes: Vec<_> = classes.into_iter().map(class_row).collect();
+    classes.sort_by_key(|row| row.step);
     Ok(Derived { customer: contract.customer.clone(), goal: contract.goal, classes, targets })
 }
 
+fn class_row((class, limits): (Name, ClassLimits)) -> ClassRow {
+    let ClassLimits { step, depth, calls, sends, deadline, window, answer } = limits;
+    let (deadline_ms, window_ms) = (deadline.as_millis() as u64, window.as_millis() as u64);
+    ClassRow { class, step, depth, calls, sends, deadline_ms, window_ms, answer_bytes: answer }
+}
+
+fn target_row(target: TargetOption) -> TargetRow {
+    let TargetLimits { slots, cold, queue, connections } = target.limits;
+    TargetRow { service: target.service, slots, cold, queue, connections }
+}
+
 impl fmt::Display for Derived {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let goal = match self.goal {
@@ -48,41 +89,30 @@
         writeln!(f)?;
         writeln!(
             f,
-            "{:<24}{:>6}{:>7}{:>7}{:>7}{:>12}{:>12}{:>14}",
-            "class", "step", "depth", "calls", "sends", "deadline", "window", "answer B"
+            "{:<24}{:>6}{:>7}{:>7}{:>7}{:>13}{:>13}{:>14}",
+            "class", "step", "depth", "calls", "sends", "deadline ms", "window ms", "answer bytes"
         )?;
-        let mut rows: Vec<_> = self.classes.iter().collect();
-        rows.sort_by_key(|(_, limits)| limits.step);
-        for (class, limits) in rows {
-            let (deadline, window) = (limits.deadline, limits.window);
-            writeln!(
-                f,
-                "{:<24}{:>6}{:>7}{:>7}{:>7}{:>12}{:>12}{:>14}",
-                class.as_str(),
-                limits.step,
-                limits.depth,
-                limits.calls,
-                limits.sends,
-                format!("{deadline:?}"),
-                if window.is_zero() { "-".to_owned() } else { format!("{window:?}") },
-                limits.answer
-            )?;
-        }
-        writeln!(f)?;
+        self.classes.iter().try_for_each(|row| writeln!(f, "{row}"))?;
+        write!(f, "\n{LEGEND}")?;
+        self.targets.iter().try_for_each(|row| write!(f, "\n{row}"))
+    }
+}
+
+impl fmt::Display for ClassRow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { class, step, depth, calls, sends, deadline_ms, window_ms, answer_bytes } = self;
+        write!(f, "{:<24}{step:>6}{depth:>7}{calls:>7}{sends:>7}", class.as_str())?;
+        write!(f, "{deadline_ms:>13}{window_ms:>13}{answer_bytes:>14}")
+    }
+}
+
+impl fmt::Display for TargetRow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { service, slots, cold, queue, connections } = self;
         write!(
             f,
-            "step: shed from 0 upwards; depth: calls on the longest chain; calls: in the whole\n\
-             request; sends: most sends in the whole request, re-sends included; window: time for\n\
-             which the answer of a once-only request is kept"
+            "target of {service}: {slots} requests at once, {cold} when cold, {queue} queued"
         )?;
-        for (service, limits) in &self.targets {
-            let TargetLimits { slots, cold, queue, connections } = limits;
-            write!(
-                f,
-                "\ntarget of {service}: {slots} at once, {cold} when cold, {queue} queued, \
-                 {connections} connections"
-            )?;
-        }
-        Ok(())
+        write!(f, ", {connections} connections")
     }
 }
--- a/ctl/src/error.rs
+++ b/ctl/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use poplar_core::{Name, PublishId, Revision};
+use poplar_core::{Name, PublishResult};
 use poplar_wire::ContractFileError;
 
 /// Why a command did not do what it was asked.
@@ -14,20 +14,12 @@
     /// The contract file could not be read.
     #[error("{file}: {source}")]
     File { file: String, source: io::Error },
-    /// The customer has a newer revision than the one that was revised.
-    #[error(
-        "customer {customer} is at revision {current}; look at it with `poplarctl show {customer}` \
-         and publish again with `--base {current}`"
-    )]
-    Superseded { customer: Name, current: Revision },
-    /// The log or a node cannot be reached, and nothing was published.
+    /// The contract is not in force, or nothing says whether it is.
+    #[error("{result}{}", cause(trouble.as_deref()))]
+    NotPublished { result: PublishResult, trouble: Option<Box<Self>> },
+    /// The log or a node cannot be reached.
     #[error("{address}: {why}")]
     Unreachable { address: String, why: String },
-    /// The append may have taken effect.
-    #[error(
-        "{address}: {why}; it may have taken effect; run the same command again with `--id {id}`"
-    )]
-    Unconfirmed { address: String, why: String, id: PublishId },
     /// The log or a node holds no contract of the customer.
     #[error("customer {customer} has no contract here")]
     NoContract { customer: Name },
@@ -35,8 +27,8 @@
     #[error("{address}: unexpected answer: {why}")]
     Answer { address: String, why: String },
     /// Records expired and no snapshot covers them.
-    #[error("{address}: records before offset {start} expired and no snapshot covers them")]
-    Expired { address: String, start: u64 },
+    #[error("{address}: the oldest records expired and no snapshot covers them")]
+    Expired { address: String },
     /// The contract lacks a service that was asked about.
     #[error("--target: the contract has no service {service}")]
     Service { service: Name },
@@ -51,10 +43,20 @@
         match self {
             Self::Output(_) | Self::Service { .. } => 1,
             Self::Contract { .. } | Self::File { .. } => 2,
-            Self::Superseded { .. } => 3,
+            Self::NotPublished { result, .. } => match result {
+                PublishResult::Accepted { .. } => 0,
+                PublishResult::Refused(_) => 2,
+                PublishResult::Superseded { .. } => 3,
+                PublishResult::NotSent => 4,
+                PublishResult::NotConfirmed => 5,
+            },
             Self::Unreachable { .. } | Self::Answer { .. } | Self::Expired { .. } => 4,
-            Self::Unconfirmed { .. } => 5,
             Self::NoContract { .. } => 6,
         }
     }
 }
+
+/// Last error on the way, in brackets.
+fn cause(trouble: Option<&CtlError>) -> String {
+    trouble.map(|error| format!(" ({error})")).unwrap_or_default()
+}
--- a/ctl/src/log.rs
+++ b/ctl/src/log.rs
@@ -1,9 +1,12 @@
 //! Reads and appends to the stream of contracts on the platform's log.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::body::Bytes;
-use poplar_core::{ContractRecord, Fold, Offset, Verdict};
+use poplar_core::{
+    ContractRecord, Fold, InstanceId, Judged, LogBatch, LogEntry, LogReader, Moment, Offset,
+    ReadAction,
+};
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -24,25 +27,23 @@
 
 /// Record with what the fold says of it.
 #[derive(Debug)]
-pub(crate) struct Judged {
-    pub(crate) offset: Offset,
-    pub(crate) record: Option<ContractRecord>,
-    pub(crate) verdict: Verdict,
+pub(crate) struct JudgedEntry {
+    pub(crate) entry: LogEntry,
+    pub(crate) judged: Judged,
 }
 
-/// Reader of the stream: the fold of what was read so far.
+/// Reader of the stream that gives up at the first error of the log.
 #[derive(Debug)]
 pub(crate) struct Reader {
     log: ContractLog,
-    fold: Fold,
-    /// First offset to read; runs ahead of the fold where records expired.
-    next: u64,
+    inner: LogReader,
+    origin: Instant,
 }
 
 #[derive(Debug, Deserialize)]
 struct Page {
-    start: u64,
-    next: u64,
+    start: Offset,
+    next: Offset,
     records: Vec<RawRecord>,
 }
 
@@ -55,7 +56,7 @@
 #[derive(Debug, Deserialize)]
 struct Appended {
     #[serde(rename = "offset")]
-    _offset: u64,
+    _offset: Offset,
 }
 
 impl ContractLog {
@@ -63,30 +64,37 @@
         Self { http, address: address.to_owned() }
     }
 
-    pub(crate) fn address(&self) -> &str {
-        &self.address
+    /// Reads records from `from` on, waiting up to `wait` for the first one.
+    pub(crate) async fn read(&self, from: Offset, wait: Duration) -> Result<LogBatch, CtlError> {
+        let wait_ms = wait.as_millis();
+        let path = format!("{STREAM}?from={from}&wait_ms={wait_ms}&limit={PAGE}");
+        let page: Page = self.http.get(&self.address, &path, wait).await?;
+        let entries = page.records.into_iter().map(|raw| LogEntry {
+            offset: raw.offset,
+            record: serde_json::from_value(raw.body).ok(),
+        });
+        Ok(LogBatch { start: page.start, end: page.next, records: entries.collect() })
     }
 
-    /// Appends one encoded record.
-    pub(crate) async fn append(&self, body: Bytes) -> Result<(), CtlError> {
-        let _: Appended = self.http.post(&self.address, STREAM, body).await?;
+    /// Appends one record; an error leaves open whether it took effect.
+    pub(crate) async fn append(&self, record: &ContractRecord) -> Result<(), CtlError> {
+        let body = serde_json::to_vec(record).map_err(|error| CtlError::Answer {
+            address: self.address.clone(),
+            why: error.to_string(),
+        })?;
+        let _: Appended = self.http.post(&self.address, STREAM, Bytes::from(body)).await?;
         Ok(())
     }
-
-    async fn page(&self, from: u64, wait: Duration) -> Result<Page, CtlError> {
-        let wait_ms = wait.as_millis();
-        let path = format!("{STREAM}?from={from}&wait_ms={wait_ms}&limit={PAGE}");
-        self.http.get(&self.address, &path, wait).await
-    }
 }
 
 impl Reader {
     pub(crate) fn new(log: ContractLog) -> Self {
-        Self { log, fold: Fold::new(), next: 0 }
+        let inner = LogReader::new(Moment::default(), InstanceId::from("operator"), Duration::MAX);
+        Self { log, inner, origin: Instant::now() }
     }
 
     pub(crate) fn fold(&self) -> &Fold {
-        &self.fold
+        self.inner.fold()
     }
 
     /// Reads to the present end of the stream and returns the records that were read.
@@ -94,40 +102,46 @@
     /// # Errors
     ///
     /// `Expired` if the oldest record kept is not covered by any snapshot.
-    pub(crate) async fn catch_up(&mut self) -> Result<Vec<Judged>, CtlError> {
-        let mut judged = Vec::new();
-        loop {
-            let page = self.read(Duration::ZERO, &mut judged).await?;
-            if self.next < page.next {
-                continue;
-            }
-            if self.fold.next().0 < page.next {
-                let address = self.log.address.clone();
-                return Err(CtlError::Expired { address, start: page.start });
+    pub(crate) async fn catch_up(&mut self) -> Result<Vec<JudgedEntry>, CtlError> {
+        let mut entries = Vec::new();
+        while !self.inner.is_current() {
+            if self.inner.has_gap() && self.inner.read_end().is_some() {
+                return Err(CtlError::Expired { address: self.log.address.clone() });
             }
-            return Ok(judged);
+            entries.extend(self.step().await?);
         }
+        Ok(entries)
     }
 
-    /// Waits up to `wait` for further records.
-    pub(crate) async fn follow(&mut self, wait: Duration) -> Result<Vec<Judged>, CtlError> {
-        let mut judged = Vec::new();
-        self.read(wait, &mut judged).await?;
-        Ok(judged)
+    /// One step of the reader; at the end of the stream it waits a while for a record.
+    pub(crate) async fn step(&mut self) -> Result<Vec<JudgedEntry>, CtlError> {
+        let now = self.now();
+        match self.inner.poll(now, &[]) {
+            ReadAction::Read { from, wait } => {
+                let batch = self.log.read(from, wait).await?;
+                let judged = self.inner.on_read(self.now(), 0, &batch);
+                Ok(join(batch, judged))
+            }
+            ReadAction::Wait(until) => {
+                tokio::time::sleep(until.since(now)).await;
+                Ok(Vec::new())
+            }
+            // A command has no peers, and no state to append for others.
+            ReadAction::Pull | ReadAction::Append(_) => Ok(Vec::new()),
+        }
     }
 
-    async fn read(&mut self, wait: Duration, judged: &mut Vec<Judged>) -> Result<Page, CtlError> {
-        let mut page = self.log.page(self.next, wait).await?;
-        self.next = self.next.max(page.start);
-        for RawRecord { offset, body } in std::mem::take(&mut page.records) {
-            let record = serde_json::from_value::<ContractRecord>(body).ok();
-            let verdict = match &record {
-                Some(record) => self.fold.apply(offset, record),
-                None => self.fold.skip(offset),
-            };
-            self.next = offset.0.saturating_add(1);
-            judged.push(Judged { offset, record, verdict });
-        }
-        Ok(page)
+    fn now(&self) -> Moment {
+        Moment::from_micros(self.origin.elapsed().as_micros() as u64)
     }
 }
+
+/// Pairs each judged record with its entry.
+fn join(batch: LogBatch, judged: Vec<Judged>) -> Vec<JudgedEntry> {
+    let mut entries = batch.records.into_iter();
+    let pairs = judged.into_iter().filter_map(|judged| {
+        let entry = entries.find(|entry| entry.offset == judged.offset)?;
+        Some(JudgedEntry { entry, judged })
+    });
+    pairs.collect()
+}
--- a/ctl/src/main.rs
+++ b/ctl/src/main.rs
@@ -17,14 +17,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use poplar_core::{Contract, Name, Revision};
+use poplar_core::{Contract, Moment, Name, PublishPlan, Revision};
 use poplar_wire::parse_contract;
 
 use crate::error::CtlError;
 use crate::http::Http;
 use crate::log::ContractLog;
 use crate::options::{Command, command};
-use crate::publish::Publication;
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
@@ -40,17 +39,17 @@
 async fn run(command: Command) -> Result<(), CtlError> {
     let http = Http::new();
     match command {
-        Command::Publish { log, node, base, id, timeout, format, file } => {
-            let publication = Publication {
-                contract: Arc::new(read_contract(&file)?),
-                base: base.map(Revision),
-                id,
-                nodes: node,
-                timeout: Duration::from_secs(timeout),
-            };
+        Command::Publish { log, node, base, restart, timeout, format, file } => {
+            let contract = read_contract(&file)?;
             let log = ContractLog::new(http.clone(), &log);
-            let accepted = publish::publish(&http, log, publication).await?;
-            output::print(format, &accepted)
+            let plan = PublishPlan {
+                body: serde_json::to_vec(&contract).map_err(std::io::Error::from)?,
+                contract: Arc::new(contract),
+                base: Some(Revision(base)),
+                until: Moment::default() + Duration::from_secs(timeout),
+                restart,
+            };
+            output::print(format, &publish::publish(http, log, node, plan).await?)
         }
         Command::Check { target, format, file } => {
             let contract = read_contract(&file)?;
--- a/ctl/src/node.rs
+++ b/ctl/src/node.rs
@@ -28,12 +28,6 @@
 }
 
 impl NodeState {
-    /// Revision in force for a customer; zero if there is none.
-    pub(crate) fn revision(&self, customer: &Name) -> Revision {
-        let found = self.in_force.iter().find(|found| found.customer == *customer);
-        found.map(|found| found.revision).unwrap_or_default()
-    }
-
     /// Contracts in force.
     pub(crate) fn into_shown(self) -> Vec<Shown> {
         let shown = self.in_force.into_iter().map(|found| {
--- a/ctl/src/options.rs
+++ b/ctl/src/options.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 use bpaf::Bpaf;
-use poplar_core::{Name, PublishId, TargetLimits};
+use poplar_core::{Name, TargetLimits};
 
 /// Form of the output.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,13 +56,15 @@
     }
 }
 
+/// Exit codes, printed below the help.
+const EXIT_CODES: &str = "Exit codes: 0 done; 1 wrong command line; 2 contract file refused, \
+    nothing published; 3 another revision is in force, nothing published; 4 log or node out of \
+    reach; 5 not confirmed, run the same command again to learn what became of it; 6 no such \
+    contract.";
+
 /// Publishes contracts and shows what is in force.
-///
-/// Exit codes: 0 done; 1 wrong command line; 2 contract file refused, nothing published;
-/// 3 another revision is current, nothing published; 4 log or node out of reach; 5 it may or may
-/// not have been accepted, repeat with --id; 6 no such contract.
 #[derive(Debug, Clone, Bpaf)]
-#[bpaf(options, version)]
+#[bpaf(options, version, footer(EXIT_CODES))]
 pub(crate) enum Command {
     /// Publish a contract; says "accepted" once the log gave it back and the nodes enforce it
     #[bpaf(command)]
@@ -71,14 +73,16 @@
         #[bpaf(argument("IP:PORT"))]
         log: String,
         /// Admin address of a node whose word is asked for; may stand several times
-        #[bpaf(argument("IP:PORT"))]
+        #[bpaf(
+            argument("IP:PORT"),
+            some("--node is needed: only a node can say what is in force")
+        )]
         node: Vec<String>,
         /// Revision that you revised; the first contract of a customer needs none
-        #[bpaf(argument("REVISION"))]
-        base: Option<u64>,
-        /// Identifier of an earlier attempt that is to be repeated
-        #[bpaf(argument("ID"))]
-        id: Option<PublishId>,
+        #[bpaf(argument("REVISION"), fallback(0))]
+        base: u64,
+        /// Start the stream of contracts anew if its history expired and no node holds a state
+        restart: bool,
         /// Seconds within which log and nodes must confirm
         #[bpaf(argument("SECONDS"), fallback(30), display_fallback)]
         timeout: u64,
--- a/ctl/src/publish.rs
+++ b/ctl/src/publish.rs
@@ -1,154 +1,121 @@
-//! Publishes a contract: append, read back, and ask nodes whether it is in force.
+//! Performs one act of publishing; the decisions are those of [`Publisher`].
 
-use std::collections::hash_map::RandomState;
 use std::fmt;
-use std::hash::BuildHasher;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hyper::body::Bytes;
-use poplar_core::{Contract, ContractRecord, Name, PublishId, Revision};
+use poplar_core::{
+    Moment, Name, PublishAction, PublishId, PublishPlan, PublishResult, Publisher, ReadAction,
+    Revision, Word,
+};
 use serde::Serialize;
 
 use crate::error::CtlError;
 use crate::http::Http;
-use crate::log::{ContractLog, Reader};
-use crate::node;
+use crate::log::ContractLog;
 
-/// Pause before an append or a question is repeated.
-const PAUSE: Duration = Duration::from_millis(200);
-
-/// What to publish, and where.
-#[derive(Debug)]
-pub(crate) struct Publication {
-    pub(crate) contract: Arc<Contract>,
-    /// Revision that the operator revised; the first one needs none.
-    pub(crate) base: Option<Revision>,
-    /// Act of publishing, if this command repeats an earlier one.
-    pub(crate) id: Option<PublishId>,
-    /// Admin addresses of the nodes whose word is asked for.
-    pub(crate) nodes: Vec<String>,
-    /// Time within which log and nodes must have confirmed.
-    pub(crate) timeout: Duration,
-}
+/// Pause after a pull, for which a command has no peers.
+const PULL_PAUSE: Duration = Duration::from_millis(100);
 
 /// Publication that was accepted.
 #[derive(Debug, Serialize)]
 pub(crate) struct Accepted {
-    pub(crate) customer: Name,
-    pub(crate) revision: Revision,
-    pub(crate) id: PublishId,
-    /// Nodes at which it is in force.
-    pub(crate) nodes: Vec<String>,
+    customer: Name,
+    /// Revision that the contract became.
+    revision: Revision,
+    /// Revision that is in force now.
+    current: Revision,
+    /// Nodes whose word was given.
+    nodes: Vec<String>,
+}
+
+/// Shell around one act of publishing.
+struct Shell {
+    http: Http,
+    log: ContractLog,
+    nodes: Vec<String>,
+    origin: Instant,
+    /// Last error of log or nodes, for the operator.
+    trouble: Option<CtlError>,
 }
 
-/// Publishes, and returns only what the log gave back and every asked node has in force.
+/// Publishes, and returns only what the log gave back and every node of `nodes` has accepted.
 pub(crate) async fn publish(
-    http: &Http,
+    http: Http,
     log: ContractLog,
-    publication: Publication,
+    nodes: Vec<String>,
+    plan: PublishPlan,
 ) -> Result<Accepted, CtlError> {
-    let deadline = Instant::now() + publication.timeout;
-    let customer = publication.contract.customer.clone();
-    let mut reader = Reader::new(log.clone());
-    reader.catch_up().await?;
-    let id = publication.id.unwrap_or_else(fresh_id);
-    let revision = match reader.fold().word(&customer, id).accepted {
-        Some(revision) => revision,
-        None => {
-            let base = base(&publication, reader.fold().revision(&customer))?;
-            let contract = publication.contract.clone();
-            let record = ContractRecord::Publish { id, base, contract };
-            append(&log, &mut reader, &customer, &record, id, deadline).await?
+    let customer = plan.contract.customer.clone();
+    let mut shell = Shell { http, log, nodes, origin: Instant::now(), trouble: None };
+    let mut publisher = Publisher::new(shell.now(), plan);
+    let result = loop {
+        match publisher.poll(shell.now()) {
+            PublishAction::Done(result) => break result,
+            PublishAction::Ask { customer, id } => {
+                let word = shell.ask(&customer, id).await;
+                publisher.on_word(shell.now(), word);
+            }
+            PublishAction::Log(action) => shell.act(&mut publisher, action).await,
         }
     };
-    for node in &publication.nodes {
-        await_node(http, node, &customer, revision, id, deadline).await?;
+    match result {
+        PublishResult::Accepted { revision, current } => {
+            Ok(Accepted { customer, revision, current, nodes: shell.nodes })
+        }
+        result => Err(CtlError::NotPublished { result, trouble: shell.trouble.map(Box::new) }),
     }
-    Ok(Accepted { customer, revision, id, nodes: publication.nodes })
 }
 
-/// Revision to build on: nobody revises a contract that they have not named.
-fn base(publication: &Publication, current: Revision) -> Result<Revision, CtlError> {
-    let base = publication.base.unwrap_or_default();
-    if base == current {
-        return Ok(base);
+impl Shell {
+    fn now(&self) -> Moment {
+        Moment::from_micros(self.origin.elapsed().as_micros() as u64)
     }
-    let customer = publication.contract.customer.clone();
-    Err(CtlError::Superseded { customer, current })
-}
 
-/// Appends until the record shows up in the stream; the publish id makes repeats harmless.
-async fn append(
-    log: &ContractLog,
-    reader: &mut Reader,
-    customer: &Name,
-    record: &ContractRecord,
-    id: PublishId,
-    deadline: Instant,
-) -> Result<Revision, CtlError> {
-    let body = serde_json::to_vec(record).map(Bytes::from);
-    let body = body.map_err(|error| answer(log.address(), &error.to_string()))?;
-    loop {
-        let appended = log.append(body.clone()).await;
-        let read = reader.catch_up().await;
-        let word = reader.fold().word(customer, id);
-        if let Some(revision) = word.accepted {
-            return Ok(revision);
-        }
-        let why = match (appended, read) {
-            (Ok(()), Ok(_)) => {
-                let (customer, current) = (customer.clone(), word.current);
-                return Err(CtlError::Superseded { customer, current });
+    async fn act(&mut self, publisher: &mut Publisher, action: ReadAction) {
+        let draw = self.origin.elapsed().subsec_nanos().into();
+        let done = match action {
+            ReadAction::Read { from, wait } => self.log.read(from, wait).await.map(Some),
+            ReadAction::Append(record) => self.log.append(&record).await.map(|()| None),
+            ReadAction::Pull => return tokio::time::sleep(PULL_PAUSE).await,
+            ReadAction::Wait(until) => {
+                return tokio::time::sleep(until.since(self.now())).await;
             }
-            (Err(error), _) | (_, Err(error)) => error.to_string(),
         };
-        if Instant::now() >= deadline {
-            return Err(CtlError::Unconfirmed { address: log.address().to_owned(), why, id });
+        match done {
+            Ok(Some(batch)) => publisher.on_read(self.now(), draw, &batch),
+            Ok(None) => publisher.on_append(self.now()),
+            Err(error) => {
+                publisher.on_error(self.now(), draw);
+                self.trouble = Some(error);
+            }
         }
-        tokio::time::sleep(PAUSE).await;
     }
-}
 
-async fn await_node(
-    http: &Http,
-    node: &str,
-    customer: &Name,
-    revision: Revision,
-    id: PublishId,
-    deadline: Instant,
-) -> Result<(), CtlError> {
-    loop {
-        let why = match node::state(http, node).await {
-            Ok(state) if state.revision(customer) >= revision => return Ok(()),
-            Ok(state) => format!("revision {} is in force here", state.revision(customer)),
-            Err(error) => error.to_string(),
-        };
-        if Instant::now() >= deadline {
-            return Err(CtlError::Unconfirmed { address: node.to_owned(), why, id });
+    /// Word of all nodes together: accepted only if each of them says so.
+    async fn ask(&mut self, customer: &Name, id: PublishId) -> Option<Word> {
+        let mut together = None::<Word>;
+        for node in &self.nodes {
+            let path = format!("/contracts/{customer}/publications/{id}");
+            let word = match self.http.get::<Word>(node, &path, Duration::ZERO).await {
+                Ok(word) => word,
+                Err(error) => {
+                    self.trouble = Some(error);
+                    return None;
+                }
+            };
+            word.accepted?;
+            let newest = together.map_or(word.current, |known| known.current.max(word.current));
+            together = Some(Word { current: newest, accepted: word.accepted });
         }
-        tokio::time::sleep(PAUSE).await;
+        together
     }
 }
 
 impl fmt::Display for Accepted {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { customer, revision, id, nodes } = self;
-        write!(f, "accepted: customer {customer} revision {revision}, published as {id}")?;
-        match nodes.len() {
-            0 => f.write_str("; no node was asked whether it is in force"),
-            count => write!(f, "; in force at all of {count} nodes asked"),
-        }
+        let Self { customer, revision, current, nodes } = self;
+        let (revision, current) = (*revision, *current);
+        let result = PublishResult::Accepted { revision, current };
+        write!(f, "customer {customer}: {result} by the word of {} nodes", nodes.len())
     }
 }
-
-fn answer(address: &str, why: &str) -> CtlError {
-    CtlError::Answer { address: address.to_owned(), why: why.to_owned() }
-}
-
-/// Identifier from the operating system's randomness, by way of the hasher's keys.
-fn fresh_id() -> PublishId {
-    let high = RandomState::new().hash_one(0_u8);
-    let low = RandomState::new().hash_one(1_u8);
-    PublishId((u128::from(high) << 64) | u128::from(low))
-}
--- a/ctl/src/show.rs
+++ b/ctl/src/show.rs
@@ -8,7 +8,7 @@
 
 use crate::error::CtlError;
 use crate::http::Http;
-use crate::log::{ContractLog, Judged, Reader};
+use crate::log::{ContractLog, JudgedEntry, Reader};
 use crate::node;
 use crate::options::Source;
 
@@ -68,16 +68,16 @@
 
 /// Reads what was published for a customer.
 pub(crate) async fn history(log: ContractLog, customer: &Name) -> Result<History, CtlError> {
-    let judged = Reader::new(log).catch_up().await?;
-    Ok(History(judged.into_iter().filter_map(|judged| line(judged, customer)).collect()))
+    let entries = Reader::new(log).catch_up().await?;
+    Ok(History(entries.into_iter().filter_map(|entry| line(entry, customer)).collect()))
 }
 
-fn line(judged: Judged, customer: &Name) -> Option<Line> {
-    let Some(ContractRecord::Publish { id, base, contract }) = judged.record else {
+fn line(item: JudgedEntry, customer: &Name) -> Option<Line> {
+    let Some(ContractRecord::Publish { id, base, contract }) = item.entry.record else {
         return None;
     };
-    let verdict = verdict_text(&judged.verdict);
-    let line = Line { offset: judged.offset, publish_id: id, base, verdict };
+    let verdict = verdict_text(&item.judged.verdict);
+    let line = Line { offset: item.entry.offset, publish_id: id, base, verdict };
     (contract.customer == *customer).then_some(line)
 }
 
--- a/ctl/src/watch.rs
+++ b/ctl/src/watch.rs
@@ -16,8 +16,6 @@
 
 /// Pause between two looks at a node.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
-/// Time for which a read of the log waits for a record.
-const READ_WAIT: Duration = Duration::from_secs(10);
 
 /// A revision came into force.
 #[derive(Debug, Serialize)]
@@ -51,7 +49,7 @@
         match &mut reader {
             Some(reader) => {
                 printer.print(show::in_force(reader.fold()))?;
-                reader.follow(READ_WAIT).await?;
+                reader.step().await?;
             }
             None => {
                 printer.print(show::all(http, source).await?)?;
