Model at most once, and replay the model's runs through the real tables

Cause: "runs at most once" and "told not run, so it never ran" need every order of loss, repetition, delay, kill, freeze and handover. Ruled out: one model with parent, child and windows at once (too many states); three bounded ones instead, all from the same rules. Before: no model of bindings.

--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -5,8 +5,9 @@
 //! [contracts](../../docs/design/contracts.md).
 
 mod check;
+pub mod once;
 
 pub use check::{Check, Failure, Model, Mutation, Property, Report, Step, check};
 
 /// Every check, in the order in which they run.
-pub const CHECKS: &[Check] = &[];
+pub const CHECKS: &[Check] = &[once::LEAF, once::CHAIN, once::RERUN];
--- /dev/null
+++ b/model/src/once/state.rs
@@ -0,0 +1,297 @@
+//! State of the at-most-once model, with what was told and what ran.
+
+use std::fmt;
+
+use super::{Bounds, FLOWS, NODES, SERIALS};
+
+/// Request as the tables know it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Key {
+    /// Request of the outside caller.
+    Parent,
+    /// Call that a run of the parent makes; the same at whatever node the parent runs.
+    Child,
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Parent => "parent",
+            Self::Child => "child",
+        })
+    }
+}
+
+/// Who mints bindings for a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Party {
+    /// The outside caller, for the parent.
+    Caller,
+    /// The node beside the target that runs the parent, for the child.
+    Host(usize),
+}
+
+impl Party {
+    /// Every party.
+    pub const ALL: [Self; FLOWS] = [Self::Caller, Self::Host(0), Self::Host(1)];
+
+    /// Position of its flow.
+    pub const fn index(self) -> usize {
+        match self {
+            Self::Caller => 0,
+            Self::Host(node) => 1 + node,
+        }
+    }
+
+    /// Request that it calls.
+    pub const fn key(self) -> Key {
+        match self {
+            Self::Caller => Key::Parent,
+            Self::Host(_) => Key::Child,
+        }
+    }
+}
+
+impl fmt::Display for Party {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Caller => f.write_str("the caller"),
+            Self::Host(node) => write!(f, "the run at node {node}"),
+        }
+    }
+}
+
+/// Incarnation and window that alone may run a call; its serial is its place in the flow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Binding {
+    /// Node.
+    pub node: usize,
+    /// Incarnation of the node.
+    pub incarnation: u8,
+    /// Window of the incarnation.
+    pub window: u8,
+}
+
+/// What a node says of a copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Reply {
+    /// It ran, and this is the answer.
+    Done,
+    /// It did not run and will not under this binding.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// Replies given so far; each may arrive at any later step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
+pub struct Replies(u8);
+
+impl Replies {
+    /// Adds a reply.
+    pub fn add(&mut self, reply: Reply) {
+        self.0 |= 1 << reply as u8;
+    }
+
+    /// Whether the reply was given.
+    pub const fn has(self, reply: Reply) -> bool {
+        self.0 & (1 << reply as u8) != 0
+    }
+}
+
+/// How far a party is with its call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum FlowState {
+    /// It may bind and send, or is waiting for word.
+    Open,
+    /// It was told done.
+    Done,
+    /// It was told not run.
+    NotRun,
+    /// It is gone: the run that made the call was killed.
+    Gone,
+}
+
+/// One party's call: what was sent and what was replied, by serial.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Flow {
+    /// How far it is.
+    pub state: FlowState,
+    /// Bindings minted so far; copies of each may arrive at any later step.
+    pub sent: [Option<Binding>; SERIALS],
+    /// Replies to copies under each binding.
+    pub replies: [Replies; SERIALS],
+    /// Number of runs of the call under each binding; 2 stands for more as well.
+    pub runs: [u8; SERIALS],
+}
+
+impl Flow {
+    /// Number of bindings minted.
+    pub fn minted(&self) -> usize {
+        self.sent.iter().flatten().count()
+    }
+}
+
+/// Recorded request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Entry {
+    /// Party whose copy was recorded.
+    pub party: Party,
+    /// Serial of its binding.
+    pub serial: usize,
+    /// Window of its binding.
+    pub window: u8,
+    /// What is known of it.
+    pub fate: Fate,
+}
+
+/// What a table knows of a recorded request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Fate {
+    /// Admitted, not yet handed to the target.
+    Queued,
+    /// Handed to the target.
+    Running,
+    /// Ended with an answer.
+    Done,
+    /// Refused: a tombstone.
+    Refused,
+    /// Ended without an answer.
+    Lost,
+}
+
+/// Requests recorded, by key.
+pub type Table = [Option<Entry>; 2];
+
+/// Table that a node took over from the other one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Sealed {
+    /// Incarnation that it speaks for.
+    pub incarnation: u8,
+    /// Oldest window whose keys are in the table.
+    pub floor: u8,
+    /// What ran or may have run.
+    pub table: Table,
+}
+
+/// Node beside a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Node {
+    /// Present incarnation.
+    pub incarnation: u8,
+    /// Whether it admits nothing more.
+    pub sealed: bool,
+    /// Window in which bindings are minted.
+    pub window: u8,
+    /// Windows whose keys are held are this one and the later ones.
+    pub floor: u8,
+    /// Requests recorded.
+    pub table: Table,
+    /// Table taken over from the other node.
+    pub heir: Option<Sealed>,
+    /// Whether it runs the repeatable parent.
+    pub hosts: bool,
+}
+
+impl Node {
+    pub(crate) const fn new(incarnation: u8) -> Self {
+        let table = [None; 2];
+        Self { incarnation, sealed: false, window: 0, floor: 0, table, heir: None, hosts: false }
+    }
+
+    /// Windows that admit keys are this one and the later ones.
+    pub const fn open(&self) -> u8 {
+        self.window.saturating_sub(1)
+    }
+}
+
+/// State of the model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct State {
+    /// Nodes.
+    pub nodes: [Node; NODES],
+    /// Calls, by [`Party::index`].
+    pub flows: [Flow; FLOWS],
+    /// Steps of each fault that are left.
+    pub kills: u8,
+    /// Windows that may still be opened.
+    pub ticks: u8,
+    /// Graceful stops that may still come.
+    pub seals: u8,
+}
+
+impl State {
+    pub(crate) fn new(bounds: Bounds) -> Self {
+        let node = Node::new(0);
+        let flow = Flow {
+            state: FlowState::Open,
+            sent: [None; SERIALS],
+            replies: [Replies::default(); SERIALS],
+            runs: [0; SERIALS],
+        };
+        let Bounds { kills, ticks, seals } = bounds;
+        Self { nodes: [node; NODES], flows: [flow; FLOWS], kills, ticks, seals }
+    }
+
+    /// Flow of a party.
+    pub fn flow(&self, party: Party) -> &Flow {
+        &self.flows[party.index()]
+    }
+
+    /// Number of runs of a request, under all its bindings.
+    pub(crate) fn runs(&self, key: Key) -> u8 {
+        let of_key = Party::ALL.into_iter().filter(|party| party.key() == key);
+        of_key.flat_map(|party| self.flow(party).runs).sum()
+    }
+
+    /// Whether a node of the state runs the parent.
+    pub(crate) fn hosts(&self, node: usize) -> bool {
+        let entry = self.nodes[node].table[Key::Parent as usize];
+        self.nodes[node].hosts || entry.is_some_and(|entry| entry.fate == Fate::Running)
+    }
+
+    pub(crate) fn not_run_is_true(&self) -> bool {
+        let told = |party: &Party| self.flow(*party).state == FlowState::NotRun;
+        Party::ALL.into_iter().filter(told).all(|party| self.runs(party.key()) == 0)
+    }
+
+    pub(crate) fn refusals_are_true(&self) -> bool {
+        let true_of = |flow: &Flow| {
+            let mut pairs = flow.replies.iter().zip(flow.runs);
+            pairs.all(|(replies, runs)| runs == 0 || !replies.has(Reply::NotRun))
+        };
+        self.flows.iter().all(true_of)
+    }
+
+    pub(crate) fn done_is_true(&self) -> bool {
+        let told = |party: &Party| self.flow(*party).state == FlowState::Done;
+        Party::ALL.into_iter().filter(told).all(|party| self.runs(party.key()) > 0)
+    }
+
+    pub(crate) fn parents_ran(&self) -> bool {
+        let called = self.flows[1..].iter().any(|flow| flow.minted() > 0);
+        !(called && self.flows[0].state == FlowState::NotRun)
+    }
+
+    pub(crate) fn saw(&self, reply: Reply) -> bool {
+        self.flows.iter().any(|flow| flow.replies.iter().any(|replies| replies.has(reply)))
+    }
+
+    pub(crate) fn second_ran(&self) -> bool {
+        self.flows[0].runs[1] > 0
+    }
+
+    pub(crate) fn successor_answered(&self) -> bool {
+        let heir = |node: &Node| node.heir.is_some_and(|heir| heir.table[0].is_some());
+        self.nodes.iter().any(heir) && self.flows[0].state == FlowState::Done
+    }
+
+    pub(crate) fn child_alone(&self) -> bool {
+        let alone = |flow: &Flow| flow.state == FlowState::Gone && flow.runs[0] > 0;
+        self.flows[1..].iter().any(alone)
+    }
+
+    pub(crate) fn two_hosts(&self) -> bool {
+        self.flows[1..].iter().all(|flow| flow.state == FlowState::NotRun)
+    }
+}
--- /dev/null
+++ b/model/tests/once_conformance.rs
@@ -0,0 +1,251 @@
+//! Replays random runs of the at-most-once model through the real functions, and compares after
+//! every step what each node makes of each copy that could arrive there.
+
+use std::time::Duration;
+
+use poplar_core::{
+    Binding, Bound, CallRule, ErrorKind, Evidence, Fate, Incarnation, InstanceId, Lineage, Moment,
+    Outcome, RequestId, RunLimits, RunTable, RunVerdict, SealedTable, Successor, Unbound,
+    call_rule,
+};
+use poplar_model::Model;
+use poplar_model::once::{Event, Key, NODES, Once, Parent, Party, Reply, SERIALS, State, Verdict};
+
+const WINDOW: Duration = Duration::from_secs(10);
+/// The model drops a window two windows after it ended.
+const HOLD: Duration = Duration::from_secs(20);
+const LIMITS: RunLimits = RunLimits { keys: 8, bytes: 8, window: WINDOW, hold: HOLD };
+
+/// Node with the real tables, in the states of its life cycle.
+enum Table {
+    Open(RunTable<u8>),
+    Sealed(SealedTable<u8>),
+    /// Handed over: copies that arrive here are answered by the successor alone.
+    Gone,
+}
+
+struct Node {
+    name: InstanceId,
+    incarnation: Incarnation,
+    now: Moment,
+    table: Table,
+    heir: Successor<u8>,
+}
+
+/// Real counterpart of a model's state.
+struct World {
+    nodes: [Node; NODES],
+    flows: [Option<Bound>; 3],
+}
+
+fn request(key: Key) -> RequestId {
+    RequestId(key as u128)
+}
+
+impl Node {
+    fn new(name: &str, incarnation: u64, now: Moment) -> Self {
+        let (name, incarnation) = (InstanceId::from(name), Incarnation(incarnation));
+        let table = Table::Open(RunTable::new(now, name.clone(), incarnation, LIMITS));
+        Self { name, incarnation, now, table, heir: Successor::new(Duration::MAX, 8) }
+    }
+
+    fn verdict(&mut self, key: Key, binding: &Binding) -> Option<Verdict> {
+        let request = request(key);
+        let fate = match &mut self.table {
+            _ if binding.instance != self.name => {
+                Some(self.heir.answer(self.now, request, binding))
+            }
+            Table::Open(table) => table.look_up(self.now, request, binding),
+            Table::Sealed(table) => Some(table.answer(request, binding)),
+            Table::Gone => return None,
+        };
+        Some(match fate {
+            None => Verdict::Admit,
+            Some(Fate::Running) => Verdict::Wait,
+            Some(Fate::Done(_)) => Verdict::Reply(Reply::Done),
+            Some(Fate::NotRun(_)) => Verdict::Reply(Reply::NotRun),
+            Some(Fate::Unknown(_)) => Verdict::Reply(Reply::Unknown),
+        })
+    }
+
+    fn finish(&mut self, key: Key, outcome: Outcome<u8>) {
+        match &mut self.table {
+            Table::Open(table) => assert!(table.finish(self.now, request(key), outcome, 1)),
+            Table::Sealed(table) => assert!(table.finish(request(key), outcome, 1)),
+            Table::Gone => {}
+        }
+    }
+
+    fn open(&mut self) -> &mut RunTable<u8> {
+        match &mut self.table {
+            Table::Open(table) => table,
+            _ => panic!("the model acts on a table that is sealed"),
+        }
+    }
+}
+
+impl World {
+    fn new() -> Self {
+        let nodes = [Node::new("n0", 0, Moment::default()), Node::new("n1", 0, Moment::default())];
+        Self { nodes, flows: [const { None }; 3] }
+    }
+
+    fn mint(&mut self, party: Party, node: usize) {
+        let flow = &mut self.flows[party.index()];
+        let call = match flow.take() {
+            None => Unbound::new(),
+            Some(bound) => {
+                let word = Evidence::Told(bound.binding().clone());
+                bound.release(&word).expect("the word is on its binding")
+            }
+        };
+        let node = &mut self.nodes[node];
+        // A node that is leaving mints nothing itself; its last window is still known.
+        let window = match &mut node.table {
+            Table::Open(table) => table.window(node.now),
+            _ => 0,
+        };
+        *flow = Some(call.bind(node.name.clone(), node.incarnation, window));
+    }
+
+    /// Binding of a party by its serial, as the model says that it was minted.
+    fn binding(&self, state: &State, party: Party, serial: usize) -> Option<Binding> {
+        let sent = state.flow(party).sent[serial]?;
+        let binding = Binding {
+            instance: self.nodes[sent.node].name.clone(),
+            incarnation: Incarnation(sent.incarnation.into()),
+            window: sent.window.into(),
+            serial: serial as u32,
+        };
+        Some(binding)
+    }
+
+    fn arrive(&mut self, state: &State, party: Party, serial: usize, node: usize, refuse: bool) {
+        let binding = self.binding(state, party, serial).expect("the copy was sent");
+        let (now, request) = (self.nodes[node].now, request(party.key()));
+        if refuse {
+            let fate = self.nodes[node].open().refuse(now, request, &binding, ErrorKind::Overload);
+            assert_eq!(fate, Fate::NotRun(ErrorKind::Overload));
+        } else {
+            let verdict = self.nodes[node].open().admit(now, request, &binding, 1);
+            assert_eq!(verdict, RunVerdict::Run);
+        }
+    }
+
+    fn tick(&mut self, node: usize) {
+        let node = &mut self.nodes[node];
+        node.now = node.now + WINDOW;
+        let now = node.now;
+        node.open().window(now);
+    }
+
+    fn seal(&mut self, node: usize) {
+        let table = std::mem::replace(&mut self.nodes[node].table, Table::Gone);
+        let Table::Open(table) = table else { panic!("sealed twice") };
+        self.nodes[node].table = Table::Sealed(table.seal());
+    }
+
+    /// Whether the table was there to be handed over.
+    fn hand_over(&mut self, node: usize) -> bool {
+        let table = std::mem::replace(&mut self.nodes[node].table, Table::Gone);
+        let Table::Sealed(table) = table else { return false };
+        let successor = &mut self.nodes[1 - node];
+        successor.heir.take(successor.now, table.handover()).expect("there is room");
+        true
+    }
+
+    /// Follows the model's event; false if the walk has to end here.
+    fn apply(&mut self, state: &State, event: Event, verdict: Option<Verdict>) -> bool {
+        let not_run = Outcome::NotRun { kind: ErrorKind::Overload, retry_after: Duration::ZERO };
+        let unknown = Outcome::Unknown { kind: ErrorKind::Connection };
+        match event {
+            Event::Mint(party, node) => self.mint(party, node),
+            Event::Arrive(party, serial, node) if verdict == Some(Verdict::Admit) => {
+                self.arrive(state, party, serial, node, false);
+            }
+            Event::Refuse(party, serial, node) => self.arrive(state, party, serial, node, true),
+            Event::Drop(node, key) => self.nodes[node].finish(key, not_run),
+            Event::Finish(node, key) => self.nodes[node].finish(key, Outcome::Done(1)),
+            Event::Lose(node, key) => self.nodes[node].finish(key, unknown),
+            Event::Tick(node) => self.tick(node),
+            Event::Seal(node) => self.seal(node),
+            Event::Handover(node) => return self.hand_over(node),
+            Event::Kill(node) => {
+                let Node { name, incarnation, now, .. } = &self.nodes[node];
+                let (name, now) = (name.0.clone(), *now);
+                self.nodes[node] = Node::new(name.as_str(), incarnation.0 + 1, now);
+            }
+            _ => {}
+        }
+        true
+    }
+
+    /// Compares what every node makes of every copy that may arrive.
+    fn compare(&mut self, model: &Once, state: &State, trace: &[String]) -> usize {
+        let mut compared = 0;
+        for party in Party::ALL {
+            for (serial, node) in (0..SERIALS).flat_map(|s| (0..NODES).map(move |n| (s, n))) {
+                let Some(binding) = self.binding(state, party, serial) else { continue };
+                let Some(real) = self.nodes[node].verdict(party.key(), &binding) else { continue };
+                let said = model.verdict(state, party, serial, node);
+                let place = format!("{party}, binding {serial}, node {node}: {trace:#?}");
+                assert_eq!(Some(real), said, "{place}");
+                compared += 1;
+            }
+        }
+        compared
+    }
+}
+
+/// Small generator of a fixed sequence (xorshift64).
+struct Draw(u64);
+
+impl Draw {
+    fn below(&mut self, limit: usize) -> usize {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 % limit as u64) as usize
+    }
+}
+
+/// Walks the model at random, the real functions alongside; returns the number of comparisons.
+fn walk(model: &Once, draw: &mut Draw) -> usize {
+    let (mut state, mut world) = (model.initial(), World::new());
+    let (mut trace, mut compared) = (Vec::new(), 0);
+    for _ in 0..30 {
+        let mut steps = model.steps(&state);
+        if steps.is_empty() {
+            break;
+        }
+        let step = steps.swap_remove(draw.below(steps.len()));
+        let verdict = match step.event {
+            Event::Arrive(party, serial, node) => model.verdict(&state, party, serial, node),
+            _ => None,
+        };
+        trace.push(step.event.to_string());
+        if !world.apply(&step.next, step.event, verdict) {
+            break;
+        }
+        state = step.next;
+        compared += world.compare(model, &state, &trace);
+    }
+    compared
+}
+
+#[test]
+fn the_real_tables_answer_as_the_model_does_on_random_runs() {
+    for (model, seed) in [(Once::LEAF, 11), (Once::CHAIN, 12)] {
+        let mut draw = Draw(seed);
+        let compared: usize = (0..20_000).map(|_| walk(&model, &mut draw)).sum();
+        assert!(compared > 100_000, "{compared} comparisons for {:?}", model.parent);
+    }
+}
+
+#[test]
+fn the_real_rule_refuses_the_calls_that_the_model_refuses() {
+    let refused = Err(ErrorKind::OnceInRepeatable);
+    assert_eq!(Once::RERUN.parent, Parent::Repeatable);
+    assert_eq!(call_rule(Lineage::Repeatable, false, false), refused);
+    assert_eq!(call_rule(Lineage::Once, false, false), Ok(CallRule::Bound));
+}
