--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,15 +5,18 @@
 //! model checks and golden sessions replay it. See [the shape](../docs/design/shape.md).
 
 mod admission;
+mod answer;
 mod binding;
 mod budget;
 mod choice;
 mod contract;
 mod fold;
+mod follow;
 mod ids;
 mod limit;
 mod membership;
 mod outcome;
+mod publish;
 mod suspects;
 mod time;
 
@@ -21,6 +24,7 @@
     Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Ticket,
     Verdict as AdmissionVerdict,
 };
+pub use answer::{AnswerError, AnswerHead, Exchange, Expected, Idle, Waiting, WholeAnswer};
 pub use binding::{
     AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, BindingError, Bound,
     CallRule, Evidence, Fate, Handover, HandoverEntry, Lineage, Resend, RunLimits, RunTable,
@@ -36,10 +40,16 @@
     ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, MAX_REFUSED,
     RecordFault, Verdict, Word,
 };
+pub use follow::{
+    BACKOFF_MAX, BACKOFF_MIN, Judged, LONG_READ, LogBatch, LogEntry, LogReader, PULL_PAUSE,
+    ReadAction, ReaderError, SETTLE, SNAPSHOT_RECORDS, TURN, backoff,
+};
 pub use ids::{
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
-    rendezvous_weight,
+    rendezvous_owner, rendezvous_weight,
 };
 pub use limit::{ImportanceScale, RunTimes, TargetLimits, retry_after};
-pub use outcome::{ErrorKind, Outcome, Reply};
+pub use outcome::{ErrorKind, Outcome, Reply, TargetEnd};
+pub use publish::{PublishAction, PublishPlan, PublishResult, Publisher, RESEND, publish_id};
+pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
 pub use time::Moment;
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -1,11 +1,11 @@
 //! Calls as callers and the own target hand them in: where a request gets its terms.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
-use poplar_core::{AttemptId, Binding, ErrorKind, Moment, Name, Outcome, RequestId};
+use poplar_core::{AttemptId, Binding, Budget, ErrorKind, Grant, Moment, Name, Outcome, RequestId};
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
 use poplar_wire::{Answer, CallMeta};
 use serde_json::{Value, json};
@@ -20,7 +20,8 @@
 /// Call as it came in, read from the headers.
 #[derive(Debug)]
 pub(crate) struct Inbound {
-    pub(crate) customer: Name,
+    /// Customer; the node's own where the call names none.
+    pub(crate) customer: Option<Name>,
     pub(crate) class: Name,
     pub(crate) request: Option<RequestId>,
     pub(crate) left: Option<Duration>,
@@ -40,6 +41,7 @@
 /// Service that takes calls in.
 pub(crate) struct Entry {
     clock: Clock,
+    customer: Name,
     contracts: Arc<Contracts>,
     runs: Arc<Runs>,
     route: Arc<Route>,
@@ -57,9 +59,14 @@
 
 impl Entry {
     /// Service that finds what it needs in `registry`.
-    pub(crate) fn new(clock: Clock, registry: &Registry) -> Result<Self, RegistryError> {
+    pub(crate) fn new(
+        clock: Clock,
+        customer: Name,
+        registry: &Registry,
+    ) -> Result<Self, RegistryError> {
         Ok(Self {
             clock,
+            customer,
             contracts: registry.find("contracts")?,
             runs: registry.find("runs")?,
             route: registry.find("route")?,
@@ -96,8 +103,12 @@
         }
     }
 
+    fn customer<'a>(&'a self, call: &'a Inbound) -> &'a Name {
+        call.customer.as_ref().unwrap_or(&self.customer)
+    }
+
     fn terms(&self, call: &Inbound) -> Result<Terms, ErrorKind> {
-        let contract = self.contracts.current(&call.customer).ok_or(ErrorKind::NoContract)?;
+        let contract = self.contracts.current(self.customer(call)).ok_or(ErrorKind::NoContract)?;
         contract.terms(&call.class).ok_or(ErrorKind::UnknownClass)
     }
 
@@ -113,7 +124,7 @@
         let request = call.request.unwrap_or_else(draw_request);
         let left = call.left.unwrap_or(class.deadline).min(class.deadline);
         let meta = CallMeta {
-            customer: call.customer,
+            customer: self.customer(&call).clone(),
             revision: terms.revision,
             root: request,
             request,
@@ -124,12 +135,14 @@
             left,
             age: Duration::ZERO,
             depth: 0,
-            units: class.retries,
+            grant: Grant { units: 0, rerun: false },
             binding: call.binding.filter(|_| once),
         };
         let service = class.service.clone();
-        let done = self.route.deliver(Delivery { meta, service, body: call.body }).await;
-        Outbound { outcome: done.outcome, binding: None }
+        let delivery = Delivery { meta, service, siblings: 1, body: call.body };
+        let budget = Mutex::new(Budget::grant(class.retries));
+        let outcome = self.route.deliver(delivery, &budget).await;
+        Outbound { outcome, binding: None }
     }
 
     async fn serve_child(&self, call: Inbound, terms: Terms, run: &Run) -> Outbound {
@@ -153,13 +166,13 @@
             left: call.left.unwrap_or(left).min(left),
             age: parent.age + now.since(run.since),
             depth: parent.depth.saturating_add(1),
-            units: run.take_units(),
+            grant: Grant { units: 0, rerun: false },
             binding,
         };
         let service = class.service.clone();
-        let done = self.route.deliver(Delivery { meta, service, body: call.body }).await;
-        run.return_units(done.units);
-        Outbound { outcome: done.outcome, binding: None }
+        let delivery = Delivery { meta, service, siblings: 1, body: call.body };
+        let outcome = self.route.deliver(delivery, run.budget()).await;
+        Outbound { outcome, binding: None }
     }
 }
 
