--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -363,13 +363,13 @@
     }
 }
 
-/// Sends the name of the run back, so that the node can tell this answer from a foreign one.
+/// The answer with the token of its run, by which the node knows it from any other answer.
 fn echo(handled: Handled, asked: &Asked) -> Handled {
-    let mut resp = handled?;
+    let mut response = handled?;
     if let Some(token) = asked.headers.get(header::PARENT) {
-        resp.headers_mut().insert(header::PARENT, token.clone());
+        response.headers_mut().insert(header::PARENT, token.clone());
     }
-    Ok(resp)
+    Ok(response)
 }
 
 /// The signal that a request was shed before it started.
