--- a/filetests/src/lib.rs
+++ b/filetests/src/lib.rs
@@ -1,1 +1,140 @@
-//! Placeholder.
+//! Golden files of whole sessions: a script and the trace of the real `core` on a fake clock.
+//!
+//! One file is one session. Lines that start with `#` are for the reader, `session KIND` names the
+//! interpreter, a line `TIME COMMAND` is a step, and the indented lines below a step are what
+//! `poplar-core` decided. [`replay`] writes the file anew; the test compares it with the old one
+//! and `POPLAR_BLESS=1` overwrites it. See [golden sessions](../../docs/design/golden-sessions.md).
+
+mod once;
+
+use std::time::Duration;
+
+use poplar_core::Moment;
+
+/// Marks a line that breaks what must always hold; no golden file may contain it.
+pub const VIOLATION: &str = "VIOLATION";
+
+/// Why a script could not be replayed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("line {line}: {fault}: {text}")]
+pub struct ScriptError {
+    /// Number of the line, from one.
+    pub line: usize,
+    /// What is wrong with it.
+    pub fault: Fault,
+    /// The line.
+    pub text: String,
+}
+
+/// What is wrong with a line of a script.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// The interpreter has no such command, or not with these words.
+    #[error("no such command")]
+    Command,
+    /// The command names something that is not there.
+    #[error("no such name")]
+    Name,
+    /// The command cannot be carried out in this state.
+    #[error("not possible now")]
+    State,
+    /// The line does not start with a time such as `250ms` or `3s`.
+    #[error("no time")]
+    Time,
+    /// The time is before that of the last step.
+    #[error("time goes back")]
+    Past,
+    /// The first step comes before `session KIND`, or the kind is unknown.
+    #[error("no such kind of session")]
+    Kind,
+}
+
+/// Interpreter of one kind of session.
+trait Session {
+    /// Carries one step out and says, line by line, what was decided.
+    fn step(&mut self, now: Moment, words: &[&str]) -> Result<Vec<String>, Fault>;
+
+    /// Lines at the end of the session: sums, and what must always hold.
+    fn end(&mut self) -> Vec<String>;
+}
+
+fn session(kind: &str) -> Result<Box<dyn Session>, Fault> {
+    match kind {
+        "once" => Ok(Box::new(once::Once::default())),
+        _ => Err(Fault::Kind),
+    }
+}
+
+/// Replays a session and returns its file with the trace as it is now.
+pub fn replay(text: &str) -> Result<String, ScriptError> {
+    let mut replay = Replay { session: None, now: Moment::default(), out: String::new() };
+    for (idx, line) in text.lines().enumerate() {
+        let error = |fault| ScriptError { line: idx + 1, fault, text: line.to_owned() };
+        replay.line(line).map_err(error)?;
+    }
+    replay.end();
+    Ok(replay.out)
+}
+
+/// Session under way, with the file as written so far.
+struct Replay {
+    session: Option<Box<dyn Session>>,
+    now: Moment,
+    out: String,
+}
+
+impl Replay {
+    fn line(&mut self, line: &str) -> Result<(), Fault> {
+        if line.starts_with(' ') || line == "end" {
+            return Ok(());
+        }
+        self.out.push_str(line);
+        self.out.push('\n');
+        if line.is_empty() || line.starts_with('#') {
+            return Ok(());
+        }
+        if let Some(kind) = line.strip_prefix("session ") {
+            self.session = Some(session(kind)?);
+            return Ok(());
+        }
+        self.step(line)
+    }
+
+    fn step(&mut self, line: &str) -> Result<(), Fault> {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let (time, command) = words.split_first().ok_or(Fault::Command)?;
+        let at = Moment::default() + duration(time)?;
+        if at < self.now {
+            return Err(Fault::Past);
+        }
+        self.now = at;
+        let session = self.session.as_mut().ok_or(Fault::Kind)?;
+        let lines = session.step(at, command)?;
+        self.indented(lines);
+        Ok(())
+    }
+
+    fn end(&mut self) {
+        let lines = self.session.as_mut().map(|session| session.end()).unwrap_or_default();
+        self.out.push_str("end\n");
+        self.indented(lines);
+    }
+
+    fn indented(&mut self, lines: Vec<String>) {
+        for line in lines {
+            self.out.push_str("    ");
+            self.out.push_str(&line);
+            self.out.push('\n');
+        }
+    }
+}
+
+/// Duration from its text, such as `250ms` or `3s`.
+fn duration(text: &str) -> Result<Duration, Fault> {
+    let parse = |digits: &str| digits.parse().map_err(|_| Fault::Time);
+    if let Some(digits) = text.strip_suffix("ms") {
+        return parse(digits).map(Duration::from_millis);
+    }
+    let digits = text.strip_suffix('s').ok_or(Fault::Time)?;
+    parse(digits).map(Duration::from_secs)
+}
--- /dev/null
+++ b/filetests/tests/golden.rs
@@ -0,0 +1,60 @@
+//! Each golden file is what a replay of its script writes. `POPLAR_BLESS=1` overwrites the files.
+
+use std::path::{Path, PathBuf};
+use std::{env, fs};
+
+use poplar_filetests::{Fault, VIOLATION, replay};
+
+fn files() -> Vec<PathBuf> {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("filetests");
+    let entries = fs::read_dir(dir).expect("the directory of golden files can be read");
+    let mut files: Vec<_> = entries.flatten().map(|entry| entry.path()).collect();
+    files.retain(|path| path.extension().is_some_and(|extension| extension == "txt"));
+    files.sort();
+    files
+}
+
+/// First line in which two texts differ.
+fn first_difference(expected: &str, found: &str) -> Option<String> {
+    let longest = expected.lines().count().max(found.lines().count());
+    let line = |text: &str, idx| text.lines().nth(idx).unwrap_or("(end of file)").to_owned();
+    let differs = |idx: &usize| line(expected, *idx) != line(found, *idx);
+    let idx = (0..longest).find(differs)?;
+    let (expected, found) = (line(expected, idx), line(found, idx));
+    Some(format!("line {}:\n  expected: {expected}\n  found:    {found}", idx + 1))
+}
+
+#[test]
+fn every_session_replays_as_its_golden_file_says() {
+    let bless = env::var_os("POPLAR_BLESS").is_some_and(|value| value == "1");
+    let mut faults = Vec::new();
+    let files = files();
+    assert!(!files.is_empty());
+    for path in files {
+        let expected = fs::read_to_string(&path).expect("a golden file can be read");
+        let found = match replay(&expected) {
+            Ok(found) => found,
+            Err(error) => {
+                faults.push(format!("{}: {error}", path.display()));
+                continue;
+            }
+        };
+        if found.contains(VIOLATION) {
+            faults.push(format!("{}: breaks what must always hold:\n{found}", path.display()));
+        } else if bless && found != expected {
+            fs::write(&path, &found).expect("a golden file can be written");
+        } else if let Some(difference) = first_difference(&expected, &found) {
+            faults.push(format!("{}: {difference}", path.display()));
+        }
+    }
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
+
+#[test]
+fn a_script_with_a_wrong_line_is_refused_with_its_number() {
+    let wrong = |text: &str| replay(text).map_err(|error| (error.line, error.fault));
+    assert_eq!(wrong("0s start a"), Err((1, Fault::Kind)));
+    assert_eq!(wrong("session once\nsoon start a"), Err((2, Fault::Time)));
+    assert_eq!(wrong("session once\n2s start a\n1s kill a"), Err((3, Fault::Past)));
+    assert_eq!(wrong("session once\n\n1s kill a"), Err((3, Fault::Name)));
+}
