Let the members of a service watch each other

Cause: nodes learned members only from the log; losses without a word were seen by nobody. Conclusion: probes, pushes and compared pages keep the views alike; each member confirms a loss by itself, after asking the suspect. MemberRecord and MemberState moved from wire to core; wire re-exports them. The group on a fake clock lies in bench/src/group.rs, for tests and measure.

--- /dev/null
+++ b/bench/src/group.rs
@@ -0,0 +1,287 @@
+//! Members of one service on a fake clock, with kills, cuts, freezes and lost messages.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use poplar_core::{
+    Incarnation, MemberRecord, MemberState, MemberVerdict, Membership, Message, Moment, Outgoing,
+    Peer, TICK_TIME, rendezvous_weight,
+};
+
+/// One-way time between two members.
+const LATENCY: Duration = Duration::from_millis(1);
+
+/// Availability zones that members are dealt to.
+pub const ZONES: usize = 4;
+
+/// What one member sent.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Sent {
+    /// Messages.
+    pub messages: u64,
+    /// Encoded bytes.
+    pub bytes: u64,
+}
+
+#[derive(Debug, PartialEq, Eq)]
+enum Running {
+    Up,
+    Frozen,
+    Killed,
+}
+
+#[derive(Debug)]
+struct Member {
+    membership: Membership,
+    record: MemberRecord,
+    running: Running,
+    cut: bool,
+    held: Vec<Event>,
+    sent: Sent,
+    received: u64,
+}
+
+#[derive(Debug)]
+enum Event {
+    Tick(usize),
+    Deliver { from: Peer, to: usize, message: Message },
+}
+
+/// Group of members that exchange messages of the real [`Membership`].
+#[derive(Debug)]
+pub struct Group {
+    now: Moment,
+    events: BTreeMap<(Moment, u64), Event>,
+    ordinal: u64,
+    members: Vec<Member>,
+    seed: u64,
+    loss: u64,
+    size: fn(&Message) -> u64,
+    largest: u64,
+}
+
+fn record(idx: usize) -> MemberRecord {
+    MemberRecord {
+        instance: format!("listings-{idx:04}").as_str().into(),
+        incarnation: Incarnation(1_790_000_000_000 + idx as u64),
+        sequence: 1,
+        service: "listings".into(),
+        zone: format!("zone-{}", idx % ZONES).as_str().into(),
+        address: format!("10.20.{}.{}:17000", idx / 256, idx % 256),
+        slots: 130,
+        state: MemberState::Serving,
+    }
+}
+
+impl Group {
+    /// Group of `count` members that all know the first one; `size` gives a message's bytes.
+    pub fn new(count: usize, seed: u64, size: fn(&Message) -> u64) -> Self {
+        let (events, members) = (BTreeMap::new(), Vec::new());
+        let now = Moment::from_millis(1_000);
+        let mut group = Self { now, events, ordinal: 0, members, seed, loss: 0, size, largest: 0 };
+        for idx in 0..count {
+            group.join(record(idx));
+        }
+        group
+    }
+
+    /// Present time.
+    pub fn now(&self) -> Moment {
+        self.now
+    }
+
+    /// Number of members, killed ones included.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Bytes of the largest message so far.
+    pub fn largest(&self) -> u64 {
+        self.largest
+    }
+
+    /// What each member sent so far.
+    pub fn sent(&self) -> Vec<Sent> {
+        self.members.iter().map(|member| member.sent).collect()
+    }
+
+    /// Bytes that each member received so far.
+    pub fn received(&self) -> Vec<u64> {
+        self.members.iter().map(|member| member.received).collect()
+    }
+
+    /// Adds one member more.
+    pub fn add(&mut self) -> usize {
+        self.join(record(self.members.len()));
+        self.members.len() - 1
+    }
+
+    fn join(&mut self, record: MemberRecord) {
+        let idx = self.members.len();
+        let roll = self.roll();
+        let mut membership = Membership::new(self.now, record.clone(), roll);
+        membership.seed(self.now, self.members.first().map(|first| first.record.clone()));
+        let (held, sent) = (Vec::new(), Sent::default());
+        let (running, cut) = (Running::Up, false);
+        self.members.push(Member { membership, record, running, cut, held, sent, received: 0 });
+        let phase = Duration::from_micros(roll % TICK_TIME.as_micros() as u64);
+        self.schedule(self.now + phase, Event::Tick(idx));
+    }
+
+    /// Loses `percent` of all messages from now on.
+    pub fn lose(&mut self, percent: u64) {
+        self.loss = percent;
+    }
+
+    /// Stops a member for good, without a word.
+    pub fn kill(&mut self, idx: usize) {
+        self.members[idx].running = Running::Killed;
+    }
+
+    /// Stops a member until [`Self::thaw`]; what is sent to it waits.
+    pub fn freeze(&mut self, idx: usize) {
+        self.members[idx].running = Running::Frozen;
+    }
+
+    /// Lets a frozen member run on, first with all that waited.
+    pub fn thaw(&mut self, idx: usize) {
+        self.members[idx].running = Running::Up;
+        for event in std::mem::take(&mut self.members[idx].held) {
+            self.schedule(self.now, event);
+        }
+    }
+
+    /// Cuts an availability zone off, or heals the cut.
+    pub fn cut(&mut self, zone: usize, cut: bool) {
+        for idx in (0..self.members.len()).filter(|idx| idx % ZONES == zone) {
+            self.members[idx].cut = cut;
+        }
+    }
+
+    /// Changes a member's own state.
+    pub fn set_state(&mut self, idx: usize, state: MemberState) {
+        let member = &mut self.members[idx];
+        member.record.state = state;
+        member.record.sequence += 1;
+        member.membership.announce(self.now, member.record.clone());
+    }
+
+    /// Lets `span` pass.
+    pub fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= end) {
+            let ((at, _), event) = entry.remove_entry();
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    /// Lets time pass until `done` holds; gives the time taken, or `None` after `limit`.
+    pub fn wait(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) -> Option<Duration> {
+        let start = self.now;
+        while !done(self) {
+            if self.now.since(start) >= limit {
+                return None;
+            }
+            self.pass(Duration::from_millis(50));
+        }
+        Some(self.now.since(start))
+    }
+
+    /// Whether all running members that satisfy `who` hold what `what` says of member `about`.
+    pub fn all_hold(
+        &self,
+        about: usize,
+        who: impl Fn(usize) -> bool,
+        what: impl Fn(MemberState, MemberVerdict) -> bool,
+    ) -> bool {
+        let instance = &self.members[about].record.instance;
+        self.members.iter().enumerate().all(|(idx, member)| {
+            let skip = member.running != Running::Up || idx == about || !who(idx);
+            let held = member.membership.entry(instance);
+            skip || held.is_some_and(|entry| what(entry.record.state, entry.verdict))
+        })
+    }
+
+    /// Whether every running member knows every running member as alive.
+    pub fn all_alive(&self) -> bool {
+        let up = |idx: usize| self.members[idx].running == Running::Up;
+        let all = (0..self.len()).filter(|&idx| up(idx));
+        let mut all = all;
+        all.all(|idx| self.all_hold(idx, |_| true, |_, verdict| verdict == MemberVerdict::Alive))
+    }
+
+    /// Number of pairs of running members that satisfy `who`, of which the first holds the second
+    /// for at least `verdict`.
+    pub fn count(&self, verdict: MemberVerdict, who: impl Fn(usize) -> bool) -> usize {
+        let up = |idx: usize| self.members[idx].running == Running::Up && who(idx);
+        let known: BTreeMap<_, _> =
+            self.members.iter().enumerate().map(|(idx, m)| (&m.record.instance, idx)).collect();
+        let holders = self.members.iter().enumerate().filter(|(idx, _)| up(*idx));
+        let entries = holders.flat_map(|(_, member)| member.membership.entries());
+        let held = entries.filter(|entry| entry.verdict >= verdict);
+        held.filter(|entry| known.get(&entry.record.instance).is_some_and(|&idx| up(idx))).count()
+    }
+
+    /// Whether all running members have the same view; checks each view as well.
+    pub fn all_agree(&self) -> bool {
+        let up = self.members.iter().filter(|member| member.running == Running::Up);
+        let mut digests: Vec<u32> = up.map(|member| member.membership.digest()).collect();
+        digests.dedup();
+        self.members.iter().all(|member| member.membership.verify().is_ok()) && digests.len() <= 1
+    }
+
+    fn roll(&mut self) -> u64 {
+        self.ordinal += 1;
+        rendezvous_weight(u128::from(self.ordinal) << 64 | u128::from(self.seed), "roll")
+    }
+
+    fn schedule(&mut self, at: Moment, event: Event) {
+        self.ordinal += 1;
+        self.events.insert((at, self.ordinal), event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        let idx = match &event {
+            Event::Tick(idx) => *idx,
+            Event::Deliver { to, .. } => *to,
+        };
+        match self.members[idx].running {
+            Running::Killed => return,
+            Running::Frozen => return self.members[idx].held.push(event),
+            Running::Up => {}
+        }
+        let out = match event {
+            Event::Tick(idx) => {
+                self.schedule(self.now + TICK_TIME, Event::Tick(idx));
+                let roll = self.roll();
+                self.members[idx].membership.tick(self.now, roll)
+            }
+            Event::Deliver { from, to, message } => {
+                self.members[to].received += (self.size)(&message);
+                self.members[to].membership.receive(self.now, &from, message)
+            }
+        };
+        for outgoing in out {
+            self.send(idx, outgoing);
+        }
+    }
+
+    fn send(&mut self, from: usize, outgoing: Outgoing) {
+        let bytes = (self.size)(&outgoing.message);
+        self.largest = self.largest.max(bytes);
+        let sender = &mut self.members[from];
+        sender.sent.messages += 1;
+        sender.sent.bytes += bytes;
+        let (cut, peer) = (sender.cut, sender.record.peer());
+        let text = outgoing.to.instance.to_string();
+        let to = text.rsplit('-').next().and_then(|digits| digits.parse::<usize>().ok());
+        let Some(to) = to.filter(|&to| to < self.members.len()) else { return };
+        let lost = self.roll() % 100 < self.loss;
+        if !lost && cut == self.members[to].cut {
+            let message = outgoing.message;
+            self.schedule(self.now + LATENCY, Event::Deliver { from: peer, to, message });
+        }
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -38,6 +38,10 @@
     rendezvous_owner, rendezvous_weight,
 };
 pub use limit::{ImportanceScale, RunTimes, TargetLimits, retry_after};
+pub use membership::{
+    Ask, Change, Entry, Follower, MemberRecord, MemberState, Membership, Message, Outgoing, Peer,
+    ProbeId, Sample, SampleRequest, TICK_TIME, Verdict as MemberVerdict, VerdictReport, ViewError,
+};
 pub use outcome::{ErrorKind, Outcome, Reply, TargetEnd};
 pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
 pub use time::Moment;
--- /dev/null
+++ b/core/src/membership/view.rs
@@ -0,0 +1,265 @@
+//! All members of a service as one of them sees them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::message::BUCKETS;
+use super::record::{Entry, MemberState, Peer, Verdict, VerdictReport};
+use crate::ids::{InstanceId, Name};
+use crate::time::Moment;
+
+/// Largest number of members kept, those that are gone included; about 400 bytes each.
+pub(crate) const MAX_MEMBERS: usize = 2_048;
+
+/// Time within which a suspect may refute before it counts as lost.
+const SUSPICION_TIME: Duration = Duration::from_secs(3);
+
+/// Time for which a member that is gone is remembered, so that old reports do not bring it back
+/// and a healed cut is noticed.
+const TOMBSTONE_TIME: Duration = Duration::from_secs(2 * 60 * 60);
+
+/// What a report changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Applied {
+    /// The view changed; the report is worth passing on.
+    News,
+    /// The view held this already.
+    Known,
+    /// The view holds something newer, which the sender lacks.
+    Stale,
+    /// The sender takes a member for lost that is alive here: the member should refute that.
+    Disputed,
+}
+
+#[derive(Debug, Clone)]
+struct Known {
+    entry: Entry,
+    /// When the verdict or the state last changed.
+    since: Moment,
+    /// Whether this node itself asked the suspect to refute.
+    asked: bool,
+}
+
+impl Known {
+    fn ask(&mut self) -> Peer {
+        self.asked = true;
+        self.entry.record.peer()
+    }
+}
+
+/// Members by instance, with a hash per group of them.
+#[derive(Debug)]
+pub(crate) struct View {
+    service: Name,
+    members: BTreeMap<InstanceId, Known>,
+    buckets: [u32; BUCKETS],
+}
+
+/// Inconsistency that [`View::verify`] found.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum ViewError {
+    /// The hash of a group is not that of its members.
+    #[error("hash of group {0} is off")]
+    Bucket(usize),
+    /// More members are kept than the bound allows.
+    #[error("{0} members kept")]
+    Count(usize),
+}
+
+/// Group of members that an instance belongs to.
+pub(crate) fn bucket_of(instance: &InstanceId) -> usize {
+    (xxh3_64(instance.0.as_str().as_bytes()) % BUCKETS as u64) as usize
+}
+
+/// Hash of the part of an entry on which all views must agree in the end.
+fn entry_hash(entry: &Entry) -> u32 {
+    if !entry.is_live() {
+        return 0;
+    }
+    let mut bytes = Vec::with_capacity(96);
+    bytes.extend_from_slice(entry.record.instance.0.as_str().as_bytes());
+    bytes.extend_from_slice(&entry.record.incarnation.0.to_le_bytes());
+    bytes.extend_from_slice(&entry.record.sequence.to_le_bytes());
+    bytes.extend_from_slice(&entry.refutations.to_le_bytes());
+    xxh3_64(&bytes) as u32
+}
+
+impl View {
+    pub(crate) fn new(service: Name) -> Self {
+        Self { service, members: BTreeMap::new(), buckets: [0; BUCKETS] }
+    }
+
+    pub(crate) fn get(&self, instance: &InstanceId) -> Option<&Entry> {
+        self.members.get(instance).map(|known| &known.entry)
+    }
+
+    pub(crate) fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.members.values().map(|known| &known.entry)
+    }
+
+    pub(crate) const fn buckets(&self) -> &[u32; BUCKETS] {
+        &self.buckets
+    }
+
+    pub(crate) fn digest(&self) -> u32 {
+        self.buckets
+            .iter()
+            .enumerate()
+            .fold(0, |sum, (idx, hash)| sum ^ hash.rotate_left(idx as u32))
+    }
+
+    /// Takes in all that another node knows of a member.
+    pub(crate) fn apply_entry(&mut self, now: Moment, entry: &Entry) -> Applied {
+        if entry.record.service != self.service || !entry.record.is_bounded() {
+            return Applied::Known;
+        }
+        let Some(known) = self.get(&entry.record.instance) else {
+            return self.insert(now, entry.clone());
+        };
+        let old = &known.record;
+        if entry.record.incarnation > old.incarnation {
+            self.put(now, entry.clone());
+            return Applied::News;
+        }
+        if entry.record.incarnation < old.incarnation {
+            return Applied::Stale;
+        }
+        let record = entry.record.sequence.cmp(&old.sequence);
+        if record.is_gt() {
+            let known = Entry { record: entry.record.clone(), ..known.clone() };
+            self.put(now, known);
+        }
+        let verdict = self.apply_verdict(now, &entry.report());
+        if record.is_gt() || verdict == Applied::News {
+            return Applied::News;
+        }
+        if record.is_lt() { Applied::Stale } else { verdict }
+    }
+
+    /// Takes in another node's verdict on a member.
+    pub(crate) fn apply_verdict(&mut self, now: Moment, report: &VerdictReport) -> Applied {
+        let Some(known) = self.get(&report.instance) else { return Applied::Known };
+        if report.incarnation != known.record.incarnation {
+            let old = report.incarnation < known.record.incarnation;
+            return if old { Applied::Stale } else { Applied::Known };
+        }
+        if known.record.state == MemberState::Left {
+            return Applied::Known;
+        }
+        let held = (known.refutations, known.verdict);
+        let heard = (report.refutations, report.verdict);
+        if heard.1 == Verdict::Lost && held.1 == Verdict::Alive && heard.0 >= held.0 {
+            let entry = Entry { refutations: heard.0, ..known.clone() };
+            self.put(now, entry);
+            return Applied::Disputed;
+        }
+        let Some(verdict) = believed(held, heard) else {
+            let outdated = heard.0 < held.0 || (heard < held && held.1 == Verdict::Lost);
+            return if outdated { Applied::Stale } else { Applied::Known };
+        };
+        let entry = Entry { refutations: report.refutations, verdict, ..known.clone() };
+        self.put(now, entry);
+        Applied::News
+    }
+
+    /// Suspects to be asked directly now, each once.
+    ///
+    /// Rumours reach all but a few members; asking makes sure that no member is taken for lost by
+    /// one that its refutation did not reach.
+    pub(crate) fn suspects_to_ask(&mut self, now: Moment) -> Vec<Peer> {
+        let due = |known: &&mut Known| {
+            let suspect = known.entry.verdict == Verdict::Suspect && !known.asked;
+            suspect && now.since(known.since) >= SUSPICION_TIME / 2
+        };
+        let suspects = self.members.values_mut().filter(due);
+        suspects.map(Known::ask).collect()
+    }
+
+    /// Moves suspects whose time is over to the lost, and gives their instances.
+    pub(crate) fn confirm_lost(&mut self, now: Moment) -> Vec<InstanceId> {
+        let due = |known: &&Known| {
+            known.entry.verdict == Verdict::Suspect && now.since(known.since) >= SUSPICION_TIME
+        };
+        let lost: Vec<Entry> =
+            self.members.values().filter(due).map(|known| known.entry.clone()).collect();
+        let instances = lost.iter().map(|entry| entry.record.instance.clone()).collect();
+        for entry in lost {
+            self.put(now, Entry { verdict: Verdict::Lost, ..entry });
+        }
+        instances
+    }
+
+    /// Gives every suspect `span` more time, which this node could not have heard it in.
+    pub(crate) fn extend_suspicions(&mut self, span: Duration) {
+        for known in self.members.values_mut() {
+            known.since = known.since + span;
+        }
+    }
+
+    /// Forgets members that have been gone for long.
+    pub(crate) fn forget_gone(&mut self, now: Moment) {
+        self.members
+            .retain(|_, known| known.entry.is_live() || now.since(known.since) < TOMBSTONE_TIME);
+    }
+
+    /// Checks the hashes and the bound.
+    pub(crate) fn verify(&self) -> Result<(), ViewError> {
+        if self.members.len() > MAX_MEMBERS {
+            return Err(ViewError::Count(self.members.len()));
+        }
+        let mut hashes = [0; BUCKETS];
+        for entry in self.entries() {
+            hashes[bucket_of(&entry.record.instance)] ^= entry_hash(entry);
+        }
+        let off = hashes.iter().zip(&self.buckets).position(|(a, b)| a != b);
+        off.map_or(Ok(()), |idx| Err(ViewError::Bucket(idx)))
+    }
+
+    fn insert(&mut self, now: Moment, entry: Entry) -> Applied {
+        if self.members.len() >= MAX_MEMBERS {
+            return Applied::Known;
+        }
+        self.put(now, entry);
+        Applied::News
+    }
+
+    pub(crate) fn put(&mut self, now: Moment, entry: Entry) {
+        let bucket = &mut self.buckets[bucket_of(&entry.record.instance)];
+        *bucket ^= entry_hash(&entry);
+        let instance = entry.record.instance.clone();
+        if let Some(old) = self.members.insert(instance, Known { entry, since: now, asked: false })
+        {
+            *bucket ^= entry_hash(&old.entry);
+        }
+    }
+
+    /// Counts the members.
+    pub(crate) fn census(&self) -> Census {
+        let live = self.entries().filter(|entry| entry.is_live()).count();
+        let lost = self.entries().filter(|entry| is_lost(entry)).count();
+        Census { live, lost }
+    }
+}
+
+/// Numbers of members by what became of them.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Census {
+    pub(crate) live: usize,
+    pub(crate) lost: usize,
+}
+
+/// Whether the member was lost without a word.
+pub(crate) fn is_lost(entry: &Entry) -> bool {
+    entry.record.state != MemberState::Left && entry.verdict == Verdict::Lost
+}
+
+/// Verdict to hold after hearing `heard` while holding `held`, if it changes anything.
+///
+/// No node takes a member for lost on another's word, only when a suspicion was not refuted in
+/// time. Otherwise the two sides of a healed cut would tell each other that all are lost.
+fn believed(held: (u32, Verdict), heard: (u32, Verdict)) -> Option<Verdict> {
+    let heard = (heard.0, heard.1.min(Verdict::Suspect));
+    (heard > held).then_some(heard.1)
+}
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -7,10 +7,8 @@
 mod text;
 
 pub use codec::{CodecError, MESSAGE_LIMIT_BYTES, decode, encode};
-pub use message::{
-    Announcement, Answer, CallMeta, CallReply, CallRequest, MemberRecord, MemberState,
-};
-pub use poplar_core::ContractRecord;
+pub use message::{Announcement, Answer, CallMeta, CallReply, CallRequest};
+pub use poplar_core::{ContractRecord, MemberRecord, MemberState};
 
 pub use text::{binding_text, parse_binding};
 
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -4,8 +4,7 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    AttemptId, Binding, Grant, Importance, Incarnation, InstanceId, Level, Name, Outcome,
-    RequestId, Revision,
+    AttemptId, Binding, Grant, Importance, Level, Name, Outcome, RequestId, Revision,
 };
 use serde::{Deserialize, Serialize};
 
@@ -88,36 +87,3 @@
     /// Connections that it takes.
     pub connections: u32,
 }
-
-/// State of a member of a service.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum MemberState {
-    /// Takes work.
-    Serving,
-    /// Finishes what it has and takes nothing new.
-    Draining,
-    /// Gone by its own word or by confirmed loss.
-    Left,
-}
-
-/// Record on the stream of members.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct MemberRecord {
-    /// Instance.
-    pub instance: InstanceId,
-    /// Incarnation that the record speaks of.
-    pub incarnation: Incarnation,
-    /// Sequence of the record within the incarnation; a lower one is ignored.
-    pub sequence: u64,
-    /// Service of the target.
-    pub service: Name,
-    /// Availability zone.
-    pub zone: Name,
-    /// Address for calls from other nodes, `ip:port`.
-    pub address: String,
-    /// Requests that the target runs at once.
-    pub slots: u32,
-    /// State.
-    pub state: MemberState,
-}
