Hold a learnt level before it falls and take the median of the instances

Cause: what callers know is 20 to 100 ms old, and falling at once by up to a fifth of an importance let through half as many calls again as fit; the lowest of four noisy levels added to it. They failed at the deep service.

--- a/core/src/admission/map.rs
+++ b/core/src/admission/map.rs
@@ -1,6 +1,7 @@
 //! Levels that a caller learnt from answers, so that a doomed call is refused where it enters.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::ids::{InstanceId, Name};
 use crate::limit::ImportanceScale;
@@ -8,6 +9,8 @@
 
 use super::level::{Level, Rank};
 
+/// Time for which a level learnt is taken as it came.
+const HOLD_TIME: Duration = Duration::from_millis(100);
 /// Largest number of classes in the map.
 const CLASSES_MAX: usize = 4_096;
 /// Largest number of instances kept per class.
@@ -67,11 +70,16 @@
         }
     }
 
-    /// Lowest level known for `class`: while one instance would take the call, it is not doomed.
+    /// Median of the levels known for `class`, the lower one of two: that of a single instance is
+    /// noisy, and the lowest of many lets through more than all of them complete.
     pub fn level(&self, now: Moment, class: &Name) -> Level {
         let row = self.classes.get(class).map_or(&[][..], Vec::as_slice);
-        let levels = row.iter().map(|known| known.level.fallen(now.since(known.at), &self.scale));
-        levels.min().unwrap_or_default()
+        let levels = row.iter().map(|known| {
+            known.level.fallen(now.since(known.at).saturating_sub(HOLD_TIME), &self.scale)
+        });
+        let mut levels: Vec<_> = levels.collect();
+        levels.sort_unstable();
+        levels.get(levels.len().saturating_sub(1) / 2).copied().unwrap_or_default()
     }
 
     /// Level to send back with an answer: the node's own, or the one that a further call meets.
