Let one call in a while renew an old level; nothing below the floor waits

Cause: a class that is refused altogether got no answers, so callers held its level until it had fallen through every importance, a second after the pressure had ended; and calls from before a rise kept places in the queue while more important ones were refused at the entry.

--- a/bench/src/overload/world.rs
+++ b/bench/src/overload/world.rs
@@ -313,7 +313,7 @@
         true
     }
 
-    fn is_doomed(&self, now: Moment, node: NodeIdx, class: ClassIdx, root: RootIdx) -> bool {
+    fn is_doomed(&mut self, now: Moment, node: NodeIdx, class: ClassIdx, root: RootIdx) -> bool {
         let names = self.closures[class.0].iter().map(|class| &self.names[class.0]);
         self.nodes[node.0].levels.is_doomed(now, self.roots[root.0].rank, names)
     }
--- a/core/src/admission/level.rs
+++ b/core/src/admission/level.rs
@@ -44,6 +44,12 @@
     }
 }
 
+impl From<Level> for Rank {
+    fn from(level: Level) -> Self {
+        Self(level.0)
+    }
+}
+
 /// Rank below which calls are refused; zero refuses nothing.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
--- a/core/src/admission/map.rs
+++ b/core/src/admission/map.rs
@@ -9,8 +9,12 @@
 
 use super::level::{Level, Rank};
 
-/// Time for which a level learnt is taken as it came.
-const HOLD_TIME: Duration = Duration::from_millis(100);
+/// Time after which one call is let through to learn the level anew.
+const FRESH_TIME: Duration = Duration::from_millis(100);
+/// Time between two such calls of one class.
+const PROBE_TIME: Duration = Duration::from_millis(50);
+/// Time after which a level that no answer has renewed begins to fall.
+const HOLD_TIME: Duration = Duration::from_millis(500);
 /// Largest number of classes in the map.
 const CLASSES_MAX: usize = 4_096;
 /// Largest number of instances kept per class.
@@ -23,7 +27,15 @@
 #[derive(Debug)]
 pub struct LevelMap {
     scale: ImportanceScale,
-    classes: BTreeMap<Name, Vec<Learnt>>,
+    classes: BTreeMap<Name, Row>,
+}
+
+/// What is known of one class.
+#[derive(Debug, Default)]
+struct Row {
+    learnt: Vec<Learnt>,
+    /// When a call was last let through to learn the level anew.
+    probed: Moment,
 }
 
 #[derive(Debug)]
@@ -49,7 +61,7 @@
         if !self.classes.contains_key(class) && self.classes.len() >= CLASSES_MAX {
             return;
         }
-        let row = self.classes.entry(class.clone()).or_default();
+        let row = &mut self.classes.entry(class.clone()).or_default().learnt;
         if let Some(known) = row.iter_mut().find(|known| known.instance == *instance) {
             known.level = level;
             known.at = now;
@@ -66,20 +78,14 @@
     /// Drops what came from an instance that has left.
     pub fn forget(&mut self, instance: &InstanceId) {
         for row in self.classes.values_mut() {
-            row.retain(|known| known.instance != *instance);
+            row.learnt.retain(|known| known.instance != *instance);
         }
     }
 
     /// Median of the levels known for `class`, the lower one of two: that of a single instance is
     /// noisy, and the lowest of many lets through more than all of them complete.
     pub fn level(&self, now: Moment, class: &Name) -> Level {
-        let row = self.classes.get(class).map_or(&[][..], Vec::as_slice);
-        let levels = row.iter().map(|known| {
-            known.level.fallen(now.since(known.at).saturating_sub(HOLD_TIME), &self.scale)
-        });
-        let mut levels: Vec<_> = levels.collect();
-        levels.sort_unstable();
-        levels.get(levels.len().saturating_sub(1) / 2).copied().unwrap_or_default()
+        self.classes.get(class).map_or(Level::OPEN, |row| row.level(now, &self.scale))
     }
 
     /// Level to send back with an answer: the node's own, or the one that a further call meets.
@@ -94,12 +100,54 @@
     }
 
     /// Whether a call of this rank would be refused by `class` or by one of the classes it calls.
+    ///
+    /// Where only levels that have grown old stand against it, one call in a while is let through,
+    /// because a class that is refused altogether would never learn that the pressure is over.
     pub fn is_doomed<'a>(
-        &self,
+        &mut self,
         now: Moment,
         rank: Rank,
         classes: impl IntoIterator<Item = &'a Name>,
     ) -> bool {
-        !self.joined(now, Level::OPEN, classes).admits(rank)
+        let mut due = Vec::new();
+        for class in classes {
+            let Some(row) = self.classes.get(class) else { continue };
+            if row.level(now, &self.scale).admits(rank) {
+                continue;
+            }
+            if !row.is_due(now) {
+                return true;
+            }
+            due.push(class);
+        }
+        for class in due {
+            if let Some(row) = self.classes.get_mut(class) {
+                row.probed = now;
+            }
+        }
+        false
+    }
+}
+
+impl Row {
+    fn level(&self, now: Moment, scale: &ImportanceScale) -> Level {
+        let newest = self.newest();
+        let fresh = self.learnt.iter().filter(|known| newest.since(known.at) <= FRESH_TIME);
+        let levels = fresh.map(|known| {
+            let idle = now.since(known.at).saturating_sub(HOLD_TIME);
+            known.level.fallen(idle, scale)
+        });
+        let mut levels: Vec<_> = levels.collect();
+        levels.sort_unstable();
+        levels.get(levels.len().saturating_sub(1) / 2).copied().unwrap_or_default()
+    }
+
+    /// Whether the level is old and no call was let through of late.
+    fn is_due(&self, now: Moment) -> bool {
+        now.since(self.newest()) >= FRESH_TIME && now.since(self.probed) >= PROBE_TIME
+    }
+
+    fn newest(&self) -> Moment {
+        self.learnt.iter().map(|known| known.at).max().unwrap_or_default()
     }
 }
--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -111,7 +111,9 @@
 
     /// Decides on a call that has just come in.
     pub fn arrive(&mut self, now: Moment, arrival: Arrival) -> Verdict {
-        self.advance(now);
+        if self.queue.len() == 0 {
+            self.advance(now);
+        }
         self.pressure.arrived(arrival.rank);
         let waiting = Waiting::new(now, arrival);
         if arrival.left < arrival.rest {
@@ -148,7 +150,9 @@
 
     /// Level that goes back with every answer.
     pub fn level(&mut self, now: Moment) -> Level {
-        self.advance(now);
+        if self.queue.len() == 0 {
+            self.advance(now);
+        }
         self.pressure.level()
     }
 
@@ -200,10 +204,21 @@
         self.pressure.advance(now, load);
     }
 
+    /// Removes the calls below the importance of which some are refused.
+    fn take_below_floor(&mut self) -> Vec<Waiting> {
+        let floor = self.pressure.floor();
+        let mut below = Vec::new();
+        while self.queue.lowest().is_some_and(|lowest| lowest.importance() < floor) {
+            below.extend(self.queue.pop_lowest());
+        }
+        below
+    }
+
     /// Queues the call, lets a lesser one give way to it, or refuses it.
     fn enqueue(&mut self, waiting: Waiting) -> Verdict {
         let full = self.queue.len() >= self.limits.queue as usize;
-        let passes = waiting.paid || self.pressure.level().admits(waiting.rank);
+        let above_floor = waiting.rank.importance() >= self.pressure.floor();
+        let passes = above_floor && (waiting.paid || self.pressure.level().admits(waiting.rank));
         let rank = waiting.rank;
         let lowest = self.queue.lowest();
         let outranks = lowest.is_some_and(|lowest| lowest.importance() < rank.importance());
@@ -224,6 +239,9 @@
     fn release(&mut self, now: Moment) -> Release {
         self.advance(now);
         let mut release = Release::default();
+        for below in self.take_below_floor() {
+            release.refuse.push(self.refusal(&below, ErrorKind::Overload));
+        }
         for late in self.queue.take_late(now) {
             release.refuse.push(self.refusal(&late, ErrorKind::Deadline));
         }
--- a/core/src/admission/pressure.rs
+++ b/core/src/admission/pressure.rs
@@ -127,6 +127,15 @@
         self.recent[DELAY_WINDOWS - 1] = self.level;
     }
 
+    /// Least importance that may wait here.
+    ///
+    /// While callers may refuse some calls of an importance for this target, no lesser call keeps
+    /// a place that one of them could have had.
+    pub(crate) fn floor(&self) -> Importance {
+        let hidden = Rank::from(self.hidden());
+        hidden.importance()
+    }
+
     /// Highest level that callers may still have applied to the calls that arrive now.
     fn hidden(&self) -> Level {
         self.recent.iter().copied().max().unwrap_or_default()
