--- a/node/src/ends/caller.rs
+++ b/node/src/ends/caller.rs
@@ -74,7 +74,7 @@
 /// Call that the headers speak of, or the name of the header that is missing or malformed.
 fn inbound(headers: &HeaderMap, body: Bytes) -> Result<Inbound, &'static str> {
     Ok(Inbound {
-        customer: Name::new(required(headers, header::CUSTOMER)?),
+        customer: parsed(headers, header::CUSTOMER, |text| Some(Name::new(text)))?,
         class: Name::new(required(headers, header::CLASS)?),
         request: parsed(headers, header::REQUEST, |text| text.parse().ok())?,
         left: parsed(headers, header::DEADLINE, |text| text.parse().ok())?
@@ -109,15 +109,12 @@
             label(&mut resp, header::OUTCOME, "done");
             resp
         }
-        Outcome::NotRun { kind, retry_after } => {
-            let mut resp = failure("not-run", kind);
-            if kind.reply().retryable {
-                come_back(&mut resp, retry_after);
-            }
-            resp
-        }
+        Outcome::NotRun { kind, .. } => failure("not-run", kind),
         Outcome::Unknown { kind } => failure("unknown", kind),
     };
+    if let Some(retry_after) = out.retry_after {
+        come_back(&mut resp, retry_after);
+    }
     if let Some(binding) = out.binding {
         label(&mut resp, header::BINDING, &binding_text(&binding));
     }
