Renew old levels sooner and clamp them to the importance of the lowest one

Cause: at the onset one instance still let a lesser importance wait while the median of the others refused a higher one; after the pressure an entry's level was up to 0.3 s old because each hop added its own delay.

--- a/core/src/admission/level.rs
+++ b/core/src/admission/level.rs
@@ -66,6 +66,16 @@
         Self(rank.0)
     }
 
+    /// Importance of the rank.
+    pub(crate) const fn importance(self) -> Importance {
+        Rank(self.0).importance()
+    }
+
+    /// Level that passes all of the importance at which this one stands.
+    pub(crate) const fn whole(self) -> Self {
+        Self::at(Rank::at(self.importance(), 0))
+    }
+
     /// Whether a call of this rank passes.
     pub const fn admits(self, rank: Rank) -> bool {
         rank.0 >= self.0
--- a/core/src/admission/map.rs
+++ b/core/src/admission/map.rs
@@ -10,9 +10,9 @@
 use super::level::{Level, Rank};
 
 /// Time after which one call is let through to learn the level anew.
-const FRESH_TIME: Duration = Duration::from_millis(100);
+const FRESH_TIME: Duration = Duration::from_millis(50);
 /// Time between two such calls of one class.
-const PROBE_TIME: Duration = Duration::from_millis(50);
+const PROBE_TIME: Duration = Duration::from_millis(25);
 /// Time after which a level that no answer has renewed begins to fall.
 const HOLD_TIME: Duration = Duration::from_millis(500);
 /// Largest number of classes in the map.
@@ -139,7 +139,9 @@
         });
         let mut levels: Vec<_> = levels.collect();
         levels.sort_unstable();
-        levels.get(levels.len().saturating_sub(1) / 2).copied().unwrap_or_default()
+        let median = levels.get(levels.len().saturating_sub(1) / 2).copied().unwrap_or_default();
+        let lowest = levels.first().copied().unwrap_or_default();
+        if lowest.importance() < median.importance() { median.whole() } else { median }
     }
 
     /// Whether the level is old and no call was let through of late.
