--- a/core/src/admission/level.rs
+++ b/core/src/admission/level.rs
@@ -44,6 +44,12 @@
     }
 }
 
+impl From<Level> for Rank {
+    fn from(level: Level) -> Self {
+        Self(level.0)
+    }
+}
+
 /// Rank below which calls are refused; zero refuses nothing.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -60,6 +66,16 @@
         Self(rank.0)
     }
 
+    /// Importance of the rank.
+    pub(crate) const fn importance(self) -> Importance {
+        Rank(self.0).importance()
+    }
+
+    /// Level that passes all of the importance at which this one stands.
+    pub(crate) const fn whole(self) -> Self {
+        Self::at(Rank::at(self.importance(), 0))
+    }
+
     /// Whether a call of this rank passes.
     pub const fn admits(self, rank: Rank) -> bool {
         rank.0 >= self.0
--- a/core/src/budget/decision.rs
+++ b/core/src/budget/decision.rs
@@ -69,8 +69,8 @@
 }
 
 const fn other_target_may_help(kind: ErrorKind) -> bool {
-    use ErrorKind::{Connection, Draining, NoContract, Overload};
-    matches!(kind, Connection | Draining | NoContract | Overload)
+    use ErrorKind::{BindingNeeded, Connection, Draining, NoContract, NoTarget, Overload};
+    matches!(kind, BindingNeeded | Connection | Draining | NoContract | NoTarget | Overload)
 }
 
 const fn lost_on_the_way(kind: ErrorKind) -> bool {
