Name the line, the fault and what is allowed when a contract is refused

Cause: a wrong unit was reported at the start of its class, without the term. Ruled out: a YAML parser with spans of its own; the errors are raised inside the visitors, where the library still knows the line, and contradictions find their line by the indentation. Before: "line 6: classes.book-reminder: `4 sec`".

--- a/core/src/contract.rs
+++ b/core/src/contract.rs
@@ -165,11 +165,22 @@
             depths.extend(ready);
         }
         match self.classes.keys().find(|class| !depths.contains_key(*class)) {
-            Some(class) => Err(ContractError::Circle { class: class.clone() }),
+            Some(class) => Err(ContractError::Circle { class: self.on_circle(class, &depths) }),
             None => Ok(depths),
         }
     }
 
+    /// Class on the circle that `class` leads to: after as many steps as there are classes, a
+    /// walk along unsettled callees has left whatever leads into the circle.
+    fn on_circle(&self, class: &Name, settled: &BTreeMap<Name, u32>) -> Name {
+        let mut at = class;
+        for _ in 0..self.classes.len() {
+            let callees = self.classes.get(at).map_or(&[][..], |terms| &terms.calls);
+            at = callees.iter().find(|callee| !settled.contains_key(*callee)).unwrap_or(at);
+        }
+        at.clone()
+    }
+
     fn verify_calls(&self, class: &Name, terms: &ClassTerms) -> Result<(), ContractError> {
         for callee in &terms.calls {
             let (class, callee) = (class.clone(), callee.clone());
--- a/ctl/src/check.rs
+++ b/ctl/src/check.rs
@@ -1,10 +1,8 @@
 //! The limits that follow from a contract, for the operator who is about to sign it.
 
 use std::fmt;
-use std::path::Path;
 
 use poplar_core::{ClassLimits, Contract, Goal, Name, TargetLimits};
-use poplar_wire::ContractFileError;
 use serde::Serialize;
 
 use crate::error::CtlError;
@@ -48,16 +46,9 @@
     connections: u32,
 }
 
-/// Derives the limits of a contract that was read from `file`.
-pub(crate) fn derive(
-    file: &Path,
-    contract: &Contract,
-    targets: Vec<TargetOption>,
-) -> Result<Derived, CtlError> {
-    let classes = ClassLimits::derive(contract).map_err(|fault| {
-        let fault = ContractFileError::Contradiction { line: 1, fault };
-        CtlError::Contract { file: file.display().to_string(), fault }
-    })?;
+/// Derives the limits of a contract.
+pub(crate) fn derive(contract: &Contract, targets: Vec<TargetOption>) -> Result<Derived, CtlError> {
+    let classes = ClassLimits::derive(contract)?;
     let unknown = targets.iter().find(|target| !contract.services.contains(&target.service));
     if let Some(target) = unknown {
         return Err(CtlError::Service { service: target.service.clone() });
--- a/ctl/src/error.rs
+++ b/ctl/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 
-use poplar_core::{Name, PublishResult};
+use poplar_core::{ContractError, Name, PublishResult};
 use poplar_wire::ContractFileError;
 
 /// Why a command did not do what it was asked.
@@ -11,6 +11,9 @@
     /// The contract file was refused.
     #[error("{file}: {fault}")]
     Contract { file: String, fault: ContractFileError },
+    /// The classes of a contract contradict each other.
+    #[error(transparent)]
+    Classes(#[from] ContractError),
     /// The contract file could not be read.
     #[error("{file}: {source}")]
     File { file: String, source: io::Error },
@@ -42,7 +45,7 @@
     pub(crate) const fn code(&self) -> u8 {
         match self {
             Self::Output(_) | Self::Service { .. } => 1,
-            Self::Contract { .. } | Self::File { .. } => 2,
+            Self::Contract { .. } | Self::Classes(_) | Self::File { .. } => 2,
             Self::NotPublished { result, .. } => match result {
                 PublishResult::Accepted { .. } => 0,
                 PublishResult::Refused(_) => 2,
--- a/ctl/src/main.rs
+++ b/ctl/src/main.rs
@@ -53,7 +53,7 @@
         }
         Command::Check { target, format, file } => {
             let contract = read_contract(&file)?;
-            output::print(format, &check::derive(&file, &contract, target)?)
+            output::print(format, &check::derive(&contract, target)?)
         }
         Command::Show { source, format, customer } => {
             let shown = show::show(&http, &source, &Name::new(&customer)).await?;
--- a/wire/src/contract_file.rs
+++ b/wire/src/contract_file.rs
@@ -4,14 +4,13 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::marker::PhantomData;
 use std::time::Duration;
 
 use poplar_core::{ClassTerms, Contract, ContractError, Goal, Importance, Name};
 use serde::Deserialize;
 use serde::de::{Deserializer, Error, MapAccess, Visitor};
 
-use crate::quantity::{Bytes, Count, Span};
+use crate::quantity::{Bytes, Count, Scalar, Span, time_text};
 
 /// Largest contract file, in bytes.
 pub const FILE_LIMIT_BYTES: usize = 256 << 10;
@@ -28,12 +27,14 @@
         what: String,
     },
     /// The classes contradict each other.
-    #[error("line {line}: {fault}")]
+    #[error("line {line}: {fault}; {allowed}")]
     Contradiction {
         /// Line of the term at fault, counted from one.
         line: usize,
         /// What is wrong.
         fault: ContractError,
+        /// What is allowed.
+        allowed: String,
     },
     /// The file exceeds [`FILE_LIMIT_BYTES`].
     #[error("line 1: the file has {0} bytes; allowed are up to {FILE_LIMIT_BYTES}")]
@@ -44,7 +45,7 @@
 #[serde(deny_unknown_fields)]
 struct ContractFile {
     customer: Word,
-    goal: Goal,
+    goal: GoalWord,
     services: Services,
     classes: Classes,
 }
@@ -64,15 +65,24 @@
     calls: Vec<Word>,
 }
 
+/// Measure that weighs more.
+struct GoalWord(Goal);
+
 /// Name of a customer, service or class: it travels in headers and stands in metrics.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
+#[derive(PartialEq, Eq)]
 struct Word(Name);
 
 /// Services of a contract: at least one, none twice.
 struct Services(Vec<Name>);
 
-/// Classes of a contract: at least one, none twice.
-struct Classes(BTreeMap<Name, ClassTerms>);
+/// Classes of a contract in the order of the file: at least one.
+struct Classes(Vec<ClassEntry>);
+
+/// Class with its name.
+struct ClassEntry {
+    name: Name,
+    file: ClassFile,
+}
 
 /// Reads the contract that `text` holds.
 ///
@@ -86,15 +96,16 @@
     let file: ContractFile = serde_norway::from_str(text).map_err(|error| located(&error))?;
     let contract = Contract {
         customer: file.customer.0,
-        goal: file.goal,
+        goal: file.goal.0,
         services: file.services.0,
-        classes: file.classes.0,
+        classes: classes(text, file.classes)?,
     };
     match contract.verify() {
         Ok(()) => Ok(contract),
         Err(fault) => {
-            let line = line_of(text, &["classes", fault.class().as_str(), fault.term()]);
-            Err(ContractFileError::Contradiction { line, fault })
+            let lines = lines_of(text, &["classes", fault.class().as_str(), fault.term()]);
+            let allowed = allowed(&contract, &fault);
+            Err(ContractFileError::Contradiction { line: lines.first, fault, allowed })
         }
     }
 }
@@ -110,46 +121,107 @@
     ContractFileError::Term { line: location.line(), what }
 }
 
-/// Line on which a key stands, found by the indentation of block mappings; the line of the last
-/// key that was found if the file is written in another style.
-fn line_of(text: &str, path: &[&str]) -> usize {
-    let (mut found, mut depth, mut indents) = (1, 0, Vec::new());
+fn classes(text: &str, entries: Classes) -> Result<BTreeMap<Name, ClassTerms>, ContractFileError> {
+    let mut classes = BTreeMap::new();
+    for ClassEntry { name, file } in entries.0 {
+        let class = name.as_str();
+        let terms = file.terms().map_err(|(term, what)| {
+            let line = lines_of(text, &["classes", class, term]).first;
+            ContractFileError::Term { line, what: format!("class {class}: {what}") }
+        })?;
+        if classes.contains_key(&name) {
+            let line = lines_of(text, &["classes", class]).last;
+            let what = format!("class {class} stands twice, allowed is each class once");
+            return Err(ContractFileError::Term { line, what });
+        }
+        classes.insert(name, terms);
+    }
+    Ok(classes)
+}
+
+/// What is allowed in place of a contradiction.
+fn allowed(contract: &Contract, fault: &ContractError) -> String {
+    let list = |names: Vec<&str>| format!("allowed are {}", names.join(", "));
+    let terms = contract.classes.get(fault.class());
+    match fault {
+        ContractError::UnknownService { .. } => {
+            list(contract.services.iter().map(Name::as_str).collect())
+        }
+        ContractError::UnknownCallee { .. } => {
+            list(contract.classes.keys().map(Name::as_str).collect())
+        }
+        ContractError::OnceInRepeatable { class, .. } => {
+            format!("allowed are calls to repeatable classes, or make {class} not repeatable")
+        }
+        ContractError::Circle { .. } => {
+            "allowed are calls to classes that do not lead back here".to_owned()
+        }
+        ContractError::ShortWindow { .. } => {
+            let deadline = terms.map(|terms| time_text(terms.deadline)).unwrap_or_default();
+            format!("allowed is {deadline} or more")
+        }
+        ContractError::ShortDeadline { least, .. } => {
+            format!("allowed is {} or more", time_text(*least))
+        }
+    }
+}
+
+/// Lines on which a key stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Lines {
+    first: usize,
+    last: usize,
+}
+
+/// Lines of a key, found by the indentation of block mappings; those of the innermost key on the
+/// way that was found if the file is written in another style.
+fn lines_of(text: &str, path: &[&str]) -> Lines {
+    let mut indents = Vec::<usize>::new();
+    let mut deepest = 0;
+    let mut lines = Lines { first: 1, last: 1 };
     for (number, line) in text.lines().enumerate() {
         let key = line.trim_start();
         let indent = line.len() - key.len();
         if key.is_empty() || key.starts_with('#') {
             continue;
         }
-        if indents.get(depth.max(1) - 1).is_some_and(|last| depth > 0 && indent <= *last) {
-            return found;
+        while indents.last().is_some_and(|last| indent <= *last) {
+            indents.pop();
         }
-        let is_key = path.get(depth).is_some_and(|name| {
-            let bare = key.trim_start_matches(['"', '\'']);
-            let rest = bare.strip_prefix(name).map(|rest| rest.trim_start_matches(['"', '\'']));
-            rest.is_some_and(|rest| rest.trim_start().starts_with(':'))
-        });
-        if is_key {
-            found = number + 1;
+        if path.get(indents.len()).is_some_and(|name| is_key(key, name)) {
             indents.push(indent);
-            depth += 1;
+            if indents.len() > deepest {
+                deepest = indents.len();
+                lines.first = number + 1;
+            }
+            if indents.len() == deepest {
+                lines.last = number + 1;
+            }
         }
     }
-    found
+    lines
+}
+
+/// Whether a line starts with `name` as a key.
+fn is_key(line: &str, name: &str) -> bool {
+    let quotes = ['"', '\''];
+    let rest = line.trim_start_matches(quotes).strip_prefix(name);
+    rest.is_some_and(|rest| rest.trim_start_matches(quotes).trim_start().starts_with(':'))
 }
 
 impl ClassFile {
-    fn terms(self) -> Result<ClassTerms, &'static str> {
+    /// Terms, or the term at fault and what is wrong with it.
+    fn terms(self) -> Result<ClassTerms, (&'static str, &'static str)> {
         let repeat_window = match (self.repeatable, self.repeat_window) {
+            (false, Some(window)) => window.duration(),
+            (true, None) => Duration::ZERO,
             (false, None) => {
-                return Err("missing field `repeat_window`, which a class that may not be \
-                            repeated needs, such as `10 min`");
+                return Err(("repeatable", "no repeat_window, allowed are 1 s to 24 h"));
             }
             (true, Some(_)) => {
-                return Err("unknown field `repeat_window`, allowed only where `repeatable` is \
-                            false");
+                let what = "a repeat_window, allowed only where repeatable is false";
+                return Err(("repeat_window", what));
             }
-            (false, Some(window)) => window.duration(),
-            (true, None) => Duration::ZERO,
         };
         Ok(ClassTerms {
             service: self.service.0,
@@ -164,18 +236,25 @@
     }
 }
 
+impl<'de> Deserialize<'de> for GoalWord {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let read = |text: &str| match text {
+            "goodput" => Ok(Self(Goal::Goodput)),
+            "recovery" => Ok(Self(Goal::Recovery)),
+            _ => Err("allowed are goodput and recovery".to_owned()),
+        };
+        deserializer.deserialize_any(Scalar { read })
+    }
+}
+
 impl<'de> Deserialize<'de> for Word {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(deserializer)?;
         let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
-        if (1..=64).contains(&text.len()) && text.chars().all(fits) {
-            return Ok(Self(Name::new(&text)));
-        }
-        let error = format!(
-            "name `{}` is not usable, allowed are 1 to 64 of a-z, 0-9 and -",
-            text.escape_debug().take(64).collect::<String>()
-        );
-        Err(D::Error::custom(error))
+        let read = |text: &str| match text.chars().all(fits) && (1..=64).contains(&text.len()) {
+            true => Ok(Self(Name::new(text))),
+            false => Err("allowed are names of 1 to 64 of a-z, 0-9 and -".to_owned()),
+        };
+        deserializer.deserialize_any(Scalar { read })
     }
 }
 
@@ -185,7 +264,7 @@
         let mut names = Vec::new();
         for Word(name) in words {
             if names.contains(&name) {
-                let error = format!("service `{name}` stands twice, allowed is each service once");
+                let error = format!("service {name} stands twice, allowed is each service once");
                 return Err(D::Error::custom(error));
             }
             names.push(name);
@@ -199,11 +278,11 @@
 
 impl<'de> Deserialize<'de> for Classes {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        deserializer.deserialize_map(ClassesVisitor(PhantomData))
+        deserializer.deserialize_map(ClassesVisitor)
     }
 }
 
-struct ClassesVisitor(PhantomData<Classes>);
+struct ClassesVisitor;
 
 impl<'de> Visitor<'de> for ClassesVisitor {
     type Value = Classes;
@@ -213,13 +292,9 @@
     }
 
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Classes, A::Error> {
-        let mut classes = BTreeMap::new();
+        let mut classes = Vec::new();
         while let Some(Word(name)) = map.next_key()? {
-            let class: Checked = map.next_value()?;
-            if classes.insert(name.clone(), class.0).is_some() {
-                let error = format!("class `{name}` stands twice, allowed is each class once");
-                return Err(A::Error::custom(error));
-            }
+            classes.push(ClassEntry { name, file: map.next_value()? });
         }
         if classes.is_empty() {
             return Err(A::Error::custom("no classes, allowed are one or more"));
@@ -227,13 +302,3 @@
         Ok(Classes(classes))
     }
 }
-
-/// Terms of a class, checked while the parser still knows their line.
-struct Checked(ClassTerms);
-
-impl<'de> Deserialize<'de> for Checked {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let file = ClassFile::deserialize(deserializer)?;
-        file.terms().map(Self).map_err(D::Error::custom)
-    }
-}
--- a/wire/src/quantity.rs
+++ b/wire/src/quantity.rs
@@ -1,6 +1,7 @@
 //! Quantities as people write them: a whole number and a unit, within a range.
 
 use std::fmt;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -60,39 +61,34 @@
 
 impl<'de, const MIN: u64, const MAX: u64> Deserialize<'de> for Span<MIN, MAX> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        quantity(deserializer, &TIMES, MIN, MAX).map(Self)
+        let read = |text: &str| quantity(text, &TIMES, MIN..=MAX);
+        deserializer.deserialize_any(Scalar { read }).map(Self)
     }
 }
 
 impl<'de, const MIN: u64, const MAX: u64> Deserialize<'de> for Bytes<MIN, MAX> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        quantity(deserializer, &SIZES, MIN, MAX).map(Self)
+        let read = |text: &str| quantity(text, &SIZES, MIN..=MAX);
+        deserializer.deserialize_any(Scalar { read }).map(Self)
     }
 }
 
 impl<'de, const MIN: u8, const MAX: u8> Deserialize<'de> for Count<MIN, MAX> {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let Text(text) = Text::deserialize(deserializer)?;
-        let number = text.parse().ok().filter(|number| (MIN..=MAX).contains(number));
-        let error =
-            || D::Error::custom(format!("`{text}`, allowed are whole numbers from {MIN} to {MAX}"));
-        number.map(Self).ok_or_else(error)
+        let read = |text: &str| {
+            let number = text.parse().ok().filter(|number| (MIN..=MAX).contains(number));
+            number.ok_or_else(|| format!("allowed are whole numbers from {MIN} to {MAX}"))
+        };
+        deserializer.deserialize_any(Scalar { read }).map(Self)
     }
 }
 
-fn quantity<'de, D: Deserializer<'de>>(
-    deserializer: D,
-    units: &[Unit],
-    min: u64,
-    max: u64,
-) -> Result<u64, D::Error> {
-    let Text(text) = Text::deserialize(deserializer)?;
-    let value = parse(&text, units).filter(|value| (min..=max).contains(value));
+fn quantity(text: &str, units: &[Unit], range: RangeInclusive<u64>) -> Result<u64, String> {
+    let value = parse(text, units).filter(|value| range.contains(value));
     value.ok_or_else(|| {
-        let (min, max) = (show(min, units), show(max, units));
+        let (min, max) = (show(*range.start(), units), show(*range.end(), units));
         let names: Vec<_> = units.iter().map(|unit| unit.name).collect();
-        let names = names.join(", ");
-        D::Error::custom(format!("`{text}`, allowed are {min} to {max}, in units {names}"))
+        format!("allowed are {min} to {max}, in units {}", names.join(", "))
     })
 }
 
@@ -119,40 +115,51 @@
     fitting.map_or_else(String::new, |unit| format!("{} {}", value / unit.factor, unit.name))
 }
 
-/// A scalar as it was written, so that a fault can quote it; bounded in length.
-struct Text(String);
-
-/// Longest scalar that is quoted back, in characters.
-const QUOTED: usize = 40;
-
-impl<'de> Deserialize<'de> for Text {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        deserializer.deserialize_any(TextVisitor)
-    }
+/// Reads a scalar from its text.
+///
+/// The error is raised inside the visitor, where the parser still knows the scalar's line.
+pub(crate) struct Scalar<R> {
+    /// Value of a text, or what is allowed in its place.
+    pub(crate) read: R,
 }
 
-struct TextVisitor;
+/// Longest text that is quoted back, in characters.
+const QUOTED: usize = 40;
 
-impl Visitor<'_> for TextVisitor {
-    type Value = Text;
+impl<R, T> Visitor<'_> for Scalar<R>
+where
+    R: Fn(&str) -> Result<T, String>,
+{
+    type Value = T;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a number, with its unit where it has one")
+        match (self.read)("") {
+            Err(allowed) => f.write_str(&allowed),
+            Ok(_) => f.write_str("a text"),
+        }
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<T, E> {
+        let text = text.trim();
+        (self.read)(text).map_err(|allowed| {
+            let quoted: String = text.escape_debug().take(QUOTED).collect();
+            E::custom(format!("`{quoted}`, {allowed}"))
+        })
     }
 
-    fn visit_str<E: Error>(self, text: &str) -> Result<Text, E> {
-        Ok(Text(text.trim().chars().take(QUOTED).collect()))
+    fn visit_bool<E: Error>(self, value: bool) -> Result<T, E> {
+        self.visit_str(&value.to_string())
     }
 
-    fn visit_u64<E: Error>(self, number: u64) -> Result<Text, E> {
-        Ok(Text(number.to_string()))
+    fn visit_u64<E: Error>(self, number: u64) -> Result<T, E> {
+        self.visit_str(&number.to_string())
     }
 
-    fn visit_i64<E: Error>(self, number: i64) -> Result<Text, E> {
-        Ok(Text(number.to_string()))
+    fn visit_i64<E: Error>(self, number: i64) -> Result<T, E> {
+        self.visit_str(&number.to_string())
     }
 
-    fn visit_f64<E: Error>(self, number: f64) -> Result<Text, E> {
-        Ok(Text(number.to_string()))
+    fn visit_f64<E: Error>(self, number: f64) -> Result<T, E> {
+        self.visit_str(&number.to_string())
     }
 }
