Watch the members of the own service and sample the others

Cause: a killed node stayed in every directory until a connection to it failed. Ruled out: heartbeats on the log (its several hundred appends a second), and a full list of members in each node (30,000 targets). Conclusion: a node holds at most 512 records of a service and asks for samples of the rest.

--- a/node/src/announce.rs
+++ b/node/src/announce.rs
@@ -12,6 +12,7 @@
 
 use crate::directory::Directory;
 use crate::gate::Gate;
+use crate::members::Members;
 use crate::target::{Stage, Target};
 
 /// Who this node is, as other nodes see it.
@@ -28,6 +29,7 @@
     clock: Clock,
     identity: Identity,
     directory: Arc<Directory>,
+    members: Arc<Members>,
     target: Arc<Target>,
     gate: Arc<Gate>,
     sequence: AtomicU64,
@@ -47,6 +49,7 @@
             clock,
             identity,
             directory: registry.find("directory")?,
+            members: registry.find("members")?,
             target: registry.find("target")?,
             gate: registry.find("admission")?,
             sequence: AtomicU64::new(0),
@@ -90,6 +93,7 @@
     pub(crate) fn leave(&self, successor: Option<InstanceId>) {
         *self.successor.lock().unwrap_or_else(PoisonError::into_inner) = successor;
         self.change(Stage::Left, MemberState::Left);
+        self.members.farewell();
     }
 
     fn tell(&self, state: MemberState) {
@@ -106,6 +110,7 @@
             successor: self.successor.lock().unwrap_or_else(PoisonError::into_inner).clone(),
         };
         self.directory.learn(record.clone());
+        self.members.announce(record.clone());
         // The receiver lives as long as the process; after it nothing is left to tell.
         let _ = self.records.send(record);
     }
--- a/node/src/directory.rs
+++ b/node/src/directory.rs
@@ -1,41 +1,97 @@
 //! Members of the services that this node may call.
+//!
+//! Bounded whatever the size of the deployment: at most [`MEMBERS`] records of one service and
+//! [`SERVICES`] services.
 
-use std::collections::{BTreeMap, HashMap};
-use std::sync::{PoisonError, RwLock};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::{PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
-use poplar_core::{InstanceId, Moment, Name};
+use poplar_core::{InstanceId, MemberRecord, MemberState, Moment, Name};
 use poplar_kernel::Service;
-use poplar_wire::{MemberRecord, MemberState};
 use serde_json::{Value, json};
 
+/// Most records kept of one service, those of members that left included.
+const MEMBERS: usize = 512;
+/// Most services of which records are kept.
+const SERVICES: usize = 2_048;
+
 /// Service that knows the members.
 #[derive(Debug, Default)]
 pub(crate) struct Directory {
-    by_service: RwLock<BTreeMap<Name, HashMap<InstanceId, MemberRecord>>>,
+    services: RwLock<BTreeMap<Name, Group>>,
+    wanted: RwLock<BTreeSet<Name>>,
+}
+
+/// What is known of one service.
+#[derive(Debug, Default)]
+struct Group {
+    records: HashMap<InstanceId, Known>,
+    /// Instances that a member of the service named last, if this node follows it.
+    sample: Option<BTreeSet<InstanceId>>,
+}
+
+/// What is known of one member.
+#[derive(Debug)]
+struct Known {
+    record: MemberRecord,
+    /// Whether the members of its service hold it for lost or suspect it.
+    doubted: bool,
 }
 
 impl Directory {
     /// Takes in a report; of two about one instance the later incarnation and sequence wins.
     pub(crate) fn learn(&self, record: MemberRecord) {
-        let mut services = self.by_service.write().unwrap_or_else(PoisonError::into_inner);
-        let members = services.entry(record.service.clone()).or_default();
-        let known = members.get(&record.instance).map(|m| (m.incarnation, m.sequence));
-        if known.is_none_or(|known| (record.incarnation, record.sequence) > known) {
-            members.insert(record.instance.clone(), record);
+        let mut services = self.write();
+        if services.len() >= SERVICES && !services.contains_key(&record.service) {
+            return;
+        }
+        services.entry(record.service.clone()).or_default().learn(record);
+    }
+
+    /// Takes in whether the members of its service doubt that a member is alive.
+    pub(crate) fn doubt(&self, record: &MemberRecord, doubted: bool) {
+        let mut services = self.write();
+        let known = services.get_mut(&record.service);
+        let known = known.and_then(|group| group.records.get_mut(&record.instance));
+        if let Some(known) = known.filter(|known| known.record.incarnation == record.incarnation) {
+            known.doubted = doubted;
         }
     }
 
-    /// Members of `service` that take work.
+    /// Takes in the members that a member of `service` named for this node.
+    pub(crate) fn put_sample(&self, service: &Name, members: &[MemberRecord]) {
+        if members.is_empty() {
+            return;
+        }
+        members.iter().for_each(|record| self.learn(record.clone()));
+        let sample = members.iter().map(|record| record.instance.clone()).collect();
+        if let Some(group) = self.write().get_mut(service) {
+            group.sample = Some(sample);
+        }
+    }
+
+    /// Members of `service` that take work, as far as this node calls them.
     pub(crate) fn serving(&self, service: &Name) -> Vec<MemberRecord> {
-        let services = self.by_service.read().unwrap_or_else(PoisonError::into_inner);
-        let members = services.get(service).into_iter().flat_map(HashMap::values);
-        members.filter(|member| member.state == MemberState::Serving).cloned().collect()
+        self.want(service);
+        self.read().get(service).map(Group::serving).unwrap_or_default()
     }
 
-    /// Every member known, whatever its state.
+    /// Services whose members were asked for.
+    pub(crate) fn wanted(&self) -> Vec<Name> {
+        let wanted = self.wanted.read().unwrap_or_else(PoisonError::into_inner);
+        wanted.iter().cloned().collect()
+    }
+
+    /// Every record of one service.
+    pub(crate) fn of_service(&self, service: &Name) -> Vec<MemberRecord> {
+        let services = self.read();
+        let group = services.get(service);
+        group.into_iter().flat_map(Group::records).cloned().collect()
+    }
+
+    /// Every record, whatever its state.
     pub(crate) fn all(&self) -> Vec<MemberRecord> {
-        let services = self.by_service.read().unwrap_or_else(PoisonError::into_inner);
-        services.values().flat_map(HashMap::values).cloned().collect()
+        self.read().values().flat_map(Group::records).cloned().collect()
     }
 
     /// Number of members known in each state.
@@ -51,16 +107,72 @@
 
     /// Instances known to take work, of every service.
     pub(crate) fn live(&self) -> Vec<InstanceId> {
-        let services = self.by_service.read().unwrap_or_else(PoisonError::into_inner);
-        let members = services.values().flat_map(HashMap::values);
+        let members = self.all().into_iter();
         let serving = members.filter(|member| member.state == MemberState::Serving);
-        serving.map(|member| member.instance.clone()).collect()
+        serving.map(|member| member.instance).collect()
     }
 
     /// Member of `service` with the given instance, whatever its state.
     pub(crate) fn member(&self, service: &Name, instance: &InstanceId) -> Option<MemberRecord> {
-        let services = self.by_service.read().unwrap_or_else(PoisonError::into_inner);
-        services.get(service)?.get(instance).cloned()
+        let services = self.read();
+        services.get(service)?.records.get(instance).map(|known| known.record.clone())
+    }
+
+    fn want(&self, service: &Name) {
+        let known = {
+            let wanted = self.wanted.read().unwrap_or_else(PoisonError::into_inner);
+            wanted.contains(service) || wanted.len() >= SERVICES
+        };
+        if !known {
+            let mut wanted = self.wanted.write().unwrap_or_else(PoisonError::into_inner);
+            wanted.insert(service.clone());
+        }
+    }
+
+    fn read(&self) -> RwLockReadGuard<'_, BTreeMap<Name, Group>> {
+        self.services.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn write(&self) -> RwLockWriteGuard<'_, BTreeMap<Name, Group>> {
+        self.services.write().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Group {
+    fn learn(&mut self, record: MemberRecord) {
+        let known = self.records.get(&record.instance);
+        let version = known.map(|known| (known.record.incarnation, known.record.sequence));
+        if version.is_some_and(|version| (record.incarnation, record.sequence) <= version) {
+            return;
+        }
+        let same = version.is_some_and(|(incarnation, _)| incarnation == record.incarnation);
+        let doubted = same && known.is_some_and(|known| known.doubted);
+        if known.is_none() && self.records.len() >= MEMBERS && !self.make_room() {
+            return;
+        }
+        self.records.insert(record.instance.clone(), Known { record, doubted });
+    }
+
+    /// Drops the record of the member that left longest ago; says whether there was one.
+    fn make_room(&mut self) -> bool {
+        let left = self.records().filter(|record| record.state == MemberState::Left);
+        let oldest = left.min_by_key(|record| record.incarnation);
+        let oldest = oldest.map(|record| record.instance.clone());
+        oldest.is_some_and(|instance| self.records.remove(&instance).is_some())
+    }
+
+    fn serving(&self) -> Vec<MemberRecord> {
+        let usable = |known: &&Known| {
+            let named = |sample: &BTreeSet<_>| sample.contains(&known.record.instance);
+            let sampled = self.sample.as_ref().is_none_or(named);
+            known.record.state == MemberState::Serving && !known.doubted && sampled
+        };
+        let usable = self.records.values().filter(usable);
+        usable.map(|known| known.record.clone()).collect()
+    }
+
+    fn records(&self) -> impl Iterator<Item = &MemberRecord> {
+        self.records.values().map(|known| &known.record)
     }
 }
 
@@ -70,8 +182,7 @@
     }
 
     fn dump(&self, _now: Moment) -> Value {
-        let services = self.by_service.read().unwrap_or_else(PoisonError::into_inner);
-        let mut rows: Vec<_> = services.values().flat_map(HashMap::values).collect();
+        let mut rows = self.all();
         rows.sort_by(|a, b| (&a.service, &a.instance).cmp(&(&b.service, &b.instance)));
         json!(rows)
     }
--- a/node/src/ends/peer.rs
+++ b/node/src/ends/peer.rs
@@ -21,6 +21,7 @@
 use crate::directory::Directory;
 use crate::follow::{CONTRACTS_PATH, MEMBERS_PATH};
 use crate::handover::SUCCEED_PATH;
+use crate::members::{MEMBER_PATH, Members, SAMPLE_PATH};
 use crate::route::{ASK_PATH, BIND_PATH, CALL_PATH};
 use crate::work::Work;
 
@@ -36,6 +37,7 @@
     pub(crate) work: Arc<Work>,
     pub(crate) contracts: Arc<Contracts>,
     pub(crate) directory: Arc<Directory>,
+    pub(crate) members: Arc<Members>,
 }
 
 /// Why a message got no answer.
@@ -85,7 +87,7 @@
 
 /// Answers one message; the path says which one it is.
 async fn dispatch(peers: &Peers, path: &str, body: &[u8]) -> Result<Bytes, MessageError> {
-    let Peers { work, contracts, directory } = peers;
+    let Peers { work, contracts, directory, members } = peers;
     let answer = match path {
         CALL_PATH => {
             let call: CallRequest = decode(body)?;
@@ -104,6 +106,11 @@
             known.into_iter().for_each(|member| directory.learn(member));
             encode(&directory.all())
         }
+        MEMBER_PATH => {
+            members.receive(decode(body)?);
+            encode(&())
+        }
+        SAMPLE_PATH => encode(&members.sample(&decode(body)?)),
         _ => return Err(MessageError::UnknownPath),
     };
     Ok(answer?)
--- a/node/src/follow.rs
+++ b/node/src/follow.rs
@@ -13,6 +13,7 @@
 use crate::contracts::Contracts;
 use crate::directory::Directory;
 use crate::links::Links;
+use crate::members::Members;
 use crate::platform::{Batch, Platform, PlatformError};
 
 /// Path at which a peer gives its fold of the contracts.
@@ -39,6 +40,7 @@
     contracts: Arc<Contracts>,
     directory: Arc<Directory>,
     links: Arc<Links>,
+    members: Arc<Members>,
     logger: Logger,
 }
 
@@ -58,6 +60,7 @@
             contracts: registry.find("contracts")?,
             directory: registry.find("directory")?,
             links: registry.find("links")?,
+            members: registry.find("members")?,
             logger,
         })
     }
@@ -165,7 +168,12 @@
         let known = self.directory.all();
         let learnt: Result<Vec<MemberRecord>, _> =
             self.links.exchange(peer, MEMBERS_PATH, &known).await;
-        learnt.into_iter().flatten().for_each(|member| self.directory.learn(member));
+        learnt.into_iter().flatten().for_each(|member| self.learn_one(member));
+    }
+
+    fn learn_one(&self, member: MemberRecord) {
+        self.directory.learn(member.clone());
+        self.members.seed(member);
     }
 
     /// Peer drawn at random from the settings and the members known.
@@ -180,7 +188,7 @@
         for record in batch.records {
             next = Offset(record.offset.0.saturating_add(1));
             if let Ok(member) = serde_json::from_value(record.body) {
-                self.directory.learn(member);
+                self.learn_one(member);
             }
         }
         next
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod levels;
 mod links;
+mod members;
 mod metrics;
 mod once;
 mod platform;
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use poplar_core::{Incarnation, Name};
+use poplar_core::{Incarnation, Name, Peer};
 use poplar_kernel::{
     Clock, Draining, Life, LogFormat, Registry, RegistryError, Serving, part, root_logger,
 };
@@ -23,6 +23,7 @@
 use crate::handover::Leaver;
 use crate::levels::Levels;
 use crate::links::Links;
+use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::once::Once;
 use crate::platform::Platform;
@@ -128,7 +129,8 @@
     let peer_address = sockets.peer.local_addr()?;
     let own = Sender { instance: instance.clone(), incarnation, address: peer_address.to_string() };
     let zone = settings.zone.clone();
-    let identity = Identity { instance: instance.clone(), incarnation, zone, peer_address };
+    let identity =
+        Identity { instance: instance.clone(), incarnation, zone: zone.clone(), peer_address };
     let retention = Duration::from_secs(settings.log_retention_s);
     let (contracts, hints) = Contracts::new(clock, instance.clone(), retention);
     let registry = Arc::new(Registry::default());
@@ -136,6 +138,8 @@
     registry.register(Arc::new(Directory::default()));
     registry.register(Arc::new(Levels::new(clock)));
     registry.register(Arc::new(Links::default()));
+    let peer = Peer { instance: instance.clone(), address: own.address.clone() };
+    registry.register(Arc::new(Members::new(clock, peer, zone.clone(), &registry)?));
     registry.register(Arc::new(Runs::default()));
     registry.register(Arc::new(Target::new()));
     registry.register(Arc::new(Gate::new(clock)));
@@ -200,7 +204,9 @@
         work: services.work.clone(),
         contracts: services.registry.find("contracts")?,
         directory: services.registry.find("directory")?,
+        members: services.registry.find("members")?,
     });
+    tokio::spawn(served.members.clone().run());
     let peers = listener::accept(sockets.peer, life.watch(), move |socket, graceful| {
         peer::connection(socket, graceful, served.clone())
     });
