Isolate crash suspects in the node

Cause: a request that crashes its target was sent to the next one. Ruled out: judging by the broken connection alone; only a target that takes no new connection counts as crashed. Telling a first crash as CrashSuspect was ruled out too: bystanders could not come back. Before: a crash led to a re-send. Conclusion: the entry learns by the reply that nobody sends the call again.

--- a/node/src/ends/peer.rs
+++ b/node/src/ends/peer.rs
@@ -11,6 +11,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use poplar_core::SuspectReport;
 use poplar_wire::{
     AskReply, BindRequest, CallRequest, CodecError, HANDOVER_LIMIT_BYTES, MESSAGE_LIMIT_BYTES,
     MemberRecord, decode, encode,
@@ -23,6 +24,7 @@
 use crate::handover::SUCCEED_PATH;
 use crate::members::{MEMBER_PATH, Members, SAMPLE_PATH};
 use crate::route::{ASK_PATH, BIND_PATH, CALL_PATH};
+use crate::suspects::{SUSPECTS_PATH, Suspects};
 use crate::work::Work;
 
 /// Calls that one connection may carry at once.
@@ -38,6 +40,7 @@
     pub(crate) contracts: Arc<Contracts>,
     pub(crate) directory: Arc<Directory>,
     pub(crate) members: Arc<Members>,
+    pub(crate) suspects: Arc<Suspects>,
 }
 
 /// Why a message got no answer.
@@ -87,7 +90,7 @@
 
 /// Answers one message; the path says which one it is.
 async fn dispatch(peers: &Peers, path: &str, body: &[u8]) -> Result<Bytes, MessageError> {
-    let Peers { work, contracts, directory, members } = peers;
+    let Peers { work, contracts, directory, members, suspects } = peers;
     let answer = match path {
         CALL_PATH => {
             let call: CallRequest = decode(body)?;
@@ -111,6 +114,10 @@
             encode(&())
         }
         SAMPLE_PATH => encode(&members.sample(&decode(body)?)),
+        SUSPECTS_PATH => {
+            suspects.merge(&decode::<Vec<SuspectReport>>(body)?);
+            encode(&())
+        }
         _ => return Err(MessageError::UnknownPath),
     };
     Ok(answer?)
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -19,6 +19,7 @@
 mod runs;
 mod sends;
 mod settings;
+mod suspects;
 mod target;
 mod work;
 
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -31,6 +31,7 @@
 use crate::runs::Runs;
 use crate::sends::Sends;
 use crate::settings::Settings;
+use crate::suspects::Suspects;
 use crate::target::{Stage, Target};
 use crate::work::Work;
 
@@ -145,6 +146,7 @@
     registry.register(Arc::new(Gate::new(clock)));
     registry.register(Arc::new(Once::new(clock, instance.clone(), incarnation)));
     registry.register(Arc::new(Sends::new(clock, incarnation)));
+    registry.register(Arc::new(Suspects::new(clock, instance.clone(), &registry)?));
     let work = Arc::new(Work::new(clock, &registry)?);
     registry.register(work.clone());
     registry.register(Arc::new(Metrics::new(&registry)?));
@@ -205,6 +207,7 @@
         contracts: services.registry.find("contracts")?,
         directory: services.registry.find("directory")?,
         members: services.registry.find("members")?,
+        suspects: services.registry.find("suspects")?,
     });
     tokio::spawn(served.members.clone().run());
     let peers = listener::accept(sockets.peer, life.watch(), move |socket, graceful| {
--- a/node/src/route/trip.rs
+++ b/node/src/route/trip.rs
@@ -34,6 +34,10 @@
     open: bool,
     deadline: Moment,
     offer: Option<Binding>,
+    /// Target that alone may run the request.
+    isolation: Option<InstanceId>,
+    /// Whether a run of the request may have crashed its target.
+    suspect: bool,
 }
 
 impl<'a> Trip<'a> {
@@ -46,7 +50,19 @@
         };
         let deadline = route.clock.now() + call.meta.left;
         let (sends, tried) = (Call::new(), Vec::new());
-        Self { route, call, budget, sends, ties, tried, open: false, deadline, offer: None }
+        Self {
+            route,
+            call,
+            budget,
+            sends,
+            ties,
+            tried,
+            open: false,
+            deadline,
+            offer: None,
+            isolation: None,
+            suspect: false,
+        }
     }
 
     /// Sends the call until it has an outcome that stays.
@@ -76,7 +92,10 @@
     async fn next_member(&mut self) -> Option<MemberRecord> {
         let service = &self.call.service;
         match &self.ties {
-            Ties::Free => self.route.choose(service, &self.tried),
+            Ties::Free => match &self.isolation {
+                Some(target) => self.route.directory.member(service, target),
+                None => self.route.choose(service, &self.tried),
+            },
             Ties::Bound(bound) => self.route.bound_member(service, bound.binding()),
             Ties::Given(binding) => self.route.bound_member(service, binding),
             Ties::Unbound(_) => self.bind().await,
@@ -139,6 +158,8 @@
             Reply::Whole(reply) => {
                 self.sends.answered(&mut budget, loan, reply.units, &reply.outcome);
                 self.offer = reply.offer;
+                self.isolation = reply.isolation;
+                self.suspect |= reply.suspect;
                 reply.outcome
             }
             Reply::Unseen => {
@@ -199,7 +220,7 @@
             once: self.call.within == Lineage::Once,
             // For a bound call a not run speaks for every send under the binding.
             ran: free && self.sends.may_have_run(),
-            suspect: false,
+            suspect: self.suspect,
             elsewhere: self.elsewhere(),
             units: hold(self.budget).left(),
             left: self.left(),
--- a/node/src/work.rs
+++ b/node/src/work.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    Binding, ErrorKind, Fate, Handover, ImportanceScale, Level, Moment, Name, Outcome, Refusal,
-    RequestId, TargetEnd,
+    Binding, ErrorKind, Fate, Fingerprint, Handover, ImportanceScale, InstanceId, Level, Moment,
+    Name, Outcome, Refusal, RequestId, TargetEnd,
 };
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
 use poplar_wire::{Answer, AskRequest, CallMeta, CallReply, CallRequest};
@@ -19,6 +19,7 @@
 use crate::once::{Copy, Once};
 use crate::runs::{Run, Runs};
 use crate::sends::Sends;
+use crate::suspects::{Denied, Suspects, Watched};
 use crate::target::Target;
 
 /// Time to come back that a refusal names while nothing better is known.
@@ -34,6 +35,7 @@
     once: Arc<Once>,
     runs: Arc<Runs>,
     sends: Arc<Sends>,
+    suspects: Arc<Suspects>,
     target: Arc<Target>,
     sealed: AtomicBool,
     in_flight: AtomicU32,
@@ -47,6 +49,10 @@
     units: u32,
     /// Binding for the next send, where this one definitely did not run.
     offer: Option<Binding>,
+    /// Target that alone may run the request.
+    isolation: Option<InstanceId>,
+    /// Whether the run may have crashed its target.
+    suspect: bool,
 }
 
 /// What a call needs so that the target can run it.
@@ -76,6 +82,7 @@
             once: registry.find("once")?,
             runs: registry.find("runs")?,
             sends: registry.find("sends")?,
+            suspects: registry.find("suspects")?,
             target: registry.find("target")?,
             sealed: AtomicBool::new(false),
             in_flight: AtomicU32::new(0),
@@ -106,17 +113,10 @@
             true => self.serve_bound(call, ready).await,
             false => self.serve_free(call, ready).await,
         };
-        let Served { outcome, units, offer } = served;
+        let Served { outcome, units, offer, isolation, suspect } = served;
         let revision = self.contracts.revision(&customer);
-        CallReply {
-            request,
-            attempt,
-            outcome,
-            units,
-            level: self.level(&customer, &class),
-            offer,
-            revision,
-        }
+        let level = self.level(&customer, &class);
+        CallReply { request, attempt, outcome, units, level, offer, isolation, suspect, revision }
     }
 
     /// Level that a call of `class` meets here or below.
@@ -178,7 +178,7 @@
         };
         let open = match self.sends.begin(&sender, meta.request, meta.attempt) {
             Ok(open) => open,
-            Err(fate) => return Served { outcome: outcome_of(fate), units, offer: None },
+            Err(fate) => return Served::new(outcome_of(fate), units),
         };
         let _counted = self.count();
         let served = self.admit_and_run(meta, body, ready).await;
@@ -236,33 +236,52 @@
 
     async fn admit_and_run(&self, meta: CallMeta, body: Bytes, ready: Ready) -> Served {
         let units = meta.grant.units;
+        let class = &ready.terms.class;
+        let print = Fingerprint::of(&meta.class, &body);
+        let watched = match self.suspects.admit(&class.service, print, !class.repeatable) {
+            Ok(watched) => watched,
+            Err(denied) => return Served::denied(denied, units),
+        };
         let permit = match self.gate.enter(&meta).await {
             Ok(permit) => permit,
             Err(Refusal { kind, retry_after, .. }) => {
-                let outcome = Outcome::NotRun { kind, retry_after };
-                return Served { outcome, units, offer: None };
+                return Served::new(Outcome::NotRun { kind, retry_after }, units);
             }
         };
         let open = self.runs.open(RequestId(fastrand::u128(..)), meta, self.clock.now());
-        let largest = ready.terms.class.largest_answer;
-        let outcome = self.run(&open.run, &ready.address, largest, body).await;
+        let end = self.run(&open.run, &ready, body).await;
+        let suspect = self.note_end(&end, watched, &ready).await;
+        let outcome = end.outcome(RETRY_AFTER);
         if matches!(outcome, Outcome::Done(_)) {
             permit.finish();
         }
-        Served { outcome, units: open.run.close(), offer: None }
+        Served { suspect, ..Served::new(outcome, open.run.close()) }
+    }
+
+    /// Tells what the end of a run says of its request; true if its target crashed.
+    async fn note_end(&self, end: &TargetEnd<Answer>, watched: Watched, ready: &Ready) -> bool {
+        let service = &ready.terms.class.service;
+        match end {
+            TargetEnd::Answer { .. } => {
+                watched.succeeded(service);
+                false
+            }
+            TargetEnd::Broken => watched.broken(service, &ready.address).await,
+            _ => false,
+        }
     }
 
-    async fn run(&self, run: &Run, address: &str, largest: u64, body: Bytes) -> Outcome<Answer> {
-        let work = self.target.run(address, &run.meta, run.token(), largest, body);
+    async fn run(&self, run: &Run, ready: &Ready, body: Bytes) -> TargetEnd<Answer> {
+        let largest = ready.terms.class.largest_answer;
+        let work = self.target.run(&ready.address, &run.meta, run.token(), largest, body);
         let ended = tokio::time::timeout(run.left(self.clock.now()), work).await;
-        let end = match ended {
+        match ended {
             Ok(TargetEnd::Answer { answer, shed, .. }) => {
                 TargetEnd::Answer { answer, shed, calls: run.calls() }
             }
             Ok(end) => end,
             Err(_) => TargetEnd::Deadline,
-        };
-        end.outcome(RETRY_AFTER)
+        }
     }
 
     fn count(&self) -> Counted<'_> {
@@ -272,19 +291,34 @@
 }
 
 impl Served {
+    const fn new(outcome: Outcome<Answer>, units: u32) -> Self {
+        Self { outcome, units, offer: None, isolation: None, suspect: false }
+    }
+
+    fn denied(denied: Denied, units: u32) -> Self {
+        match denied {
+            Denied::Convicted => Self::refused(ErrorKind::CrashSuspect, units),
+            Denied::Busy => Self { suspect: true, ..Self::refused(ErrorKind::Overload, units) },
+            Denied::Elsewhere(target) => {
+                let refused = Self::refused(ErrorKind::Overload, units);
+                Self { isolation: Some(target), ..refused }
+            }
+        }
+    }
+
     fn refused(kind: ErrorKind, units: u32) -> Self {
-        Self { outcome: not_run(kind), units, offer: None }
+        Self::new(not_run(kind), units)
     }
 
     fn known(copy: Copy, units: u32) -> Self {
         match copy {
-            Copy::Known(fate, offer) => Self { outcome: outcome_of(fate), units, offer },
+            Copy::Known(fate, offer) => Self { offer, ..Self::new(outcome_of(fate), units) },
             Copy::Run => Self::lost(ErrorKind::Connection),
         }
     }
 
     fn lost(kind: ErrorKind) -> Self {
-        Self { outcome: Outcome::Unknown { kind }, units: 0, offer: None }
+        Self::new(Outcome::Unknown { kind }, 0)
     }
 }
 
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -77,6 +77,10 @@
     pub level: Level,
     /// Binding for the next send of a once-only call, where this one definitely did not run.
     pub offer: Option<Binding>,
+    /// Target that alone may run this request, because it is suspected of crashing targets.
+    pub isolation: Option<InstanceId>,
+    /// Whether the run may have crashed its target, so that nobody sends the call again.
+    pub suspect: bool,
     /// Contract revision that the answering node has in force for the customer.
     pub revision: Revision,
 }
