Add golden sessions of contracts, retries, admission, answers, suspects

Ruled out: one big interpreter; each kind of session has its own of about a hundred lines, on the public API of core only. Before: 11 sessions, all of at most once. Conclusion: the one line without a session of its own is the members' view of a leaving target; membership has not landed in core yet.

--- /dev/null
+++ b/filetests/src/budget.rs
@@ -0,0 +1,171 @@
+//! Sessions of one request's retry units: lending down the chain, losses, and the keeper.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use poplar_core::{
+    Budget, Call, ErrorKind, Ledger, Loan, Moment, OpenRequest, Opening, Outcome, RequestId, Run,
+};
+
+use crate::{Fault, Session, VIOLATION, number};
+
+const DEADLINE: Duration = Duration::from_secs(2);
+const WINDOW: Duration = Duration::from_secs(60);
+
+/// Call with the loan that is out for its last send.
+struct Sent {
+    call: Call,
+    loan: Option<Loan>,
+}
+
+/// Session of one request.
+#[derive(Default)]
+pub(crate) struct Retries {
+    retries: u32,
+    budgets: BTreeMap<String, Budget>,
+    calls: BTreeMap<String, Sent>,
+    keeper: Option<Ledger>,
+    runs: BTreeMap<String, Run>,
+    /// Runs that the keeper let in.
+    let_in: u32,
+    lines: Vec<String>,
+}
+
+impl Session for Retries {
+    fn step(&mut self, now: Moment, words: &[&str]) -> Result<Vec<String>, Fault> {
+        match words {
+            ["grant", holder, retries] => {
+                self.retries = number(retries)?;
+                self.budgets.insert((*holder).to_owned(), Budget::grant(self.retries));
+                self.lines.push(format!("{holder} holds {retries} units"));
+            }
+            ["send", call, "from", holder, "lend", units] => {
+                self.send(call, holder, number(units)?)?;
+            }
+            ["receive", call, "at", holder] => self.receive(call, holder)?,
+            ["done", call, "at", run, "to", holder] => {
+                self.answer(call, run, holder, &Outcome::Done(()))?;
+            }
+            ["refused", call, "at", run, "to", holder] => {
+                let kind = ErrorKind::Overload;
+                let outcome = Outcome::NotRun { kind, retry_after: Duration::ZERO };
+                self.answer(call, run, holder, &outcome)?;
+            }
+            ["lost", call, "to", holder] => self.lost(call, holder)?,
+            ["keeper", "starts"] => self.keeper = Some(Ledger::new(now, WINDOW, 16)),
+            ["open", entry, "first", "retries", retries] => {
+                self.open(now, entry, true, number(retries)?)?;
+            }
+            ["open", entry, "again", "retries", retries] => {
+                self.open(now, entry, false, number(retries)?)?;
+            }
+            ["close", entry] => self.close(now, entry)?,
+            _ => return Err(Fault::Command),
+        }
+        Ok(std::mem::take(&mut self.lines))
+    }
+
+    fn end(&mut self) -> Vec<String> {
+        if self.keeper.is_some() {
+            return self.end_of_runs();
+        }
+        let sends: u32 = self.calls.values().map(|sent| sent.call.sends()).sum();
+        let beyond = sends.saturating_sub(self.calls.len() as u32);
+        let retries = self.retries;
+        self.lines.push(format!("{sends} sends, {beyond} beyond the first ones, bound {retries}"));
+        if beyond > retries {
+            self.lines.push(format!("{VIOLATION}: more re-sends than the contract allows"));
+        }
+        std::mem::take(&mut self.lines)
+    }
+}
+
+impl Retries {
+    fn end_of_runs(&self) -> Vec<String> {
+        let (runs, retries) = (self.let_in, self.retries);
+        let mut lines = vec![format!("{runs} runs were let in, bound {retries} beyond the first")];
+        if runs.saturating_sub(1) > retries {
+            lines.push(format!("{VIOLATION}: more runs than the contract allows"));
+        }
+        lines
+    }
+
+    fn send(&mut self, name: &str, holder: &str, units: u32) -> Result<(), Fault> {
+        let budget = self.budgets.get_mut(holder).ok_or(Fault::Name)?;
+        let fresh = || Sent { call: Call::new(), loan: None };
+        let sent = self.calls.entry(name.to_owned()).or_insert_with(fresh);
+        let loan = match sent.call.send(budget, units) {
+            Ok(loan) => loan,
+            Err(spent) => {
+                self.lines.push(format!("{name} is not sent: {spent}"));
+                return Ok(());
+            }
+        };
+        let (lent, left, sends) = (loan.grant().units, budget.left(), sent.call.sends());
+        self.lines
+            .push(format!("{name} is sent (send {sends}) with {lent}; {holder} holds {left}"));
+        sent.loan = Some(loan);
+        Ok(())
+    }
+
+    fn receive(&mut self, name: &str, holder: &str) -> Result<(), Fault> {
+        let loan = self.calls.get(name).and_then(|sent| sent.loan.as_ref()).ok_or(Fault::State)?;
+        let budget = Budget::receive(loan.grant());
+        self.lines.push(format!("the run of {name} at {holder} holds {}", budget.left()));
+        self.budgets.insert(holder.to_owned(), budget);
+        Ok(())
+    }
+
+    fn answer(
+        &mut self,
+        name: &str,
+        run: &str,
+        holder: &str,
+        outcome: &Outcome<()>,
+    ) -> Result<(), Fault> {
+        let returned = self.budgets.remove(run).ok_or(Fault::Name)?.close();
+        let sent = self.calls.get_mut(name).ok_or(Fault::Name)?;
+        let budget = self.budgets.get_mut(holder).ok_or(Fault::Name)?;
+        let loan = sent.loan.take().ok_or(Fault::State)?;
+        sent.call.answered(budget, loan, returned, outcome);
+        let left = budget.left();
+        self.lines.push(format!("{returned} units come back; {holder} holds {left}"));
+        Ok(())
+    }
+
+    fn lost(&mut self, name: &str, holder: &str) -> Result<(), Fault> {
+        let sent = self.calls.get_mut(name).ok_or(Fault::Name)?;
+        sent.call.lost(sent.loan.take().ok_or(Fault::State)?);
+        let left = self.budgets.get(holder).ok_or(Fault::Name)?.left();
+        self.lines.push(format!("its units count as spent; {holder} holds {left}"));
+        Ok(())
+    }
+
+    fn open(&mut self, now: Moment, entry: &str, first: bool, retries: u32) -> Result<(), Fault> {
+        let ask = OpenRequest { request: RequestId(1), retries, first, deadline: DEADLINE };
+        self.retries = retries;
+        let keeper = self.keeper.as_mut().ok_or(Fault::State)?;
+        let text = match keeper.open(now, &ask) {
+            Opening::Run(run) => {
+                let text = format!("{entry} may send, with {} units", run.budget.left());
+                self.runs.insert(entry.to_owned(), run);
+                self.let_in += 1;
+                text
+            }
+            Opening::Running => format!("{entry} answers unknown: another run is out"),
+            Opening::Spent { ran: true } => format!("{entry} answers unknown: nothing is left"),
+            Opening::Spent { ran: false } => format!("{entry} answers not run: nothing is left"),
+            Opening::Full => format!("{entry} answers not run: the keeper is full"),
+        };
+        self.lines.push(text);
+        Ok(())
+    }
+
+    fn close(&mut self, now: Moment, entry: &str) -> Result<(), Fault> {
+        let run = self.runs.remove(entry).ok_or(Fault::Name)?;
+        let left = run.budget.left();
+        self.keeper.as_mut().ok_or(Fault::State)?.close(now, RequestId(1), run);
+        self.lines.push(format!("{entry} gives {left} units back to the keeper"));
+        Ok(())
+    }
+}
--- a/filetests/src/lib.rs
+++ b/filetests/src/lib.rs
@@ -5,7 +5,13 @@
 //! `poplar-core` decided. [`replay`] writes the file anew; the test compares it with the old one
 //! and `POPLAR_BLESS=1` overwrites it. See [golden sessions](../../docs/design/golden-sessions.md).
 
+mod admission;
+mod answers;
+mod budget;
+mod contracts;
 mod once;
+mod sends;
+mod suspects;
 
 use std::time::Duration;
 
@@ -60,7 +66,13 @@
 
 fn session(kind: &str) -> Result<Box<dyn Session>, Fault> {
     match kind {
+        "admission" => Ok(Box::new(admission::Target::default())),
+        "answers" => Ok(Box::new(answers::Answers::default())),
+        "budget" => Ok(Box::new(budget::Retries::default())),
+        "contracts" => Ok(Box::new(contracts::Contracts::default())),
         "once" => Ok(Box::new(once::Once::default())),
+        "sends" => Ok(Box::new(sends::Sends::default())),
+        "suspects" => Ok(Box::new(suspects::Service::default())),
         _ => Err(Fault::Kind),
     }
 }
@@ -138,3 +150,8 @@
     let digits = text.strip_suffix('s').ok_or(Fault::Time)?;
     parse(digits).map(Duration::from_secs)
 }
+
+/// Number from its text.
+fn number<N: std::str::FromStr>(text: &str) -> Result<N, Fault> {
+    text.parse().map_err(|_| Fault::Command)
+}
--- /dev/null
+++ b/filetests/src/suspects.rs
@@ -0,0 +1,109 @@
+//! Sessions of requests that crash their targets.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use poplar_core::{Barred, Fingerprint, Moment, Name, Permit, Suspects};
+
+use crate::{Fault, Session, VIOLATION};
+
+const MEMORY: Duration = Duration::from_secs(600);
+
+#[derive(Debug)]
+struct Node {
+    suspects: Suspects,
+    running: BTreeMap<String, Permit>,
+}
+
+/// Session of one service.
+#[derive(Default)]
+pub(crate) struct Service {
+    nodes: BTreeMap<String, Node>,
+    crashes: u32,
+    lines: Vec<String>,
+}
+
+impl Session for Service {
+    fn step(&mut self, now: Moment, words: &[&str]) -> Result<Vec<String>, Fault> {
+        match words {
+            ["start", node] => {
+                let suspects = Suspects::new(MEMORY, 64);
+                let node_state = Node { suspects, running: BTreeMap::new() };
+                self.nodes.insert((*node).to_owned(), node_state);
+            }
+            ["run", request, "at", node] => self.run(now, request, node)?,
+            ["succeed", request, "at", node] => self.succeed(now, request, node)?,
+            ["crash", node] => self.crash(now, node)?,
+            ["tell", node, "to", other] => self.tell(now, node, other)?,
+            _ => return Err(Fault::Command),
+        }
+        Ok(std::mem::take(&mut self.lines))
+    }
+
+    fn end(&mut self) -> Vec<String> {
+        let crashes = self.crashes;
+        self.lines.push(format!("{crashes} crashes"));
+        if crashes > 2 {
+            self.lines.push(format!("{VIOLATION}: one request crashed more than two targets"));
+        }
+        std::mem::take(&mut self.lines)
+    }
+}
+
+fn print(request: &str) -> Fingerprint {
+    Fingerprint::of(&Name::new("class"), request.as_bytes())
+}
+
+impl Service {
+    fn node(&mut self, name: &str) -> Result<&mut Node, Fault> {
+        self.nodes.get_mut(name).ok_or(Fault::Name)
+    }
+
+    fn run(&mut self, now: Moment, request: &str, at: &str) -> Result<(), Fault> {
+        let node = self.node(at)?;
+        let line = match node.suspects.admit(now, print(request)) {
+            Ok(permit) => {
+                let how = if permit == Permit::Open { "" } else { " as the only suspect" };
+                node.running.insert(request.to_owned(), permit);
+                format!("{at} runs {request}{how}")
+            }
+            Err(Barred::Busy) => format!("{at} refuses {request} for now: a suspect runs"),
+            Err(Barred::Convicted) => {
+                format!("{at} refuses {request} for good: not run (crash-suspect)")
+            }
+        };
+        self.lines.push(line);
+        Ok(())
+    }
+
+    fn succeed(&mut self, now: Moment, request: &str, at: &str) -> Result<(), Fault> {
+        let node = self.node(at)?;
+        let permit = node.running.remove(request).ok_or(Fault::Name)?;
+        node.suspects.succeeded(now, print(request), permit);
+        let standing = node.suspects.standing(now, print(request));
+        self.lines.push(format!("{request} is {standing:?} at {at}"));
+        Ok(())
+    }
+
+    fn crash(&mut self, now: Moment, at: &str) -> Result<(), Fault> {
+        self.crashes += 1;
+        let node = self.node(at)?;
+        let running = std::mem::take(&mut node.running);
+        let names: Vec<String> = running.keys().cloned().collect();
+        let runs = running.into_iter().map(|(name, permit)| (print(&name), permit));
+        node.suspects.crashed(now, runs);
+        let standing = |name: &String| {
+            format!("{name} is {:?} at {at}", node.suspects.standing(now, print(name)))
+        };
+        let lines: Vec<String> = names.iter().map(standing).collect();
+        self.lines.extend(lines);
+        Ok(())
+    }
+
+    fn tell(&mut self, now: Moment, from: &str, to: &str) -> Result<(), Fault> {
+        let reports = self.node(from)?.suspects.export(now, 64);
+        self.node(to)?.suspects.merge(now, &reports);
+        self.lines.push(format!("{to} learns of {} requests", reports.len()));
+        Ok(())
+    }
+}
