--- a/node/src/route/trip.rs
+++ b/node/src/route/trip.rs
@@ -3,8 +3,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use poplar_core::{
-    Binding, Bound, Budget, Call, CallRule, CallTerms, ErrorKind, Evidence, Fate, InstanceId, Loan,
-    Moment, Next, Outcome, Resend, RetriesSpent, Unbound, next_step, overall_fate, resend_rule,
+    Binding, Bound, Budget, Call, CallRule, CallTerms, ErrorKind, Evidence, Fate, InstanceId,
+    Lineage, Loan, Moment, Next, Outcome, Resend, RetriesSpent, Unbound, bound_resend, next_step,
 };
 use poplar_wire::{Answer, CallMeta, MemberRecord};
 
@@ -30,7 +30,7 @@
     sends: Call,
     ties: Ties,
     tried: Vec<InstanceId>,
-    /// Whether an earlier send ended unknown.
+    /// Whether a send under the present binding ended unknown.
     open: bool,
     deadline: Moment,
     offer: Option<Binding>,
@@ -65,11 +65,10 @@
             self.tried.push(member.instance.clone());
             let reply = self.route.send(&member, meta, self.call.body.clone()).await;
             let outcome = self.settle(loan, reply);
-            let overall = self.overall(outcome.clone());
             if !self.may_send_again(&outcome) {
-                return self.end(overall);
+                return self.end(outcome);
             }
-            last = Some(overall);
+            last = Some(outcome);
         }
     }
 
@@ -176,19 +175,45 @@
 
     /// Decides whether another send follows one that ended with `outcome`.
     fn may_send_again(&mut self, outcome: &Outcome<Answer>) -> bool {
-        if hold(self.budget).left() == 0 || self.left().is_zero() {
-            return false;
+        let worth = matches!(self.next_step(outcome.clone()), Next::Resend);
+        if matches!(self.ties, Ties::Free) {
+            return worth;
         }
-        let fate = fate_of(outcome);
-        let again = match (resend_rule(self.call.rule, self.call.within, &fate), &self.ties) {
+        let funded = hold(self.budget).left() > 0 && !self.left().is_zero();
+        match (bound_resend(&fate_of(outcome)), &self.ties) {
+            (Resend::Never, _) => false,
+            (Resend::SameBinding, _) => {
+                self.open = true;
+                funded
+            }
             // Only the caller that mints the bindings may take the next one.
-            (Resend::Never, _) | (Resend::NextBinding, Ties::Given(_)) => false,
-            (Resend::Anywhere, _) => self.elsewhere(),
-            (Resend::SameBinding, _) => true,
-            (Resend::NextBinding, _) => self.elsewhere() && self.release(),
+            (Resend::NextBinding, Ties::Given(_)) => false,
+            (Resend::NextBinding, _) => worth && self.release(),
+        }
+    }
+
+    /// What follows `outcome`, by the one decision that every holder of a call shares.
+    fn next_step(&self, outcome: Outcome<Answer>) -> Next<Answer> {
+        let free = matches!(self.ties, Ties::Free);
+        let terms = CallTerms {
+            once: self.call.within == Lineage::Once,
+            // For a bound call a not run speaks for every send under the binding.
+            ran: free && self.sends.may_have_run(),
+            suspect: false,
+            elsewhere: self.elsewhere(),
+            units: hold(self.budget).left(),
+            left: self.left(),
         };
-        self.open |= again && matches!(fate, Fate::Unknown(_));
-        again
+        next_step(outcome, &terms, fastrand::u64(..))
+    }
+
+    /// Final answer for `outcome`, although another send might have been worth its unit.
+    fn final_step(&self, outcome: Outcome<Answer>) -> Next<Answer> {
+        let free = matches!(self.ties, Ties::Free);
+        let ran = free && self.sends.may_have_run();
+        let left = self.left();
+        let terms = CallTerms { once: true, ran, suspect: false, elsewhere: false, units: 0, left };
+        next_step(outcome, &terms, fastrand::u64(..))
     }
 
     /// Gives the call free for the next binding, after the last one was told not run.
@@ -207,15 +232,6 @@
         released
     }
 
-    /// Outcome over all sends.
-    fn overall(&self, last: Outcome<Answer>) -> Outcome<Answer> {
-        let open = self.open;
-        match (overall_fate(self.call.rule, open, fate_of(&last)), last) {
-            (Fate::Unknown(kind), Outcome::NotRun { .. }) => Outcome::Unknown { kind },
-            (_, last) => last,
-        }
-    }
-
     fn nobody(&self) -> Outcome<Answer> {
         match self.ties {
             Ties::Bound(_) | Ties::Given(_) => Outcome::Unknown { kind: ErrorKind::BindingLost },
@@ -244,18 +260,10 @@
     /// Ends the trip; an offer goes back only with the not run that it belongs to.
     fn end(self, outcome: Outcome<Answer>) -> Delivered {
         self.route.metrics.resent(u64::from(self.sends.sends().saturating_sub(1)));
-        let terms = CallTerms {
-            once: true,
-            ran: false,
-            suspect: false,
-            elsewhere: false,
-            units: 0,
-            left: self.left(),
-        };
         let given = matches!(self.ties, Ties::Given(_));
         let refused = matches!(outcome, Outcome::NotRun { .. });
-        let offer = self.offer.filter(|_| given && refused);
-        match next_step(outcome.clone(), &terms, fastrand::u64(..)) {
+        let offer = self.offer.clone().filter(|_| given && refused);
+        match self.final_step(outcome.clone()) {
             Next::Final { outcome, retry_after } => Delivered { outcome, retry_after, offer },
             Next::Resend => Delivered { outcome, retry_after: None, offer },
         }
--- a/node/src/work.rs
+++ b/node/src/work.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use poplar_core::{
     Binding, ErrorKind, Fate, Handover, ImportanceScale, Level, Moment, Name, Outcome, Refusal,
-    RequestId,
+    RequestId, TargetEnd,
 };
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
 use poplar_wire::{Answer, AskRequest, CallMeta, CallReply, CallRequest};
@@ -19,7 +19,7 @@
 use crate::once::{Copy, Once};
 use crate::runs::{Run, Runs};
 use crate::sends::Sends;
-use crate::target::{Ran, Target};
+use crate::target::Target;
 
 /// Time to come back that a refusal names while nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
@@ -254,14 +254,15 @@
 
     async fn run(&self, run: &Run, address: &str, largest: u64, body: Bytes) -> Outcome<Answer> {
         let work = self.target.run(address, &run.meta, run.token(), largest, body);
-        let ran = tokio::time::timeout(run.left(self.clock.now()), work).await;
-        match ran {
-            Ok(Ran::Answer(answer)) => Outcome::Done(answer),
-            Ok(Ran::Shed) => outcome_of(poplar_core::shed_fate(run.calls())),
-            Ok(Ran::NotRun(kind)) => not_run(kind),
-            Ok(Ran::Unknown(kind)) => Outcome::Unknown { kind },
-            Err(_) => Outcome::Unknown { kind: ErrorKind::Deadline },
-        }
+        let ended = tokio::time::timeout(run.left(self.clock.now()), work).await;
+        let end = match ended {
+            Ok(TargetEnd::Answer { answer, shed, .. }) => {
+                TargetEnd::Answer { answer, shed, calls: run.calls() }
+            }
+            Ok(end) => end,
+            Err(_) => TargetEnd::Deadline,
+        };
+        end.outcome(RETRY_AFTER)
     }
 
     fn count(&self) -> Counted<'_> {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -14,9 +14,9 @@
 pub use contract_text::contract_text;
 pub use message::{
     Announcement, Answer, AskReply, AskRequest, BindRequest, CallMeta, CallReply, CallRequest,
-    MemberRecord, MemberState, Sender,
+    Sender,
 };
-pub use poplar_core::ContractRecord;
+pub use poplar_core::{ContractRecord, MemberRecord, MemberState};
 
 pub use text::{binding_text, parse_binding};
 
