--- a/core/src/binding/binder.rs
+++ b/core/src/binding/binder.rs
@@ -1,5 +1,6 @@
 //! Binder of a key: remembers the binding for a caller that sends only an idempotency key.
 //!
+//! The binder of a key is the [`keeper`](crate::keeper) of the request id.
 //! This path gives less than a binding that the caller keeps; which guarantee holds for which
 //! caller is stated in [at most once](../../../docs/design/at-most-once.md#guarantees).
 
@@ -11,14 +12,6 @@
 use crate::outcome::ErrorKind;
 use crate::time::Moment;
 
-/// Member of a service that is the binder of a key; `None` if there is no member.
-pub fn binder_of<'a>(
-    request: RequestId,
-    members: impl IntoIterator<Item = &'a InstanceId>,
-) -> Option<&'a InstanceId> {
-    members.into_iter().max_by_key(|member| (weight(request, member), *member))
-}
-
 fn weight(request: RequestId, member: &InstanceId) -> u64 {
     rendezvous_weight(request.0, member.0.as_str())
 }
--- a/core/src/binding/mod.rs
+++ b/core/src/binding/mod.rs
@@ -20,9 +20,9 @@
 use crate::outcome::ErrorKind;
 
 pub use attempts::{AttemptLimits, AttemptLog, SenderId};
-pub use binder::{Binder, BinderAnswer, BinderLimits, binder_of};
+pub use binder::{Binder, BinderAnswer, BinderLimits};
 pub use mint::{Bound, Evidence, Unbound, WindowView};
-pub use repeat::{CallRule, Lineage, Resend, call_rule, overall_fate, resend_rule, shed_fate};
+pub use repeat::{CallRule, Lineage, Resend, bound_resend, call_rule};
 pub use runs::{RunLimits, RunTable};
 pub use sealed::{Handover, HandoverEntry, SealedTable, Successor, SuccessorFull};
 
--- a/core/src/binding/repeat.rs
+++ b/core/src/binding/repeat.rs
@@ -1,4 +1,5 @@
-//! Repeatability belongs to the whole request: which calls may be made, and which re-sent.
+//! Repeatability belongs to the whole request: which calls may be made, and how bound ones are
+//! sent again.
 //!
 //! See [at most once](../../../docs/design/at-most-once.md#the-whole-request).
 
@@ -59,67 +60,27 @@
     }
 }
 
-/// What a hop may do with a call that ended without an answer, if it has a retry unit left.
+/// How the minter of a bound call may send it again, if [`next_step`](crate::next_step) finds
+/// that another send is worth its retry unit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Resend {
-    /// Nothing: the outcome goes to the caller as it is.
+    /// Not at all: the outcome goes to the caller as it is.
     Never,
-    /// Send it again, to any target.
-    Anywhere,
-    /// Send it again to the same incarnation with the same binding.
+    /// To the same incarnation with the same binding, to hear what became of it.
     SameBinding,
-    /// Mint the next binding, for any target, and send it again.
+    /// To any target, with the next binding.
     NextBinding,
 }
 
-/// Decides whether a hop may re-send a call.
+/// Decides how a bound call may be sent again after `fate`.
 ///
-/// `within` is the lineage of the call itself, its own class included. A call under a once-only
-/// request that is itself repeatable is re-sent only after a definite not run, because the run
-/// above it cannot be taken back.
-pub const fn resend_rule<A>(rule: CallRule, within: Lineage, fate: &Fate<A>) -> Resend {
-    match (fate, rule) {
-        (Fate::Running | Fate::Done(_), _) => Resend::Never,
-        (Fate::NotRun(kind) | Fate::Unknown(kind), _) if is_final(*kind) => Resend::Never,
-        (Fate::NotRun(_), CallRule::Free) => Resend::Anywhere,
-        (Fate::NotRun(_), _) => Resend::NextBinding,
-        (Fate::Unknown(ErrorKind::Connection), CallRule::Bound | CallRule::Keyed) => {
-            Resend::SameBinding
-        }
-        (Fate::Unknown(_), CallRule::Free) if matches!(within, Lineage::Repeatable) => {
-            Resend::Anywhere
-        }
-        (Fate::Unknown(_), _) => Resend::Never,
-    }
-}
-
-/// Whether sending the call again cannot change its outcome.
-const fn is_final(kind: ErrorKind) -> bool {
-    use ErrorKind as Kind;
-    match kind {
-        Kind::BadRequest | Kind::UnknownClass | Kind::OnceInRepeatable => true,
-        Kind::CrashSuspect | Kind::Deadline | Kind::Cancelled => true,
-        Kind::AnswerTooLarge | Kind::RetriesSpent => true,
-        Kind::NoContract | Kind::NoTarget | Kind::Overload | Kind::Draining => false,
-        Kind::Connection | Kind::BindingLost | Kind::BindingNeeded | Kind::BadAnswer => false,
-    }
-}
-
-/// Fate of a run whose target gave the explicit shed signal.
-///
-/// The signal says that the request was shed before it was started. A run that has already made
-/// calls was started, whatever the target says.
-pub const fn shed_fate<A>(calls: u32) -> Fate<A> {
-    if calls == 0 { Fate::NotRun(ErrorKind::Overload) } else { Fate::Unknown(ErrorKind::BadAnswer) }
-}
-
-/// Fate of a call over all its sends, when the last of them ended with `last`.
-///
-/// `open` says that an earlier send ended unknown. A not run then speaks for the whole call only
-/// if every send carried the binding that it is about.
-pub fn overall_fate<A>(rule: CallRule, open: bool, last: Fate<A>) -> Fate<A> {
-    match (last, rule) {
-        (Fate::NotRun(kind), CallRule::Free) if open => Fate::Unknown(kind),
-        (fate, _) => fate,
+/// A not run speaks for every send under the binding, so it is definite whatever happened to the
+/// sends before. After a lost binding nothing better will ever be known.
+pub const fn bound_resend<A>(fate: &Fate<A>) -> Resend {
+    match fate {
+        Fate::Running | Fate::Done(_) => Resend::Never,
+        Fate::NotRun(_) => Resend::NextBinding,
+        Fate::Unknown(ErrorKind::Connection) => Resend::SameBinding,
+        Fate::Unknown(_) => Resend::Never,
     }
 }
--- a/core/src/binding/runs.rs
+++ b/core/src/binding/runs.rs
@@ -167,8 +167,7 @@
     /// Records how an admitted request ended; returns whether it was running.
     ///
     /// `size` is the size of the answer in bytes. `NotRun` may be passed only if the request was
-    /// never handed to the target, or if the target's shed signal counts; see
-    /// [`shed_fate`](super::shed_fate). An answer larger than the room set aside is not kept, and
+    /// never handed to the target, or if [`TargetEnd::outcome`](crate::TargetEnd::outcome) says so. An answer larger than the room set aside is not kept, and
     /// the outcome is unknown from then on.
     pub fn finish(
         &mut self,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -28,8 +28,8 @@
 pub use binding::{
     AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, BindingError, Bound,
     CallRule, Evidence, Fate, Handover, HandoverEntry, Lineage, Resend, RunLimits, RunTable,
-    RunVerdict, SealedTable, SenderId, Successor, SuccessorFull, Unbound, WindowView, binder_of,
-    call_rule, overall_fate, resend_rule, shed_fate,
+    RunVerdict, SealedTable, SenderId, Successor, SuccessorFull, Unbound, WindowView, bound_resend,
+    call_rule,
 };
 pub use budget::{
     Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
--- a/core/tests/binding_callers.rs
+++ b/core/tests/binding_callers.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use poplar_core::{
-    AttemptId, AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, CallRule,
-    ErrorKind, Fate, Incarnation, InstanceId, Moment, Outcome, RequestId, RunVerdict, SenderId,
-    Unbound, WindowView, binder_of, overall_fate,
+    AttemptId, AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, ErrorKind,
+    Fate, Incarnation, InstanceId, Moment, Outcome, RequestId, RunVerdict, SenderId, Unbound,
+    WindowView, keeper,
 };
 
 const HOLD: Duration = Duration::from_secs(60);
@@ -30,7 +30,7 @@
 fn binder_before(request: RequestId) -> InstanceId {
     let own = InstanceId::from("own");
     let names = (0..64).map(|n| InstanceId::from(format!("m{n}").as_str()));
-    let before = |member: &InstanceId| binder_of(request, [&own, member]) == Some(member);
+    let before = |member: &InstanceId| keeper(request, [&own, member]) == Some(member);
     names.into_iter().find(before).expect("some name weighs more")
 }
 
@@ -110,15 +110,6 @@
     assert_eq!((bound.binding().incarnation, bound.binding().window), (Incarnation(2), 5));
 }
 
-#[test]
-fn a_not_run_after_an_unknown_send_is_unknown_unless_one_binding_covers_both() {
-    let not_run = Fate::<()>::NotRun(ErrorKind::Overload);
-    let unknown = Fate::Unknown(ErrorKind::Overload);
-    assert_eq!(overall_fate(CallRule::Free, true, not_run.clone()), unknown);
-    assert_eq!(overall_fate(CallRule::Free, false, not_run.clone()), not_run);
-    assert_eq!(overall_fate(CallRule::Bound, true, not_run.clone()), not_run);
-}
-
 const SENDS: AttemptLimits = AttemptLimits { senders: 2, sends: 3, hold: HOLD };
 const SILENT: Fate<&str> = Fate::Unknown(ErrorKind::Connection);
 const ABSENT: Fate<&str> = Fate::NotRun(ErrorKind::Connection);
--- a/core/tests/binding_once.rs
+++ b/core/tests/binding_once.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Binding, Bound, CallRule, ErrorKind, Evidence, Fate, Incarnation, Lineage, Moment, Outcome,
-    RequestId, Resend, RunLimits, RunTable, RunVerdict, Successor, Unbound, call_rule, resend_rule,
+    Binding, Bound, CallRule, CallTerms, ErrorKind, Evidence, Fate, Incarnation, Lineage, Moment,
+    Next, Outcome, RequestId, Resend, RunLimits, RunTable, RunVerdict, Successor, Unbound,
+    bound_resend, call_rule, next_step,
 };
 
 const HOLD: Duration = Duration::from_secs(60);
@@ -175,12 +176,25 @@
     // A once-only parent is never re-run: its own outcome stays unknown.
     assert_eq!(call_rule(Lineage::Once, false, false), Ok(CallRule::Bound));
     let lost = Fate::<()>::Unknown(ErrorKind::BindingLost);
-    assert_eq!(resend_rule(CallRule::Bound, Lineage::Once, &lost), Resend::Never);
+    assert_eq!(bound_resend(&lost), Resend::Never);
     // Nor is a repeatable run between the two, which would make the child call again.
+    assert_eq!(Lineage::Once.below(true), Lineage::Once);
+    assert_eq!(Lineage::Repeatable.below(false), Lineage::Once);
+    let terms = |once| {
+        let left = Duration::from_secs(1);
+        CallTerms { once, ran: false, suspect: false, elsewhere: true, units: 1, left }
+    };
+    let silent = || Outcome::<()>::Unknown { kind: ErrorKind::Connection };
+    assert!(matches!(next_step(silent(), &terms(true), 0), Next::Final { .. }));
+    assert_eq!(next_step(silent(), &terms(false), 0), Next::Resend);
+}
+
+#[test]
+fn a_bound_call_is_sent_again_as_far_as_its_binding_allows() {
     let silent = Fate::<()>::Unknown(ErrorKind::Connection);
-    assert_eq!(resend_rule(CallRule::Free, Lineage::Once, &silent), Resend::Never);
-    assert_eq!(resend_rule(CallRule::Free, Lineage::Repeatable, &silent), Resend::Anywhere);
-    assert_eq!(resend_rule(CallRule::Bound, Lineage::Once, &silent), Resend::SameBinding);
+    assert_eq!(bound_resend(&silent), Resend::SameBinding);
+    let not_run = Fate::<()>::NotRun(ErrorKind::Overload);
+    assert_eq!(bound_resend(&not_run), Resend::NextBinding);
 }
 
 /// Requests of one random session, each with every binding that its minter made so far.
