--- a/node/src/work.rs
+++ b/node/src/work.rs
@@ -26,7 +26,6 @@
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 
 /// Service that admits calls and has the target run them.
-#[derive(Debug)]
 pub(crate) struct Work {
     clock: Clock,
     contracts: Arc<Contracts>,
