Check the protocol of contracts exhaustively

Cause: "once accepted it never reverts" has to be right by proof, racing operators, lost acknowledgements, expiry, crashes and an outage longer than retention included. Before: a harness without a model.

--- a/model/src/check.rs
+++ b/model/src/check.rs
@@ -1,6 +1,5 @@
 //! Exhaustive check of one model: breadth-first search over all its states.
 
-use std::cell::Cell;
 use std::fmt::{self, Debug, Display};
 use std::hash::{Hash, Hasher};
 
@@ -113,31 +112,36 @@
 }
 
 /// Visits every state of a model, or stops at the nearest one that breaks an invariant.
+///
+/// Each state is judged once, when it is visited; one that breaks an invariant gets a marker as
+/// its only successor, and the search is for that marker.
 pub fn check<M: Model>(model: &M) -> Report {
     let invariants = model.invariants();
     let witnesses = model.witnesses();
-    let seen: Vec<Cell<bool>> = witnesses.iter().map(|_| Cell::new(false)).collect();
-    let states = Cell::new(0);
-    let depth = Cell::new(0);
-    let start = Node { state: model.initial(), depth: 0 };
+    let mut seen = vec![false; witnesses.len()];
+    let (mut states, mut depth) = (0, 0);
+    let start = Node { state: model.initial(), depth: 0, broken: false };
     let successors = |node: &Node<M::State>| {
-        states.set(states.get() + 1);
-        depth.set(node.depth.max(depth.get()));
-        for (witness, seen) in witnesses.iter().zip(&seen) {
-            seen.set(seen.get() || (witness.holds)(&node.state));
+        states += 1;
+        depth = node.depth.max(depth);
+        for (witness, seen) in witnesses.iter().zip(&mut seen) {
+            *seen = *seen || (witness.holds)(&node.state);
+        }
+        if invariants.iter().any(|invariant| !(invariant.holds)(&node.state)) {
+            return vec![Node { broken: true, ..node.clone() }];
         }
         let depth = node.depth + 1;
-        model.steps(&node.state).into_iter().map(move |step| Node { state: step.next, depth })
+        let steps = model.steps(&node.state).into_iter();
+        steps.map(|step| Node { state: step.next, depth, broken: false }).collect()
     };
-    let broken = |node: &Node<M::State>| invariants.iter().any(|inv| !(inv.holds)(&node.state));
-    let path = bfs(&start, successors, broken);
-    let unseen = witnesses.iter().zip(&seen).filter(|(_, seen)| !seen.get());
+    let path = bfs(&start, successors, |node| node.broken);
+    let unseen = witnesses.iter().zip(&seen).filter(|(_, seen)| !**seen);
     Report {
-        states: states.get(),
-        depth: depth.get(),
+        states,
+        depth,
         unseen: unseen.map(|(witness, _)| witness.name).collect(),
         failure: path.and_then(|path| explain(model, &invariants, &path)),
-        invariants: invariants.iter().map(|inv| inv.name).collect(),
+        invariants: invariants.iter().map(|invariant| invariant.name).collect(),
     }
 }
 
@@ -146,11 +150,12 @@
 struct Node<S> {
     state: S,
     depth: usize,
+    broken: bool,
 }
 
 impl<S: PartialEq> PartialEq for Node<S> {
     fn eq(&self, other: &Self) -> bool {
-        self.state == other.state
+        self.broken == other.broken && self.state == other.state
     }
 }
 
@@ -159,6 +164,7 @@
 impl<S: Hash> Hash for Node<S> {
     fn hash<H: Hasher>(&self, hasher: &mut H) {
         self.state.hash(hasher);
+        self.broken.hash(hasher);
     }
 }
 
@@ -168,8 +174,9 @@
     path: &[Node<M::State>],
 ) -> Option<Failure> {
     let last = path.last()?;
-    let broken = invariants.iter().find(|inv| !(inv.holds)(&last.state))?;
-    let trace = path.windows(2).map(|pair| event_between(model, &pair[0].state, &pair[1].state));
+    let broken = invariants.iter().find(|invariant| !(invariant.holds)(&last.state))?;
+    let steps = path.windows(2).filter(|pair| !pair[1].broken);
+    let trace = steps.map(|pair| event_between(model, &pair[0].state, &pair[1].state));
     Some(Failure {
         invariant: broken.name,
         trace: trace.collect(),
--- /dev/null
+++ b/model/src/contracts.rs
@@ -0,0 +1,246 @@
+//! Model of publishing, folding, snapshots, expiry, crashes, pulls and two operators.
+//!
+//! A contract's body is the act that published it, and a customer's history is the line of acts
+//! that were accepted, so that the revision in force is the length of the line.
+
+mod spec;
+mod world;
+
+use std::fmt;
+
+pub use spec::{Line, Record, Rule, State, Verdict};
+pub use world::{ACTS, FOUNDING, Log, NODES, Node, Operator, Scope, Stage, World};
+
+use crate::check::{Check, Model, Mutation, Property, Step, check};
+
+/// Assumptions on the surroundings.
+const ASSUMES: &[&str] = &[
+    "what a node gave its word on is held by a live node or readable in the log",
+    "before records are given up, each live node has read the log and offered a better state",
+];
+
+/// Check from a log that everybody has read.
+pub const CHECK: Check = Check {
+    name: "contracts",
+    bounds: "2 nodes, 2 operators with one act each, 3 appends, 5 offsets, 4 records kept, 1 crash",
+    assumes: ASSUMES,
+    mutations: &[
+        Mutation { name: "ignore-base", text: "a record is accepted whatever its base" },
+        Mutation { name: "last-wins", text: "a record replaces one with the same base" },
+        Mutation { name: "accept-repeats", text: "a repeated record is accepted again" },
+        Mutation { name: "judge-across-gap", text: "records behind a gap are judged" },
+        Mutation { name: "snapshot-to-offset", text: "a snapshot counts up to its own offset" },
+        Mutation { name: "adopt-backwards", text: "a peer's older state is taken over" },
+        Mutation { name: "forget-published", text: "the fold remembers no publish ids" },
+        Mutation { name: "accept-on-read-back", text: "accepted is said without a node's word" },
+        Mutation { name: "lose-on-read-back", text: "superseded is said without a node's word" },
+        Mutation { name: "resume-unsettled", text: "expired records are given up without waiting" },
+        Mutation {
+            name: "resume-without-offers",
+            text: "better states are not offered on the log",
+        },
+    ],
+    run: |mutation| {
+        check(&Contracts {
+            rule: Rule::from_mutation(mutation),
+            scope: Scope { offsets: 5, appends: [2, 1], crashes: 1, loss: false },
+        })
+    },
+};
+
+/// Check from a log that lost a record which nobody had read.
+pub const CHECK_LOSS: Check = Check {
+    name: "contracts-loss",
+    bounds: "2 nodes, 2 operators with one act each, 2 appends, 6 offsets, 4 records kept, no crash",
+    assumes: ASSUMES,
+    mutations: &[Mutation { name: "resume-overtaken", text: "an overtaken resume record counts" }],
+    run: |mutation| {
+        check(&Contracts {
+            rule: Rule::from_mutation(mutation),
+            scope: Scope { offsets: 6, appends: [1, 1], crashes: 0, loss: true },
+        })
+    },
+};
+
+/// Model with at most one rule mutated.
+#[derive(Debug, Clone, Copy)]
+pub struct Contracts {
+    /// Rules of the fold and of the surroundings.
+    pub rule: Rule,
+    /// Where the runs start and how far they go.
+    pub scope: Scope,
+}
+
+/// One event of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Event {
+    /// An operator reads the log and chooses its base.
+    Choose(usize),
+    /// An operator sends an append.
+    Append(usize),
+    /// An append takes effect; whether that is acknowledged makes no difference.
+    Land(usize),
+    /// An operator reads its record back.
+    ReadBack(usize),
+    /// A node gives an operator its word on what was read back.
+    Word {
+        /// Operator.
+        operator: usize,
+        /// Node.
+        node: usize,
+    },
+    /// A node reads the next record.
+    Read(usize),
+    /// A node appends its state.
+    Snapshot(usize),
+    /// A node takes over a peer's state.
+    Pull {
+        /// Node that asks.
+        node: usize,
+        /// Node that answers.
+        peer: usize,
+    },
+    /// A node decides to resume after records expired unread.
+    Resume(usize),
+    /// A resume record takes effect.
+    LandResume(usize),
+    /// The oldest record expires.
+    Expire,
+    /// A node is replaced by one that knows nothing.
+    Crash(usize),
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Choose(op) => write!(f, "operator {op} reads the log and chooses its base"),
+            Self::Append(op) => write!(f, "operator {op} sends its record"),
+            Self::Land(op) => write!(f, "a record of operator {op} reaches the log"),
+            Self::ReadBack(op) => write!(f, "operator {op} reads its record back"),
+            Self::Word { operator, node } => {
+                write!(f, "node {node} gives operator {operator} its word")
+            }
+            Self::Read(node) => write!(f, "node {node} reads the next record"),
+            Self::Snapshot(node) => write!(f, "node {node} appends a snapshot"),
+            Self::Pull { node, peer } => write!(f, "node {node} pulls from node {peer}"),
+            Self::Resume(node) => write!(f, "node {node} decides to resume"),
+            Self::LandResume(node) => write!(f, "a resume record of node {node} reaches the log"),
+            Self::Expire => f.write_str("the oldest record expires"),
+            Self::Crash(node) => write!(f, "node {node} crashes and starts with nothing"),
+        }
+    }
+}
+
+impl Contracts {
+    fn events(world: &World) -> Vec<Event> {
+        let mut events = vec![Event::Expire];
+        for op in 0..world.operators.len() {
+            let own = [Event::Choose(op), Event::Append(op), Event::Land(op), Event::ReadBack(op)];
+            events.extend(own);
+            events.extend((0..world.nodes.len()).map(|node| Event::Word { operator: op, node }));
+        }
+        for node in 0..world.nodes.len() {
+            let own = [
+                Event::Read(node),
+                Event::Snapshot(node),
+                Event::Resume(node),
+                Event::LandResume(node),
+                Event::Crash(node),
+            ];
+            events.extend(own);
+            let peers = (0..world.nodes.len()).filter(|peer| *peer != node);
+            events.extend(peers.map(|peer| Event::Pull { node, peer }));
+        }
+        events
+    }
+}
+
+impl Model for Contracts {
+    type State = World;
+    type Event = Event;
+
+    fn initial(&self) -> World {
+        World::new(self.scope)
+    }
+
+    fn steps(&self, world: &World) -> Vec<Step<Event, World>> {
+        let next =
+            |event| world.after(self.rule, self.scope, event).map(|next| Step { event, next });
+        Self::events(world).into_iter().filter_map(next).collect()
+    }
+
+    fn invariants(&self) -> Vec<Property<World>> {
+        vec![
+            Property {
+                name: "what was accepted is in force on every node that read so far",
+                holds: World::told_is_in_force,
+            },
+            Property {
+                name: "what is in force on a node never goes back",
+                holds: World::nothing_goes_back,
+            },
+            Property {
+                name: "two readers at the same offset hold the same state",
+                holds: World::readers_agree,
+            },
+            Property {
+                name: "no two nodes hold two bodies under one revision",
+                holds: World::one_body_per_revision,
+            },
+            Property {
+                name: "a contract whose operator was told that it lost is never in force",
+                holds: World::loser_is_not_in_force,
+            },
+            Property {
+                name: "a contract whose operator was told that it is accepted stays accepted",
+                holds: World::winner_is_kept,
+            },
+            Property {
+                name: "an act of publishing makes one revision at most",
+                holds: World::acts_are_unique,
+            },
+        ]
+    }
+
+    fn witnesses(&self) -> Vec<Property<World>> {
+        if self.scope.loss { witnesses_of_loss() } else { witnesses() }
+    }
+}
+
+fn witnesses() -> Vec<Property<World>> {
+    vec![
+        Property {
+            name: "both operators are accepted, one after the other",
+            holds: |world| world.operators.iter().all(|op| op.stage == Stage::Accepted),
+        },
+        Property {
+            name: "one operator wins and the other is told that it lost",
+            holds: |world| {
+                let told = |stage| world.operators.iter().any(|op| op.stage == stage);
+                told(Stage::Accepted) && told(Stage::Superseded)
+            },
+        },
+        Property {
+            name: "a node that crashed is current again behind expired records",
+            holds: |world| {
+                let current = |node: &Node| node.state.next == world.log.end();
+                world.crashes > 0 && world.log.start > 0 && world.nodes.iter().all(current)
+            },
+        },
+        witness_of_resume(),
+    ]
+}
+
+fn witnesses_of_loss() -> Vec<Property<World>> {
+    vec![witness_of_resume()]
+}
+
+fn witness_of_resume() -> Property<World> {
+    Property {
+        name: "a resume record counts, and a contract is accepted after it",
+        holds: |world| {
+            let accepted = |op: &Operator| op.stage == Stage::Accepted;
+            world.has_resumed() && world.operators.iter().any(accepted)
+        },
+    }
+}
--- /dev/null
+++ b/model/src/contracts/spec.rs
@@ -0,0 +1,189 @@
+//! Rules of the fold, stated a second time in their shortest form.
+
+/// Longest line of accepted acts.
+const MAX_LINE: usize = 3;
+
+/// Acts that were accepted, in order; the revision in force is its length.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Line {
+    acts: [u8; MAX_LINE],
+    len: u8,
+}
+
+impl Line {
+    /// Revision in force.
+    pub fn revision(&self) -> u8 {
+        self.len
+    }
+
+    /// Acts in order.
+    pub fn acts(&self) -> &[u8] {
+        &self.acts[..usize::from(self.len)]
+    }
+
+    /// Whether this line begins with the whole of `other`.
+    pub fn extends(&self, other: &Self) -> bool {
+        self.acts().starts_with(other.acts())
+    }
+
+    fn push(&mut self, act: u8) {
+        if usize::from(self.len) < MAX_LINE {
+            self.acts[usize::from(self.len)] = act;
+            self.len += 1;
+        }
+    }
+}
+
+/// State of a reader.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct State {
+    /// First offset that is not folded.
+    pub next: u8,
+    /// Accepted acts.
+    pub line: Line,
+}
+
+/// Record on the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Record {
+    /// An act of publishing on a base.
+    Publish {
+        /// Act, which is publish id and body at once.
+        act: u8,
+        /// Revision that was revised.
+        base: u8,
+    },
+    /// State of a reader.
+    Snapshot(State),
+    /// State to go on from, if the record got the offset it expected.
+    Resume {
+        /// Offset expected.
+        expected: u8,
+        /// State.
+        state: State,
+    },
+}
+
+/// Verdict on a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// In force as this revision.
+    Accepted(u8),
+    /// Accepted before as this revision.
+    Duplicate(u8),
+    /// Lost to the current revision.
+    Superseded(u8),
+    /// Folded before.
+    Stale,
+    /// The state moved up to the snapshot's.
+    SnapshotTaken,
+    /// The snapshot covers no more.
+    SnapshotIgnored,
+    /// The state was replaced.
+    Resumed,
+    /// The resume record was overtaken.
+    ResumeIgnored,
+    /// Records are missing before this one.
+    Gap,
+}
+
+/// Rules that a mutation may break; with none broken, all are false.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Rule {
+    pub(crate) ignore_base: bool,
+    pub(crate) last_wins: bool,
+    pub(crate) accept_repeats: bool,
+    pub(crate) judge_across_gap: bool,
+    pub(crate) snapshot_to_offset: bool,
+    pub(crate) adopt_backwards: bool,
+    pub(crate) forget_published: bool,
+    pub(crate) accept_on_read_back: bool,
+    pub(crate) lose_on_read_back: bool,
+    pub(crate) resume_unsettled: bool,
+    pub(crate) resume_overtaken: bool,
+    pub(crate) resume_without_offers: bool,
+}
+
+impl Rule {
+    pub(crate) fn from_mutation(mutation: Option<&str>) -> Self {
+        let mut rule = Self::default();
+        match mutation {
+            Some("ignore-base") => rule.ignore_base = true,
+            Some("last-wins") => rule.last_wins = true,
+            Some("accept-repeats") => rule.accept_repeats = true,
+            Some("judge-across-gap") => rule.judge_across_gap = true,
+            Some("snapshot-to-offset") => rule.snapshot_to_offset = true,
+            Some("adopt-backwards") => rule.adopt_backwards = true,
+            Some("forget-published") => rule.forget_published = true,
+            Some("accept-on-read-back") => rule.accept_on_read_back = true,
+            Some("lose-on-read-back") => rule.lose_on_read_back = true,
+            Some("resume-unsettled") => rule.resume_unsettled = true,
+            Some("resume-overtaken") => rule.resume_overtaken = true,
+            Some("resume-without-offers") => rule.resume_without_offers = true,
+            _ => {}
+        }
+        rule
+    }
+}
+
+impl State {
+    /// Revision as which an act was accepted.
+    pub fn accepted(&self, rule: Rule, act: u8) -> Option<u8> {
+        let found = self.line.acts().iter().position(|accepted| *accepted == act);
+        found.filter(|_| !rule.forget_published).map(|index| index as u8 + 1)
+    }
+
+    /// Judges a record and moves past it.
+    pub fn apply(&mut self, rule: Rule, offset: u8, record: &Record) -> Verdict {
+        if offset < self.next {
+            return Verdict::Stale;
+        }
+        match *record {
+            Record::Snapshot(state) if state.next > self.next => {
+                *self = state;
+                if rule.snapshot_to_offset {
+                    self.next = offset + 1;
+                }
+                Verdict::SnapshotTaken
+            }
+            Record::Resume { expected, state } if expected == offset || rule.resume_overtaken => {
+                *self = Self { next: offset + 1, ..state };
+                Verdict::Resumed
+            }
+            _ if offset > self.next && !rule.judge_across_gap => Verdict::Gap,
+            _ => {
+                self.next = offset + 1;
+                self.judge(rule, record)
+            }
+        }
+    }
+
+    /// Takes over a peer's state that covers more.
+    pub fn adopt(&mut self, rule: Rule, peer: &Self) -> bool {
+        let taken =
+            peer.next > self.next || rule.adopt_backwards && peer.next < self.next && peer.next > 0;
+        if taken {
+            *self = *peer;
+        }
+        taken
+    }
+
+    fn judge(&mut self, rule: Rule, record: &Record) -> Verdict {
+        let Record::Publish { act, base } = *record else {
+            let snapshot = matches!(record, Record::Snapshot(_));
+            return if snapshot { Verdict::SnapshotIgnored } else { Verdict::ResumeIgnored };
+        };
+        if let Some(revision) = self.accepted(rule, act).filter(|_| !rule.accept_repeats) {
+            return Verdict::Duplicate(revision);
+        }
+        let repeated = rule.accept_repeats && self.accepted(rule, act).is_some();
+        if rule.last_wins && base + 1 == self.line.revision() {
+            self.line.len -= 1;
+        }
+        if base != self.line.revision() && !rule.ignore_base && !repeated {
+            return Verdict::Superseded(self.line.revision());
+        }
+        self.line.push(act);
+        Verdict::Accepted(self.line.revision())
+    }
+}
--- /dev/null
+++ b/model/src/contracts/world.rs
@@ -0,0 +1,389 @@
+//! Nodes, operators and the log, and what each event does to them.
+
+use super::Event;
+use super::spec::{Record, Rule, State, Verdict};
+
+/// Nodes.
+pub const NODES: usize = 2;
+
+/// Acts of publishing, each by an operator of its own.
+pub const ACTS: usize = 2;
+
+/// Act that every run starts with, accepted and read by all nodes.
+pub const FOUNDING: u8 = ACTS as u8;
+
+/// Records that the log keeps at once.
+const MAX_KEPT: usize = 4;
+
+/// Where the runs start and how far they go.
+#[derive(Debug, Clone, Copy)]
+pub struct Scope {
+    /// Offsets of the log.
+    pub offsets: u8,
+    /// Appends of each act.
+    pub appends: [u8; ACTS],
+    /// Crashes in one run.
+    pub crashes: u8,
+    /// Whether each run starts with a record that expired before any node read it.
+    pub loss: bool,
+}
+
+/// Records that have not expired.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Log {
+    /// First offset that the log still has.
+    pub start: u8,
+    kept: [Option<Record>; MAX_KEPT],
+}
+
+impl Log {
+    /// Offset that the next record gets.
+    pub fn end(&self) -> u8 {
+        self.start + self.records().count() as u8
+    }
+
+    /// Records in order.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.kept.iter().flatten()
+    }
+
+    /// Record at an offset, unless it expired or does not exist yet.
+    pub fn get(&self, offset: u8) -> Option<Record> {
+        let index = offset.checked_sub(self.start)?;
+        self.kept.get(usize::from(index)).copied().flatten()
+    }
+
+    fn push(&mut self, scope: Scope, record: Record) -> bool {
+        let room = self.end() < scope.offsets;
+        let slot = self.kept.iter_mut().find(|slot| slot.is_none()).filter(|_| room);
+        slot.map(|slot| *slot = Some(record)).is_some()
+    }
+
+    fn expire(&mut self) -> bool {
+        let possible = self.kept[0].take().is_some();
+        self.kept.rotate_left(1);
+        self.start += u8::from(possible);
+        possible
+    }
+}
+
+/// Node that reads the log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Node {
+    /// State.
+    pub state: State,
+    /// Where it reads next.
+    pub scan: u8,
+    /// Highest revision that was in force here since it started.
+    peak: u8,
+}
+
+/// How far an operator has come.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub enum Stage {
+    /// Has not read the log.
+    #[default]
+    Idle,
+    /// Has chosen a base.
+    Chosen,
+    /// Has read back that it was accepted.
+    Won,
+    /// Has read back that it lost.
+    Lost,
+    /// Was told that its contract is accepted.
+    Accepted,
+    /// Was told that its contract lost.
+    Superseded,
+}
+
+/// Operator with one act.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Operator {
+    /// How far it has come.
+    pub stage: Stage,
+    /// Revision that it revises.
+    pub base: u8,
+    /// Appends so far.
+    appends: u8,
+    /// Whether an append is still under way.
+    delayed: bool,
+}
+
+/// Everything there is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct World {
+    /// Log.
+    pub log: Log,
+    /// Nodes.
+    pub nodes: [Node; NODES],
+    /// Operators.
+    pub operators: [Operator; ACTS],
+    /// Resume record of each node that is under way.
+    pending: [Option<Record>; NODES],
+    /// Crashes so far.
+    pub crashes: u8,
+    /// Newest state on which a node gave its word.
+    pub told: State,
+}
+
+impl World {
+    pub(crate) fn new(scope: Scope) -> Self {
+        let founding = Record::Publish { act: FOUNDING, base: 0 };
+        let mut log = Log::default();
+        log.push(scope, founding);
+        let mut node = Node::default();
+        node.read(Rule::default(), &log);
+        if scope.loss {
+            log = Log { start: node.state.next + 1, ..Log::default() };
+        }
+        Self {
+            log,
+            nodes: [node; NODES],
+            operators: [Operator::default(); ACTS],
+            pending: [None; NODES],
+            crashes: 0,
+            told: node.state,
+        }
+    }
+
+    /// World after an event, if the event can happen.
+    pub fn after(&self, rule: Rule, scope: Scope, event: Event) -> Option<Self> {
+        let mut next = *self;
+        let happens = match event {
+            Event::Choose(op) => next.choose(rule, op),
+            Event::Append(op) => next.append_publish(scope, op),
+            Event::Land(op) => next.land(scope, op),
+            Event::ReadBack(op) => next.read_back(rule, op),
+            Event::Word { operator, node } => next.give_word(rule, operator, node),
+            Event::Read(node) => next.nodes[node].read(rule, &self.log),
+            Event::Snapshot(node) => next.append_snapshot(scope, node),
+            Event::Pull { node, peer } => next.pull(rule, node, peer),
+            Event::Resume(node) => next.resume(rule, node),
+            Event::LandResume(node) => next.land_resume(scope, node),
+            Event::Expire => next.log.expire() && next.told_survives(rule),
+            Event::Crash(node) => next.crash(rule, scope, node),
+        };
+        (happens && next != *self).then_some(next)
+    }
+
+    fn choose(&mut self, rule: Rule, op: usize) -> bool {
+        if self.operators[op].stage != Stage::Idle {
+            return false;
+        }
+        let Some(state) = self.read_all(rule) else {
+            return false;
+        };
+        self.operators[op].stage = Stage::Chosen;
+        self.operators[op].base = state.line.revision();
+        true
+    }
+
+    /// Sends an append; its acknowledgement makes no difference, so there is none.
+    fn append_publish(&mut self, scope: Scope, op: usize) -> bool {
+        let operator = &mut self.operators[op];
+        let may = operator.stage == Stage::Chosen && operator.appends < scope.appends[op];
+        if !may || operator.delayed {
+            return false;
+        }
+        operator.appends += 1;
+        operator.delayed = true;
+        true
+    }
+
+    fn land(&mut self, scope: Scope, op: usize) -> bool {
+        let delayed = std::mem::take(&mut self.operators[op].delayed);
+        let record = Record::Publish { act: op as u8, base: self.operators[op].base };
+        delayed && self.log.push(scope, record)
+    }
+
+    fn read_back(&mut self, rule: Rule, op: usize) -> bool {
+        let operator = self.operators[op];
+        if !matches!(operator.stage, Stage::Chosen | Stage::Won | Stage::Lost) {
+            return false;
+        }
+        let Some(state) = self.read_all(rule) else {
+            return false;
+        };
+        let accepted = state.accepted(rule, op as u8).is_some();
+        self.operators[op].stage = match (accepted, state.line.revision() > operator.base) {
+            (true, _) if rule.accept_on_read_back => Stage::Accepted,
+            (true, _) => Stage::Won,
+            (false, true) if rule.lose_on_read_back => Stage::Superseded,
+            (false, true) => Stage::Lost,
+            (false, false) => Stage::Chosen,
+        };
+        true
+    }
+
+    fn give_word(&mut self, rule: Rule, op: usize, node: usize) -> bool {
+        let operator = self.operators[op];
+        let state = self.nodes[node].state;
+        let accepted = state.accepted(rule, op as u8).is_some();
+        self.operators[op].stage = match operator.stage {
+            Stage::Won if accepted => Stage::Accepted,
+            Stage::Lost if !accepted && state.line.revision() > operator.base => Stage::Superseded,
+            _ => return false,
+        };
+        if state.next > self.told.next {
+            self.told = state;
+        }
+        true
+    }
+
+    fn append_snapshot(&mut self, scope: Scope, node: usize) -> bool {
+        let state = self.nodes[node].state;
+        let offered = self.offers().any(|offer| offer.next == state.next);
+        state.next > 0 && !offered && self.log.push(scope, Record::Snapshot(state))
+    }
+
+    fn pull(&mut self, rule: Rule, node: usize, peer: usize) -> bool {
+        let peer = self.nodes[peer].state;
+        let node = &mut self.nodes[node];
+        let taken = node.state.adopt(rule, &peer);
+        if taken {
+            node.reposition(self.log.start);
+        }
+        taken
+    }
+
+    fn resume(&mut self, rule: Rule, node: usize) -> bool {
+        let Node { state, scan, .. } = self.nodes[node];
+        let expected = self.log.end();
+        let ready = state.next < scan && scan == expected && state.next > 0;
+        let settled = rule.resume_unsettled || self.nodes.iter().all(|n| self.is_settled(rule, n));
+        if !ready || !settled || self.pending[node].is_some() {
+            return false;
+        }
+        self.pending[node] = Some(Record::Resume { expected, state });
+        true
+    }
+
+    /// Whether a node has read the log and offered its state if that covers more.
+    fn is_settled(&self, rule: Rule, node: &Node) -> bool {
+        let offered = self.offers().any(|offer| offer.next >= node.state.next);
+        let offers = rule.resume_without_offers || offered || node.state.next == 0;
+        node.scan == self.log.end() && offers
+    }
+
+    fn land_resume(&mut self, scope: Scope, node: usize) -> bool {
+        self.pending[node].take().is_some_and(|record| self.log.push(scope, record))
+    }
+
+    fn crash(&mut self, rule: Rule, scope: Scope, node: usize) -> bool {
+        self.nodes[node] = Node::default();
+        self.crashes += 1;
+        self.crashes <= scope.crashes && self.told_survives(rule)
+    }
+
+    /// Whether what a node gave its word on is held by a node or readable in the log.
+    fn told_survives(&self, rule: Rule) -> bool {
+        let holds = |state: &State| state.next >= self.told.next;
+        let log = self.read_from(rule, State::default());
+        self.nodes.iter().any(|node| holds(&node.state)) || log.is_some_and(|log| holds(&log))
+    }
+
+    /// Snapshots that the log still has.
+    fn offers(&self) -> impl Iterator<Item = &State> {
+        self.log.records().filter_map(|record| match record {
+            Record::Snapshot(state) => Some(state),
+            _ => None,
+        })
+    }
+
+    /// Whether a node went past a resume record that the log still has.
+    pub(crate) fn has_resumed(&self) -> bool {
+        (self.log.start..self.log.end()).any(|offset| {
+            let counts = matches!(
+                self.log.get(offset),
+                Some(Record::Resume { expected, .. }) if expected == offset
+            );
+            counts && self.nodes.iter().any(|node| node.state.next > offset)
+        })
+    }
+
+    /// State at the end of the log, as an operator reads it, with a node's help if need be.
+    fn read_all(&self, rule: Rule) -> Option<State> {
+        let peers = self.nodes.iter().map(|node| node.state);
+        let seeds = std::iter::once(State::default()).chain(peers);
+        seeds.filter_map(|seed| self.read_from(rule, seed)).next()
+    }
+
+    fn read_from(&self, rule: Rule, state: State) -> Option<State> {
+        let mut reader = Node { state, scan: state.next, peak: 0 };
+        while reader.scan < self.log.end() {
+            reader.read(rule, &self.log);
+        }
+        (reader.state.next >= reader.scan).then_some(reader.state)
+    }
+
+    pub(crate) fn told_is_in_force(&self) -> bool {
+        let reached = self.nodes.iter().filter(|node| node.state.next >= self.told.next);
+        reached.map(|node| &node.state.line).all(|line| line.extends(&self.told.line))
+    }
+
+    pub(crate) fn nothing_goes_back(&self) -> bool {
+        self.nodes.iter().all(|node| node.state.line.revision() >= node.peak)
+    }
+
+    pub(crate) fn readers_agree(&self) -> bool {
+        let mut states = self.nodes.iter().map(|node| node.state).chain(self.offers().copied());
+        states.all(|state| {
+            let same = |other: &Node| other.state.next != state.next || other.state == state;
+            self.nodes.iter().all(same)
+        })
+    }
+
+    pub(crate) fn one_body_per_revision(&self) -> bool {
+        let lines = || self.nodes.iter().map(|node| node.state.line);
+        lines().all(|one| lines().all(|two| one.extends(&two) || two.extends(&one)))
+    }
+
+    pub(crate) fn loser_is_not_in_force(&self) -> bool {
+        let in_force = |act: usize| {
+            self.nodes.iter().any(|node| node.state.line.acts().contains(&(act as u8)))
+        };
+        let lost = |act: &usize| self.operators[*act].stage == Stage::Superseded;
+        !(0..ACTS).filter(lost).any(in_force)
+    }
+
+    /// Asks whoever can read up to the end of the log.
+    pub(crate) fn winner_is_kept(&self) -> bool {
+        let Some(state) = self.read_all(Rule::default()) else {
+            return true;
+        };
+        let won = |act: &usize| self.operators[*act].stage == Stage::Accepted;
+        (0..ACTS).filter(won).all(|act| state.line.acts().contains(&(act as u8)))
+    }
+
+    pub(crate) fn acts_are_unique(&self) -> bool {
+        self.nodes.iter().all(|node| {
+            let acts = node.state.line.acts();
+            acts.iter().enumerate().all(|(index, act)| !acts[..index].contains(act))
+        })
+    }
+}
+
+impl Node {
+    /// Reads one record, or learns that all that is left has expired.
+    fn read(&mut self, rule: Rule, log: &Log) -> bool {
+        self.scan = self.scan.max(log.start);
+        let Some(record) = log.get(self.scan) else {
+            return true;
+        };
+        let verdict = self.state.apply(rule, self.scan, &record);
+        self.scan += 1;
+        if verdict == Verdict::SnapshotTaken {
+            self.reposition(log.start);
+        }
+        self.peak = self.peak.max(self.state.line.revision());
+        true
+    }
+
+    /// Reads on where the state ends, unless the log no longer has that record.
+    fn reposition(&mut self, start: u8) {
+        if self.state.next >= start {
+            self.scan = self.state.next;
+        }
+        self.peak = self.peak.max(self.state.line.revision());
+    }
+}
--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -5,8 +5,9 @@
 //! [contracts](../../docs/design/contracts.md).
 
 mod check;
+pub mod contracts;
 
 pub use check::{Check, Failure, Model, Mutation, Property, Report, Step, check};
 
 /// Every check, in the order in which they run.
-pub const CHECKS: &[Check] = &[];
+pub const CHECKS: &[Check] = &[contracts::CHECK, contracts::CHECK_LOSS];
