Tell an operator that it lost only with a node's word

Cause: the model's mutation lose-on-read-back: a winner that no node has read may expire; after a resume record the loser's late copy is accepted, though its operator was told that it lost. Ruled out: remembering refused ids across a resume (the resuming state never saw them). Before: 2 new tests failed: a loss was told without a node's word, and an act older than what readers remember was reported as lost though an earlier run may have been accepted. Conclusion: accepted and superseded are claims that a node must confirm; TooOld says what can't be known any more.

--- a/core/src/publish.rs
+++ b/core/src/publish.rs
@@ -69,11 +69,18 @@
         /// Revision in force.
         current: Revision,
     },
+    /// So many revisions came after the base that nobody remembers whether this one was among them.
+    TooOld {
+        /// Revision that the operator revised.
+        base: Revision,
+        /// Revision in force.
+        current: Revision,
+    },
     /// The contract is not one that a reader accepts.
     Refused(RecordFault),
     /// The record was sent, and what became of it is not known yet.
     NotConfirmed,
-    /// Nothing was sent: the log could not be read up to its end.
+    /// Nothing was sent: the log could not be read up to its end, or no node confirmed it.
     NotSent,
 }
 
@@ -91,11 +98,18 @@
                 "not accepted: you revised revision {base}, but revision {current} is in force; \
                  look at it and publish again"
             ),
+            Self::TooOld { base, current } => write!(
+                f,
+                "not confirmed: revision {current} is in force, too far past revision {base} to \
+                 tell whether an earlier run was accepted; this run published nothing"
+            ),
             Self::Refused(fault) => write!(f, "not accepted: {fault}"),
             Self::NotConfirmed => {
                 f.write_str("not confirmed: run the same command again to learn what became of it")
             }
-            Self::NotSent => f.write_str("not sent: the log of contracts can't be read now"),
+            Self::NotSent => f.write_str(
+                "not sent: the log of contracts can't be read now, or no node confirms what it says",
+            ),
         }
     }
 }
@@ -127,12 +141,24 @@
     CatchUp,
     /// Reads back its own record.
     ReadBack { act: Act, resend: Moment },
-    /// Waits for a node's word.
-    Confirm { act: Act, revision: Revision, ask: Moment },
+    /// Waits for a node's word on what was read back.
+    Confirm { act: Act, claim: Claim, ask: Moment },
     /// Has a result.
     Done(PublishResult),
 }
 
+/// What was read back of an act; nobody is told before a node confirms it.
+///
+/// Without that the records that the claim rests on could expire unread, and with them a winner
+/// whose loser was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Claim {
+    /// It was accepted as this revision.
+    Won(Revision),
+    /// Another act came first.
+    Lost,
+}
+
 /// Act of publishing on a known base.
 #[derive(Debug, Clone, Copy)]
 struct Act {
@@ -185,13 +211,13 @@
 
     /// Takes in a node's word, or that it gave none.
     pub fn on_word(&mut self, now: Moment, word: Option<Word>) {
-        let Stage::Confirm { revision, ask, .. } = &mut self.stage else {
+        let Stage::Confirm { act, claim, ask } = &mut self.stage else {
             return;
         };
         *ask = now + ASK_PAUSE;
-        if let Some(word) = word.filter(|word| word.accepted == Some(*revision)) {
-            let (revision, current) = (*revision, word.current);
-            self.stage = Stage::Done(PublishResult::Accepted { revision, current });
+        let (act, claim) = (*act, *claim);
+        if let Some(result) = word.and_then(|word| act.result(claim, word)) {
+            self.stage = Stage::Done(result);
         }
     }
 
@@ -207,10 +233,9 @@
         let act = self.choose_act();
         let word = self.reader.fold().word(self.customer(), act.id);
         self.stage = match word.accepted {
-            Some(revision) => Stage::Confirm { act, revision, ask: now },
-            None if act.base != word.current => {
-                Stage::Done(PublishResult::Superseded { base: act.base, current: word.current })
-            }
+            Some(revision) => Stage::Confirm { act, claim: Claim::Won(revision), ask: now },
+            None if act.base < word.current => Stage::Confirm { act, claim: Claim::Lost, ask: now },
+            None if act.base > word.current => Stage::Done(act.lost_to(word.current)),
             None => Stage::ReadBack { act, resend: now },
         };
     }
@@ -281,28 +306,47 @@
         let (Stage::ReadBack { act, .. } | Stage::Confirm { act, .. }) = self.stage else {
             return;
         };
-        let accepted = self.reader.fold().word(self.customer(), act.id).accepted;
-        match (&self.stage, accepted) {
-            (Stage::ReadBack { .. }, Some(revision)) => {
-                self.stage = Stage::Confirm { act, revision, ask: now };
-            }
-            (Stage::ReadBack { .. }, None) => self.conclude(act, judged),
-            (_, None) => self.stage = Stage::CatchUp,
-            (_, Some(_)) => {}
+        let word = self.reader.fold().word(self.customer(), act.id);
+        let claim = match word.accepted {
+            Some(revision) => Some(Claim::Won(revision)),
+            None if word.current > act.base => Some(Claim::Lost),
+            None => None,
+        };
+        match (&self.stage, claim) {
+            (Stage::Confirm { claim: held, .. }, Some(claim)) if *held == claim => {}
+            (_, Some(claim)) => self.stage = Stage::Confirm { act, claim, ask: now },
+            (Stage::Confirm { .. }, None) => self.stage = Stage::CatchUp,
+            (_, None) => self.note_fault(act, judged),
         }
     }
 
-    fn conclude(&mut self, act: Act, judged: &[Judged]) {
-        let own = judged.iter().rev().find(|item| item.id == Some(act.id));
-        match own.map(|item| &item.verdict) {
-            Some(Verdict::Superseded(current)) => {
-                let (base, current) = (act.base, *current);
-                self.stage = Stage::Done(PublishResult::Superseded { base, current });
-            }
-            Some(Verdict::Malformed(fault)) => {
-                self.stage = Stage::Done(PublishResult::Refused(fault.clone()));
+    fn note_fault(&mut self, act: Act, judged: &[Judged]) {
+        let own = judged.iter().find(|item| item.id == Some(act.id));
+        if let Some(Verdict::Malformed(fault)) = own.map(|item| &item.verdict) {
+            self.stage = Stage::Done(PublishResult::Refused(fault.clone()));
+        }
+    }
+}
+
+impl Act {
+    /// Result of a claim that a node's word confirms.
+    fn result(self, claim: Claim, word: Word) -> Option<PublishResult> {
+        let current = word.current;
+        match (claim, word.accepted) {
+            (Claim::Won(revision), Some(accepted)) if revision == accepted => {
+                Some(PublishResult::Accepted { revision, current })
             }
-            _ => {}
+            (Claim::Lost, None) if current > self.base => Some(self.lost_to(current)),
+            _ => None,
+        }
+    }
+
+    /// Result when `current` is in force and the act is not remembered as accepted.
+    fn lost_to(self, current: Revision) -> PublishResult {
+        let base = self.base;
+        if current.0.saturating_sub(base.0) > MAX_PUBLISHED as u64 {
+            return PublishResult::TooOld { base, current };
         }
+        PublishResult::Superseded { base, current }
     }
 }
--- a/core/tests/fold/publish.rs
+++ b/core/tests/fold/publish.rs
@@ -1,8 +1,8 @@
 //! What an operator is told, whatever the log loses.
 
 use poplar_core::{
-    ContractRecord, Fold, Moment, Offset, PublishAction, PublishPlan, PublishResult, Publisher,
-    ReadAction, Revision, Verdict,
+    ContractRecord, Fold, MAX_PUBLISHED, Moment, Offset, PublishAction, PublishPlan, PublishResult,
+    Publisher, ReadAction, Revision, Verdict,
 };
 
 use crate::log::{Log, contract, customer, fold_of, publish};
@@ -109,6 +109,29 @@
     assert_eq!(told[1], Some(lost));
 }
 
+#[test]
+fn without_a_nodes_word_nobody_is_told_that_it_lost() {
+    let mut world = World::new(&[]);
+    world.log.append(publish(7, 0));
+    world.node_up = false;
+    let publisher = world.publisher(1, Some(0));
+    assert_eq!(world.run(publisher), PublishResult::NotSent);
+    world.node_up = true;
+    let again = world.publisher(1, Some(0));
+    let lost = PublishResult::Superseded { base: Revision(0), current: Revision(1) };
+    assert_eq!(world.run(again), lost);
+}
+
+#[test]
+fn an_act_that_readers_may_have_forgotten_is_not_reported_as_lost() {
+    let mut world = World::new(&[]);
+    let ids = 0..=MAX_PUBLISHED as u64;
+    ids.for_each(|base| world.log.append(publish(100 + u128::from(base), base)));
+    let publisher = world.publisher(1, Some(0));
+    let current = Revision(MAX_PUBLISHED as u64 + 1);
+    assert_eq!(world.run(publisher), PublishResult::TooOld { base: Revision(0), current });
+}
+
 #[test]
 fn without_a_nodes_word_it_is_not_confirmed_and_the_same_command_settles_it() {
     let mut world = World::new(&[]);
