--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -5,9 +5,17 @@
 //! [contracts](../../docs/design/contracts.md).
 
 mod check;
+<<<<<<< HEAD
 pub mod once;
+=======
+pub mod contracts;
+>>>>>>> contracts
 
 pub use check::{Check, Failure, Model, Mutation, Property, Report, Step, check};
 
 /// Every check, in the order in which they run.
+<<<<<<< HEAD
 pub const CHECKS: &[Check] = &[once::LEAF, once::CHAIN, once::RERUN];
+=======
+pub const CHECKS: &[Check] = &[contracts::CHECK, contracts::CHECK_LOSS];
+>>>>>>> contracts
