Choose the target by own observation, near zone and levels first

Cause: a node needs a choice that does not trust reported health, spares cold and draining targets, and finds the instance that would still take an important call. Ruled out: reported health as a criterion once a target has answered. Before: no choice in core. After: six tests pass (unreachable but healthy, sick but answering, cold, draining, near zone, connections).

--- a/core/src/choice.rs
+++ b/core/src/choice.rs
@@ -1,1 +1,307 @@
 //! Choice of the target that gets a call.
+//!
+//! Own observation goes before what a target says of itself: calls in flight, latency, failed
+//! connections and the level that came with the last answer. Two candidates are drawn and the
+//! better one gets the call. See [choice](../../docs/design/choice.md).
+
+use std::time::Duration;
+
+use crate::admission::{Level, Rank};
+use crate::ids::{InstanceId, Name};
+use crate::limit::smoothed;
+use crate::time::Moment;
+
+/// Largest number of targets of one service that one node follows; bounds memory and time.
+const TARGETS_MAX: usize = 64;
+/// Time for which a level counts that no answer has renewed.
+const LEVEL_TIME: Duration = Duration::from_millis(500);
+/// Way there and back to another availability zone.
+const FAR_COST: Duration = Duration::from_millis(2);
+/// Cost of a new connection.
+const CONNECT_COST: Duration = Duration::from_millis(1);
+/// Cost of a probe, which a target needs before it is trusted again.
+const PROBE_COST: Duration = Duration::from_millis(6);
+/// First time for which a target is left alone after a failed connection.
+const BACKOFF_MIN: Duration = Duration::from_millis(100);
+/// Longest such time.
+const BACKOFF_MAX: Duration = Duration::from_secs(5);
+/// Calls that may be in flight to a target that has not answered yet.
+const COLD_CALLS: u32 = 1;
+/// Latency assumed of a target that has not answered yet.
+const COLD_LATENCY: Duration = Duration::from_millis(10);
+
+/// What a target announced.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetInfo {
+    /// Instance.
+    pub instance: InstanceId,
+    /// Availability zone.
+    pub zone: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Connections that it takes.
+    pub connections: u32,
+}
+
+/// Target that was chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// Instance that gets the call.
+    pub instance: InstanceId,
+    /// Whether no open connection to it is free, so that the call needs a new one.
+    pub connects: bool,
+}
+
+/// What came of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Observed {
+    /// The target ran the call.
+    Done {
+        /// Time from the send to the whole answer.
+        latency: Duration,
+        /// Level that came with the answer.
+        level: Level,
+    },
+    /// The node beside the target refused the call.
+    Refused {
+        /// Level that came with the answer.
+        level: Level,
+    },
+    /// No connection came about, or one went silent.
+    Unreachable,
+    /// The call was given up for a reason that says nothing of the target.
+    GivenUp,
+}
+
+/// Targets of one service as one node sees them.
+///
+/// Holds at most 64 targets; those of the node's own availability zone come first, and displace
+/// others when there are more.
+#[derive(Debug)]
+pub struct Chooser {
+    zone: Name,
+    targets: Vec<Target>,
+}
+
+#[derive(Debug)]
+struct Target {
+    info: TargetInfo,
+    near: bool,
+    draining: bool,
+    healthy: bool,
+    in_flight: u32,
+    /// Open connections, in use or not.
+    open: u32,
+    /// Calls that may be in flight while the target warms up.
+    allowed: u32,
+    latency: Option<Duration>,
+    level: Level,
+    levelled: Moment,
+    backoff: Duration,
+    shunned: Moment,
+}
+
+impl Chooser {
+    /// Chooser without targets, for a node in `zone`.
+    pub fn new(zone: Name) -> Self {
+        Self { zone, targets: Vec::new() }
+    }
+
+    /// Takes in a target that announced itself; one that is known starts cold again.
+    pub fn join(&mut self, info: TargetInfo) {
+        self.leave(&info.instance);
+        let near = info.zone == self.zone;
+        if self.targets.len() >= TARGETS_MAX {
+            let far = self.targets.iter().rposition(|target| !target.near);
+            match far.filter(|_| near) {
+                Some(idx) => drop(self.targets.remove(idx)),
+                None => return,
+            }
+        }
+        let place = if near { self.near_count() } else { self.targets.len() };
+        self.targets.insert(place, Target::new(info, near));
+    }
+
+    /// Gives no further call to a target that is leaving.
+    pub fn drain(&mut self, instance: &InstanceId) {
+        if let Some(target) = self.find(instance) {
+            target.draining = true;
+        }
+    }
+
+    /// Drops a target that has left or is lost.
+    pub fn leave(&mut self, instance: &InstanceId) {
+        self.targets.retain(|target| target.info.instance != *instance);
+    }
+
+    /// Takes in what a target's health endpoint says; it counts only until the first own answer.
+    pub fn report(&mut self, instance: &InstanceId, healthy: bool) {
+        if let Some(target) = self.find(instance) {
+            target.healthy = healthy;
+        }
+    }
+
+    /// Chooses a target for a call and counts the call as in flight.
+    ///
+    /// `random` is a uniform random number. Targets in `tried` are left out. None if no target may
+    /// get a call now.
+    pub fn choose(
+        &mut self,
+        now: Moment,
+        rank: Rank,
+        random: u64,
+        tried: &[InstanceId],
+    ) -> Option<Choice> {
+        let near = self.near_count();
+        let first = self.draw(now, 0..near, random as u32, tried);
+        let first =
+            first.or_else(|| self.draw(now, 0..self.targets.len(), random as u32, tried))?;
+        let second = self.draw(now, 0..self.targets.len(), (random >> 32) as u32, tried)?;
+        let mut best = self.better(now, rank, first, second);
+        if !self.targets[best].level(now).admits(rank) {
+            best = self.best(now, rank, tried)?;
+        }
+        let target = &mut self.targets[best];
+        let connects = target.in_flight >= target.open;
+        target.in_flight += 1;
+        target.open = target.open.max(target.in_flight);
+        Some(Choice { instance: target.info.instance.clone(), connects })
+    }
+
+    /// Takes in what came of a call that [`Self::choose`] gave out.
+    pub fn observe(&mut self, now: Moment, instance: &InstanceId, observed: Observed) {
+        let Some(target) = self.find(instance) else { return };
+        target.in_flight = target.in_flight.saturating_sub(1);
+        match observed {
+            Observed::Done { latency, level } => {
+                target.answered(now, level);
+                target.allowed = target.info.slots.min(target.allowed + 1);
+                let mean = target.latency.map(|mean| smoothed(mean, latency));
+                target.latency = Some(mean.unwrap_or(latency));
+            }
+            Observed::Refused { level } => target.answered(now, level),
+            Observed::Unreachable => target.failed(now),
+            Observed::GivenUp => {}
+        }
+    }
+
+    /// Targets that are followed, draining ones included.
+    pub fn followed(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Checks the invariants and says which one is broken.
+    pub fn verify(&self) -> Result<(), String> {
+        if self.targets.len() > TARGETS_MAX {
+            return Err(format!("{} targets are followed", self.targets.len()));
+        }
+        if !self.targets.is_sorted_by_key(|target| !target.near) {
+            return Err("a target of another zone stands before a near one".into());
+        }
+        for target in &self.targets {
+            if target.open > target.info.connections || target.in_flight > target.open {
+                return Err(format!("{target:?} exceeds its connections"));
+            }
+        }
+        Ok(())
+    }
+
+    fn find(&mut self, instance: &InstanceId) -> Option<&mut Target> {
+        self.targets.iter_mut().find(|target| target.info.instance == *instance)
+    }
+
+    fn near_count(&self) -> usize {
+        self.targets.partition_point(|target| target.near)
+    }
+
+    /// First target of the range that may get a call, from a random place onwards.
+    fn draw(
+        &self,
+        now: Moment,
+        range: std::ops::Range<usize>,
+        random: u32,
+        tried: &[InstanceId],
+    ) -> Option<usize> {
+        let len = range.len();
+        let start = ((u64::from(random) * len as u64) >> 32) as usize;
+        let places = (0..len).map(|step| range.start + (start + step) % len);
+        places.into_iter().find(|idx| self.targets[*idx].may_get(now, tried))
+    }
+
+    /// Best target of all; taken when both that were drawn would refuse the call.
+    fn best(&self, now: Moment, rank: Rank, tried: &[InstanceId]) -> Option<usize> {
+        let eligible = (0..self.targets.len()).filter(|idx| self.targets[*idx].may_get(now, tried));
+        eligible.reduce(|one, two| self.better(now, rank, one, two))
+    }
+
+    fn better(&self, now: Moment, rank: Rank, one: usize, two: usize) -> usize {
+        let (a, b) = (&self.targets[one], &self.targets[two]);
+        let (low, high) = (a.level(now), b.level(now));
+        let alike = low.admits(rank) && high.admits(rank);
+        if !alike && low != high {
+            return if low < high { one } else { two };
+        }
+        if b.cost() < a.cost() { two } else { one }
+    }
+}
+
+impl Target {
+    fn new(info: TargetInfo, near: bool) -> Self {
+        Self {
+            info,
+            near,
+            draining: false,
+            healthy: true,
+            in_flight: 0,
+            open: 0,
+            allowed: COLD_CALLS,
+            latency: None,
+            level: Level::OPEN,
+            levelled: Moment::default(),
+            backoff: Duration::ZERO,
+            shunned: Moment::default(),
+        }
+    }
+
+    /// Whether a call may go there; after a failed connection one call at a time may.
+    fn may_get(&self, now: Moment, tried: &[InstanceId]) -> bool {
+        let failing = self.backoff > Duration::ZERO;
+        !self.draining
+            && self.in_flight < self.info.connections
+            && !(failing && (now < self.shunned || self.in_flight > 0))
+            && !tried.contains(&self.info.instance)
+    }
+
+    fn level(&self, now: Moment) -> Level {
+        if now.since(self.levelled) < LEVEL_TIME { self.level } else { Level::OPEN }
+    }
+
+    /// Expected time of one more call: its share of the slots, the way, and the connection.
+    fn cost(&self) -> Duration {
+        let latency = self.latency.unwrap_or(COLD_LATENCY);
+        let mut cost = latency * (self.in_flight + 1) / self.allowed;
+        if !self.near {
+            cost += FAR_COST;
+        }
+        if self.in_flight >= self.open {
+            cost += CONNECT_COST;
+        }
+        if self.backoff > Duration::ZERO || (self.latency.is_none() && !self.healthy) {
+            cost += PROBE_COST;
+        }
+        cost
+    }
+
+    fn answered(&mut self, now: Moment, level: Level) {
+        self.level = level;
+        self.levelled = now;
+        self.backoff = Duration::ZERO;
+    }
+
+    fn failed(&mut self, now: Moment) {
+        self.backoff = (self.backoff * 2).clamp(BACKOFF_MIN, BACKOFF_MAX);
+        self.shunned = now + self.backoff;
+        self.open = self.in_flight;
+        self.allowed = COLD_CALLS;
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -35,6 +35,7 @@
     Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
     RetriesSpent, Run, come_back_after, keeper, next_step,
 };
+pub use choice::{Choice, Chooser, Observed, TargetInfo};
 pub use contract::{CHAIN_DEPTH, ClassTerms, Contract, ContractError, Goal, HOP_TIME};
 pub use fold::{
     ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, MAX_REFUSED,
--- /dev/null
+++ b/core/tests/choice.rs
@@ -0,0 +1,103 @@
+//! Choice of a target under failures.
+
+use std::time::Duration;
+
+use poplar_core::{
+    Chooser, Importance, InstanceId, Level, Moment, Name, Observed, Rank, TargetInfo,
+};
+
+const RANK: Rank = Rank::at(Importance(5), 100);
+const DONE: Observed = Observed::Done { latency: Duration::from_millis(10), level: Level::OPEN };
+
+fn target(name: &str, zone: &str) -> TargetInfo {
+    let (instance, zone) = (InstanceId::from(name), Name::new(zone));
+    TargetInfo { instance, zone, slots: 4, connections: 8 }
+}
+
+fn chooser(targets: &[(&str, &str)]) -> Chooser {
+    let mut chooser = Chooser::new(Name::new("rennes"));
+    targets.iter().for_each(|(name, zone)| chooser.join(target(name, zone)));
+    chooser
+}
+
+/// Sends 300 calls in pairs that overlap; counts those that went to `name`.
+fn share(chooser: &mut Chooser, from: Moment, name: &str, observed: Observed) -> usize {
+    let mut count = 0;
+    let mut random: u64 = 7;
+    for step in 0..150 {
+        let now = from + Duration::from_millis(step);
+        let mut chosen = Vec::new();
+        for _ in 0..2 {
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            chosen.extend(chooser.choose(now, RANK, random, &[]));
+        }
+        for choice in chosen {
+            let hit = choice.instance == InstanceId::from(name);
+            count += usize::from(hit);
+            chooser.observe(now, &choice.instance, if hit { observed } else { DONE });
+            assert_eq!(chooser.verify(), Ok(()));
+        }
+    }
+    count
+}
+
+const PAIR: [(&str, &str); 2] = [("a", "rennes"), ("b", "rennes")];
+
+#[test]
+fn a_target_that_claims_health_but_cannot_be_reached_is_left_alone() {
+    let mut chooser = chooser(&PAIR);
+    chooser.report(&InstanceId::from("a"), true);
+    let count = share(&mut chooser, Moment::default(), "a", Observed::Unreachable);
+    assert!(count <= 2, "{count} calls went to the unreachable target");
+}
+
+#[test]
+fn a_target_that_claims_sickness_but_answers_keeps_its_share() {
+    let mut chooser = chooser(&PAIR);
+    share(&mut chooser, Moment::default(), "a", DONE);
+    chooser.report(&InstanceId::from("a"), false);
+    let count = share(&mut chooser, Moment::from_millis(200), "a", DONE);
+    assert!((100..=200).contains(&count), "{count} of 300 calls");
+}
+
+#[test]
+fn a_cold_target_starts_with_less_than_a_warm_one() {
+    let mut chooser = chooser(&PAIR[..1]);
+    share(&mut chooser, Moment::default(), "a", DONE);
+    chooser.join(target("b", "rennes"));
+    let choices = (0..5).filter_map(|_| chooser.choose(Moment::default(), RANK, 1 << 31, &[]));
+    let cold = choices.filter(|choice| choice.instance == InstanceId::from("b")).count();
+    assert_eq!(cold, 1);
+}
+
+#[test]
+fn a_draining_target_gets_no_call() {
+    let mut chooser = chooser(&PAIR);
+    chooser.drain(&InstanceId::from("a"));
+    assert_eq!(share(&mut chooser, Moment::default(), "a", DONE), 0);
+    chooser.drain(&InstanceId::from("b"));
+    assert_eq!(chooser.choose(Moment::default(), RANK, 0, &[]), None);
+}
+
+#[test]
+fn the_near_zone_goes_first_until_its_level_refuses_the_call() {
+    let mut chooser = chooser(&[("far", "brest"), ("near", "rennes")]);
+    let count = share(&mut chooser, Moment::default(), "near", DONE);
+    assert!(count > 200, "{count} of 300 calls stayed near");
+    let level = Level::at(Rank::at(Importance(9), 0));
+    let refused = Observed::Refused { level };
+    let count = share(&mut chooser, Moment::from_millis(200), "near", refused);
+    assert!(count <= 4, "{count} calls went to the target that refuses them");
+}
+
+#[test]
+fn calls_stay_within_the_announced_connections_and_avoid_what_was_tried() {
+    let mut chooser = chooser(&PAIR[..1]);
+    let now = Moment::default();
+    assert_eq!(chooser.choose(now, RANK, 0, &[InstanceId::from("a")]), None);
+    let connects: Vec<_> = (0..8).filter_map(|_| chooser.choose(now, RANK, 0, &[])).collect();
+    assert!(connects.len() == 8 && connects.iter().all(|choice| choice.connects));
+    assert_eq!(chooser.choose(now, RANK, 0, &[]), None);
+    chooser.observe(now, &InstanceId::from("a"), DONE);
+    assert!(chooser.choose(now, RANK, 0, &[]).is_some_and(|choice| !choice.connects));
+}
