--- a/bench/src/group.rs
+++ b/bench/src/group.rs
@@ -70,6 +70,7 @@
         address: format!("10.20.{}.{}:17000", idx / 256, idx % 256),
         slots: 130,
         state: MemberState::Serving,
+        successor: None,
     }
 }
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,10 +11,12 @@
 mod choice;
 mod contract;
 mod fold;
+mod follow;
 mod ids;
 mod limit;
 mod membership;
 mod outcome;
+mod publish;
 mod suspects;
 mod time;
 
@@ -23,25 +25,35 @@
     Verdict as AdmissionVerdict,
 };
 pub use answer::{AnswerError, AnswerHead, Exchange, Expected, Idle, Waiting, WholeAnswer};
-pub use binding::Binding;
+pub use binding::{
+    AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, BindingError, Bound,
+    CallRule, Evidence, Fate, Handover, HandoverEntry, Lineage, Resend, RunLimits, RunTable,
+    RunVerdict, SealedTable, SenderId, Successor, SuccessorFull, Unbound, WindowView, binder_of,
+    call_rule, overall_fate, resend_rule, shed_fate,
+};
 pub use budget::{
     Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
     RetriesSpent, Run, come_back_after, keeper, next_step,
 };
-pub use contract::{ClassTerms, Contract, ContractError, Goal};
+pub use contract::{CHAIN_DEPTH, ClassTerms, Contract, ContractError, Goal, HOP_TIME};
 pub use fold::{
     ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, MAX_REFUSED,
     RecordFault, Verdict, Word,
 };
+pub use follow::{
+    BACKOFF_MAX, BACKOFF_MIN, Judged, LONG_READ, LogBatch, LogEntry, LogReader, PULL_PAUSE,
+    ReadAction, ReaderError, SETTLE, SNAPSHOT_RECORDS, TURN, backoff,
+};
 pub use ids::{
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
     rendezvous_owner, rendezvous_weight,
 };
-pub use limit::{ImportanceScale, RunTimes, TargetLimits, retry_after};
+pub use limit::{ClassLimits, ImportanceScale, RunTimes, TargetLimits, retry_after};
 pub use membership::{
     Ask, Change, Entry, Follower, MemberRecord, MemberState, Membership, Message, Outgoing, Peer,
     ProbeId, Sample, SampleRequest, TICK_TIME, Verdict as MemberVerdict, VerdictReport, ViewError,
 };
 pub use outcome::{ErrorKind, Outcome, Reply, TargetEnd};
+pub use publish::{PublishAction, PublishPlan, PublishResult, Publisher, RESEND, publish_id};
 pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
 pub use time::Moment;
--- a/core/src/membership/record.rs
+++ b/core/src/membership/record.rs
@@ -44,6 +44,9 @@
     pub slots: u32,
     /// State.
     pub state: MemberState,
+    /// Instance that took the once-only table over, when this one left.
+    #[serde(default)]
+    pub successor: Option<InstanceId>,
 }
 
 impl MemberRecord {
@@ -54,13 +57,22 @@
 
     /// Whether every text is short enough to be kept and passed on.
     pub(crate) fn is_bounded(&self) -> bool {
-        let texts = [self.instance.0.as_str(), self.service.as_str(), self.zone.as_str()];
-        self.address.len() <= MAX_TEXT_BYTES && texts.iter().all(|t| t.len() <= MAX_TEXT_BYTES)
+        self.texts().iter().all(|text| text.len() <= MAX_TEXT_BYTES)
     }
 
     fn text_bytes(&self) -> usize {
-        let names = self.service.as_str().len() + self.zone.as_str().len();
-        self.instance.0.as_str().len() + names + self.address.len()
+        self.texts().iter().map(|text| text.len()).sum()
+    }
+
+    fn texts(&self) -> [&str; 5] {
+        let successor = self.successor.as_ref().map_or("", |instance| instance.0.as_str());
+        [
+            self.instance.0.as_str(),
+            self.service.as_str(),
+            self.zone.as_str(),
+            &self.address,
+            successor,
+        ]
     }
 }
 
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -118,6 +118,7 @@
         address: "127.0.0.1:1".to_owned(),
         slots: 20,
         state: MemberState::Serving,
+        successor: None,
     }
 }
 
