--- a/core/src/membership/record.rs
+++ b/core/src/membership/record.rs
@@ -57,17 +57,22 @@
 
     /// Whether every text is short enough to be kept and passed on.
     pub(crate) fn is_bounded(&self) -> bool {
-        self.texts().all(|text| text.len() <= MAX_TEXT_BYTES)
+        self.texts().iter().all(|text| text.len() <= MAX_TEXT_BYTES)
     }
 
-    fn texts(&self) -> impl Iterator<Item = &str> {
-        let instances = self.successor.iter().chain([&self.instance]).map(|id| &id.0);
-        let names = instances.chain([&self.service, &self.zone]).map(Name::as_str);
-        names.chain([self.address.as_str()])
+    fn text_bytes(&self) -> usize {
+        self.texts().iter().map(|text| text.len()).sum()
     }
 
-    fn text_bytes(&self) -> usize {
-        self.texts().map(str::len).sum()
+    fn texts(&self) -> [&str; 5] {
+        let successor = self.successor.as_ref().map_or("", |instance| instance.0.as_str());
+        [
+            self.instance.0.as_str(),
+            self.service.as_str(),
+            self.zone.as_str(),
+            &self.address,
+            successor,
+        ]
     }
 }
 
--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -5,17 +5,11 @@
 //! [contracts](../../docs/design/contracts.md).
 
 mod check;
-<<<<<<< HEAD
-pub mod once;
-=======
 pub mod contracts;
->>>>>>> contracts
+pub mod once;
 
 pub use check::{Check, Failure, Model, Mutation, Property, Report, Step, check};
 
 /// Every check, in the order in which they run.
-<<<<<<< HEAD
-pub const CHECKS: &[Check] = &[once::LEAF, once::CHAIN, once::RERUN];
-=======
-pub const CHECKS: &[Check] = &[contracts::CHECK, contracts::CHECK_LOSS];
->>>>>>> contracts
+pub const CHECKS: &[Check] =
+    &[contracts::CHECK, contracts::CHECK_LOSS, once::LEAF, once::CHAIN, once::RERUN];
