--- a/ctl/src/error.rs
+++ b/ctl/src/error.rs
@@ -51,7 +51,7 @@
                 PublishResult::Refused(_) => 2,
                 PublishResult::Superseded { .. } => 3,
                 PublishResult::NotSent => 4,
-                PublishResult::NotConfirmed => 5,
+                PublishResult::NotConfirmed | PublishResult::TooOld { .. } => 5,
             },
             Self::Unreachable { .. } | Self::Answer { .. } | Self::Expired { .. } => 4,
             Self::NoContract { .. } => 6,
