Declare the node's settings once

Cause: names, ranges and docs of the settings stood in a struct, in the operators' head and nowhere else; an error showed the parser's words. Ruled out: a derive; one table of five kinds of value is less to read. Before: "unknown field `zome`, expected one of ..." without what each takes. Conclusion: a setting is added in one place.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -7,8 +7,10 @@
 mod life;
 mod logs;
 mod registry;
+mod settings;
 
 pub use clock::Clock;
 pub use life::{Draining, Life, Serving, Starting, Stopped};
 pub use logs::{LogFormat, part, root_logger};
 pub use registry::{Registry, RegistryError, Service};
+pub use settings::{Kind, Setting, Settings, SettingsError, SettingsTable};
--- /dev/null
+++ b/kernel/src/settings.rs
@@ -0,0 +1,384 @@
+//! Settings, declared once: the check of a file, the help and the dump come from one table.
+//!
+//! A file is one flat YAML mapping. An unknown, missing or unusable setting is an error that names
+//! file, line and what is allowed, so that a process never starts with a guess.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use poplar_core::{Moment, Name};
+use serde_json::json;
+use serde_norway::Value as Yaml;
+
+use crate::registry::Service;
+
+/// Largest settings file, in bytes.
+const FILE_LIMIT_BYTES: u64 = 64 << 10;
+/// Longest name, in characters.
+const NAME_LIMIT: usize = 64;
+
+/// Declaration of one setting.
+#[derive(Debug, Clone, Copy)]
+pub struct Setting {
+    /// Name in the file.
+    pub name: &'static str,
+    /// Kind of value, with its range and unit.
+    pub kind: Kind,
+    /// Value where the file gives none, as the file would give it; without one the file must.
+    pub default: Option<&'static str>,
+    /// One sentence for operators.
+    pub doc: &'static str,
+}
+
+/// Kind of value that a setting takes.
+#[derive(Debug, Clone, Copy)]
+pub enum Kind {
+    /// Name of 1 to 64 of a-z, 0-9 and -.
+    Name,
+    /// Address, `ip:port`; port 0 lets the operating system pick one.
+    Address,
+    /// List of addresses.
+    Addresses,
+    /// Whole number of `unit` within a range.
+    Count {
+        /// Smallest number.
+        min: u64,
+        /// Largest number.
+        max: u64,
+        /// What is counted.
+        unit: &'static str,
+    },
+    /// One of these words.
+    Choice(&'static [&'static str]),
+}
+
+/// Declarations of all settings of one program.
+#[derive(Debug, Clone, Copy)]
+pub struct SettingsTable(&'static [Setting]);
+
+/// Values of all settings of a table; holds one for each.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    values: BTreeMap<&'static str, Value>,
+}
+
+/// Value of one setting.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Value {
+    Name(Name),
+    Address(SocketAddr),
+    Addresses(Vec<SocketAddr>),
+    Count(u64),
+    Choice(&'static str),
+}
+
+/// Why settings were refused.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file could not be read.
+    #[error("{file}: {source}")]
+    Read {
+        /// File.
+        file: String,
+        /// Error of the operating system.
+        source: io::Error,
+    },
+    /// The file is larger than a settings file may be.
+    #[error("{file}: larger than {FILE_LIMIT_BYTES} bytes")]
+    TooLarge {
+        /// File.
+        file: String,
+    },
+    /// The file is not a YAML mapping.
+    #[error("{file}: line {line}: {what}; allowed is one `name: value` a line")]
+    Yaml {
+        /// File.
+        file: String,
+        /// Line, counted from one.
+        line: usize,
+        /// What the parser says.
+        what: String,
+    },
+    /// No setting has the name.
+    #[error("{file}: line {line}: unknown setting `{name}`; allowed are {allowed}")]
+    Unknown {
+        /// File.
+        file: String,
+        /// Line, counted from one.
+        line: usize,
+        /// Name in the file.
+        name: String,
+        /// Names of all settings.
+        allowed: String,
+    },
+    /// A setting without default is absent.
+    #[error("{file}: setting `{name}` is missing; allowed are {allowed}")]
+    Missing {
+        /// File.
+        file: String,
+        /// Name of the setting.
+        name: &'static str,
+        /// Values that it takes.
+        allowed: String,
+    },
+    /// A value is of the wrong kind or out of range.
+    #[error(
+        "{file}: line {line}: setting `{name}`: `{value}` is not usable; allowed are {allowed}"
+    )]
+    Unusable {
+        /// File.
+        file: String,
+        /// Line, counted from one.
+        line: usize,
+        /// Name of the setting.
+        name: &'static str,
+        /// Value in the file.
+        value: String,
+        /// Values that it takes.
+        allowed: String,
+    },
+    /// The program asks for a setting that it has not declared, or as another kind.
+    #[error("setting `{0}` is not declared as it is used")]
+    Undeclared(&'static str),
+}
+
+impl SettingsTable {
+    /// Table of these declarations.
+    pub const fn new(settings: &'static [Setting]) -> Self {
+        Self(settings)
+    }
+
+    /// Reads a file.
+    ///
+    /// # Errors
+    ///
+    /// The first fault, by the order of the table.
+    pub fn load(&self, path: &Path) -> Result<Settings, SettingsError> {
+        let file = path.display().to_string();
+        let read = |source| SettingsError::Read { file: file.clone(), source };
+        if std::fs::metadata(path).map_err(read)?.len() > FILE_LIMIT_BYTES {
+            return Err(SettingsError::TooLarge { file });
+        }
+        self.parse(&file, &std::fs::read_to_string(path).map_err(read)?)
+    }
+
+    /// Reads the text of a file whose errors name it `file`.
+    ///
+    /// # Errors
+    ///
+    /// The first fault, by the order of the table.
+    pub fn parse(&self, file: &str, text: &str) -> Result<Settings, SettingsError> {
+        let given = mapping(file, text)?;
+        if let Some(name) = given.keys().find(|name| self.find(name).is_none()) {
+            let names: Vec<_> = self.0.iter().map(|setting| setting.name).collect();
+            return Err(SettingsError::Unknown {
+                file: file.to_owned(),
+                line: line_of(text, name),
+                name: name.clone(),
+                allowed: names.join(", "),
+            });
+        }
+        let values = self.0.iter().map(|setting| {
+            let value = setting.value(file, text, given.get(setting.name))?;
+            Ok((setting.name, value))
+        });
+        Ok(Settings { values: values.collect::<Result<_, _>>()? })
+    }
+
+    /// Every setting with its doc, range and default, in the form of a file to fill in.
+    pub fn help(&self) -> String {
+        let mut text = String::new();
+        for setting in self.0 {
+            let Setting { name, kind, default, doc } = setting;
+            // Writing to a string cannot fail.
+            let _ = writeln!(text, "# {doc}\n# Allowed: {}.", kind.allowed());
+            let _ = match default {
+                Some(default) => writeln!(text, "#{name}: {default}\n"),
+                None => writeln!(text, "{name}:\n"),
+            };
+        }
+        text
+    }
+
+    fn find(&self, name: &str) -> Option<&Setting> {
+        self.0.iter().find(|setting| setting.name == name)
+    }
+}
+
+impl Setting {
+    fn value(&self, file: &str, text: &str, given: Option<&Yaml>) -> Result<Value, SettingsError> {
+        let (file, allowed) = (file.to_owned(), self.kind.allowed());
+        let default = self.default.and_then(|text| serde_norway::from_str(text).ok());
+        let Some(yaml) = given.or(default.as_ref()) else {
+            return Err(SettingsError::Missing { file, name: self.name, allowed });
+        };
+        self.kind.read(yaml).ok_or_else(|| SettingsError::Unusable {
+            file,
+            line: line_of(text, self.name),
+            name: self.name,
+            value: quote(yaml),
+            allowed,
+        })
+    }
+}
+
+impl Kind {
+    fn allowed(&self) -> String {
+        match self {
+            Self::Name => format!("names of 1 to {NAME_LIMIT} of a-z, 0-9 and -"),
+            Self::Address => "addresses as in 10.0.0.7:7000".to_owned(),
+            Self::Addresses => "lists of addresses as in [10.0.0.7:7000, 10.0.0.8:7000]".to_owned(),
+            Self::Count { min, max, unit } => {
+                format!("whole numbers from {min} to {max}, in {unit}")
+            }
+            Self::Choice(words) => words.join(", "),
+        }
+    }
+
+    fn read(&self, yaml: &Yaml) -> Option<Value> {
+        match self {
+            Self::Name => name(yaml.as_str()?).map(Value::Name),
+            Self::Address => address(yaml).map(Value::Address),
+            Self::Addresses => {
+                let items = yaml.as_sequence()?.iter();
+                items.map(address).collect::<Option<_>>().map(Value::Addresses)
+            }
+            Self::Count { min, max, .. } => {
+                let number = yaml.as_u64().filter(|number| (*min..=*max).contains(number));
+                number.map(Value::Count)
+            }
+            Self::Choice(words) => {
+                let word = yaml.as_str()?;
+                words.iter().find(|allowed| **allowed == word).map(|word| Value::Choice(word))
+            }
+        }
+    }
+}
+
+impl Settings {
+    /// Value of a setting of kind [`Kind::Name`].
+    ///
+    /// # Errors
+    ///
+    /// `Undeclared` if the table has no such setting of that kind.
+    pub fn name(&self, name: &'static str) -> Result<Name, SettingsError> {
+        match self.values.get(name) {
+            Some(Value::Name(value)) => Ok(value.clone()),
+            _ => Err(SettingsError::Undeclared(name)),
+        }
+    }
+
+    /// Value of a setting of kind [`Kind::Address`].
+    ///
+    /// # Errors
+    ///
+    /// `Undeclared` if the table has no such setting of that kind.
+    pub fn address(&self, name: &'static str) -> Result<SocketAddr, SettingsError> {
+        match self.values.get(name) {
+            Some(Value::Address(value)) => Ok(*value),
+            _ => Err(SettingsError::Undeclared(name)),
+        }
+    }
+
+    /// Value of a setting of kind [`Kind::Addresses`].
+    ///
+    /// # Errors
+    ///
+    /// `Undeclared` if the table has no such setting of that kind.
+    pub fn addresses(&self, name: &'static str) -> Result<Vec<SocketAddr>, SettingsError> {
+        match self.values.get(name) {
+            Some(Value::Addresses(value)) => Ok(value.clone()),
+            _ => Err(SettingsError::Undeclared(name)),
+        }
+    }
+
+    /// Value of a setting of kind [`Kind::Count`], in the unit that it was declared with.
+    ///
+    /// # Errors
+    ///
+    /// `Undeclared` if the table has no such setting of that kind.
+    pub fn count(&self, name: &'static str) -> Result<u64, SettingsError> {
+        match self.values.get(name) {
+            Some(Value::Count(value)) => Ok(*value),
+            _ => Err(SettingsError::Undeclared(name)),
+        }
+    }
+
+    /// Value of a setting of kind [`Kind::Choice`].
+    ///
+    /// # Errors
+    ///
+    /// `Undeclared` if the table has no such setting of that kind.
+    pub fn choice(&self, name: &'static str) -> Result<&'static str, SettingsError> {
+        match self.values.get(name) {
+            Some(Value::Choice(value)) => Ok(value),
+            _ => Err(SettingsError::Undeclared(name)),
+        }
+    }
+}
+
+impl Service for Settings {
+    fn name(&self) -> &'static str {
+        "settings"
+    }
+
+    fn dump(&self, _now: Moment) -> serde_json::Value {
+        let rows = self.values.iter().map(|(name, value)| {
+            let value = match value {
+                Value::Name(value) => json!(value),
+                Value::Address(value) => json!(value),
+                Value::Addresses(value) => json!(value),
+                Value::Count(value) => json!(value),
+                Value::Choice(value) => json!(value),
+            };
+            ((*name).to_owned(), value)
+        });
+        serde_json::Value::Object(rows.collect())
+    }
+}
+
+/// Names and values of a file; none stands twice.
+fn mapping(file: &str, text: &str) -> Result<BTreeMap<String, Yaml>, SettingsError> {
+    let fault = |line, what: String| SettingsError::Yaml { file: file.to_owned(), line, what };
+    let yaml: Yaml = serde_norway::from_str(text).map_err(|error| {
+        let line = error.location().map_or(1, |location| location.line());
+        fault(line, error.to_string())
+    })?;
+    let Yaml::Mapping(mapping) = yaml else {
+        return Err(fault(1, "the file is not a mapping".to_owned()));
+    };
+    let entries = mapping.into_iter().map(|(name, value)| match name {
+        Yaml::String(name) => Ok((name, value)),
+        other => Err(fault(1, format!("`{}` is not a name", quote(&other)))),
+    });
+    entries.collect()
+}
+
+/// Line on which a name of the flat mapping stands.
+fn line_of(text: &str, name: &str) -> usize {
+    let quotes = ['"', '\''];
+    let found = text.lines().position(|line| {
+        let rest = line.trim_start_matches(quotes).strip_prefix(name);
+        rest.is_some_and(|rest| rest.trim_start_matches(quotes).trim_start().starts_with(':'))
+    });
+    found.map_or(1, |index| index + 1)
+}
+
+/// Value on one line, shortened.
+fn quote(yaml: &Yaml) -> String {
+    let text = serde_norway::to_string(yaml).unwrap_or_default();
+    text.trim().escape_debug().take(NAME_LIMIT).collect()
+}
+
+fn name(text: &str) -> Option<Name> {
+    let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    let usable = (1..=NAME_LIMIT).contains(&text.len()) && text.chars().all(fits);
+    usable.then(|| Name::new(text))
+}
+
+fn address(yaml: &Yaml) -> Option<SocketAddr> {
+    yaml.as_str()?.parse().ok()
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -27,6 +27,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use poplar_kernel::SettingsError;
 
 use crate::settings::Settings;
 
@@ -38,21 +39,41 @@
 /// Overload control beside one target.
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
-struct Options {
-    /// YAML file with the settings.
-    #[bpaf(argument("FILE"))]
-    settings: PathBuf,
+enum Options {
+    /// Run with these settings
+    Run {
+        /// YAML file with the settings
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
+    /// Check a settings file and end
+    Check {
+        /// YAML file to check
+        #[bpaf(argument("FILE"))]
+        check_settings: PathBuf,
+    },
+    /// Print every setting with its range, default and use, as a file to fill in
+    PrintSettings,
 }
 
 fn main() -> ExitCode {
-    let opts = options().run();
-    let settings = match Settings::load(&opts.settings) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("poplar-node: settings: {error}");
-            return ExitCode::from(EXIT_SETTINGS);
+    match options().run() {
+        Options::Run { settings } => match Settings::load(&settings) {
+            Ok(settings) => run(settings),
+            Err(error) => refuse(&error),
+        },
+        Options::Check { check_settings } => match Settings::load(&check_settings) {
+            Ok(_) => ExitCode::SUCCESS,
+            Err(error) => refuse(&error),
+        },
+        Options::PrintSettings => {
+            print!("{}", settings::TABLE.help());
+            ExitCode::SUCCESS
         }
-    };
+    }
+}
+
+fn run(settings: Settings) -> ExitCode {
     match process::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -61,3 +82,8 @@
         }
     }
 }
+
+fn refuse(error: &SettingsError) -> ExitCode {
+    eprintln!("poplar-node: settings: {error}");
+    ExitCode::from(EXIT_SETTINGS)
+}
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -135,6 +135,7 @@
     let retention = Duration::from_secs(settings.log_retention_s);
     let (contracts, hints) = Contracts::new(clock, instance.clone(), retention);
     let registry = Arc::new(Registry::default());
+    registry.register(settings.values.clone());
     registry.register(Arc::new(contracts));
     registry.register(Arc::new(Directory::default()));
     registry.register(Arc::new(Levels::new(clock)));
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -1,14 +1,78 @@
-//! Settings of the node, read once at the start.
+//! Settings of the node, declared once and read at the start.
 
 use std::net::SocketAddr;
 use std::path::Path;
+use std::sync::Arc;
 
 use poplar_core::{InstanceId, Name};
-use serde::Deserialize;
+use poplar_kernel::{Kind, Setting, SettingsError, SettingsTable};
 
-/// Settings of one node; see the operators' page for each.
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
+/// Every setting of the node.
+pub(crate) const TABLE: SettingsTable = SettingsTable::new(&[
+    Setting {
+        name: "instance",
+        kind: Kind::Name,
+        default: None,
+        doc: "Name of the instance; no other one that runs may have it.",
+    },
+    Setting {
+        name: "customer",
+        kind: Kind::Name,
+        default: None,
+        doc: "Customer whose services run here.",
+    },
+    Setting {
+        name: "zone",
+        kind: Kind::Name,
+        default: None,
+        doc: "Availability zone of the instance.",
+    },
+    Setting {
+        name: "caller_address",
+        kind: Kind::Address,
+        default: None,
+        doc: "Where callers and the own target hand calls in; port 0 lets the system pick one.",
+    },
+    Setting {
+        name: "peer_address",
+        kind: Kind::Address,
+        default: None,
+        doc: "Where other nodes hand calls in; port 0 lets the system pick one.",
+    },
+    Setting {
+        name: "admin_address",
+        kind: Kind::Address,
+        default: None,
+        doc: "Where the own target announces itself and operators look; best on loopback.",
+    },
+    Setting {
+        name: "log_address",
+        kind: Kind::Address,
+        default: None,
+        doc: "Address of the platform's log.",
+    },
+    Setting {
+        name: "peers",
+        kind: Kind::Addresses,
+        default: Some("[]"),
+        doc: "Peer addresses of some nodes, for a start while the log is down.",
+    },
+    Setting {
+        name: "log_retention_s",
+        kind: Kind::Count { min: 60, max: 31_536_000, unit: "seconds" },
+        default: Some("86400"),
+        doc: "Time for which the platform's log keeps a record.",
+    },
+    Setting {
+        name: "log_format",
+        kind: Kind::Choice(&["text", "json"]),
+        default: Some("text"),
+        doc: "Form of the lines on standard error: text for people, json for programs.",
+    },
+]);
+
+/// Settings of one node.
+#[derive(Debug, Clone)]
 pub(crate) struct Settings {
     pub(crate) instance: InstanceId,
     pub(crate) customer: Name,
@@ -17,38 +81,29 @@
     pub(crate) peer_address: SocketAddr,
     pub(crate) admin_address: SocketAddr,
     pub(crate) log_address: SocketAddr,
-    #[serde(default)]
     pub(crate) peers: Vec<SocketAddr>,
-    /// Time for which the platform's log keeps a record, in seconds.
-    #[serde(default = "default_retention")]
     pub(crate) log_retention_s: u64,
-    #[serde(default = "default_format")]
     pub(crate) log_format: String,
-}
-
-/// Why the settings were refused.
-#[derive(Debug, thiserror::Error)]
-pub(crate) enum SettingsError {
-    #[error("{path}: {source}")]
-    Read { path: String, source: std::io::Error },
-    #[error("{path}: {source}")]
-    Parse { path: String, source: serde_norway::Error },
+    /// Every value as it was read, for the dump.
+    pub(crate) values: Arc<poplar_kernel::Settings>,
 }
 
 impl Settings {
     /// Reads the settings file; an unknown or malformed setting stops the start.
     pub(crate) fn load(path: &Path) -> Result<Self, SettingsError> {
-        let shown = path.display().to_string();
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| SettingsError::Read { path: shown.clone(), source })?;
-        serde_norway::from_str(&text).map_err(|source| SettingsError::Parse { path: shown, source })
+        let values = TABLE.load(path)?;
+        Ok(Self {
+            instance: InstanceId(values.name("instance")?),
+            customer: values.name("customer")?,
+            zone: values.name("zone")?,
+            caller_address: values.address("caller_address")?,
+            peer_address: values.address("peer_address")?,
+            admin_address: values.address("admin_address")?,
+            log_address: values.address("log_address")?,
+            peers: values.addresses("peers")?,
+            log_retention_s: values.count("log_retention_s")?,
+            log_format: values.choice("log_format")?.to_owned(),
+            values: Arc::new(values),
+        })
     }
 }
-
-fn default_retention() -> u64 {
-    86_400
-}
-
-fn default_format() -> String {
-    "text".to_owned()
-}
