--- a/core/src/membership/view.rs
+++ b/core/src/membership/view.rs
@@ -57,7 +57,7 @@
     buckets: [u32; BUCKETS],
 }
 
-/// Inconsistency that [`View::verify`] found.
+/// Inconsistency that `View::verify` found.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum ViewError {
     /// The hash of a group is not that of its members.
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -76,7 +76,7 @@
     pub ran_twice: u64,
     /// Requests that were told "not run" but ran, by the targets' own counts.
     pub refused_ran: u64,
-    /// First words of the targets' own errors, at most [`FAILURES`].
+    /// First words of the targets' own errors, at most 5.
     pub failures: Vec<String>,
     /// Targets that gave their counts.
     pub counted: u64,
