--- a/core/src/admission/level.rs
+++ b/core/src/admission/level.rs
@@ -44,6 +44,12 @@
     }
 }
 
+impl From<Level> for Rank {
+    fn from(level: Level) -> Self {
+        Self(level.0)
+    }
+}
+
 /// Rank below which calls are refused; zero refuses nothing.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -60,11 +66,28 @@
         Self(rank.0)
     }
 
+    /// Importance of the rank.
+    pub(crate) const fn importance(self) -> Importance {
+        Rank(self.0).importance()
+    }
+
+    /// Level that passes all of the importance at which this one stands.
+    pub(crate) const fn whole(self) -> Self {
+        Self::at(Rank::at(self.importance(), 0))
+    }
+
     /// Whether a call of this rank passes.
     pub const fn admits(self, rank: Rank) -> bool {
         rank.0 >= self.0
     }
 
+    /// Part of the calls of one importance that passes.
+    pub(crate) fn visible(self, importance: Importance) -> f64 {
+        let base = Rank::at(importance, 0).0;
+        let hidden = u64::from(self.0.saturating_sub(base)).min(LOTS);
+        1.0 - hidden as f64 / LOTS as f64
+    }
+
     /// Level after falling for `span`, skipping importances that the contract does not have.
     pub(crate) fn fallen(self, span: Duration, scale: &ImportanceScale) -> Self {
         let micros = span.min(FALL_TIME * 256).as_micros() as u64;
--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod check;
 pub mod contracts;
+pub mod once;
 
 pub use check::{Check, Failure, Model, Mutation, Property, Report, Step, check};
 
 /// Every check, in the order in which they run.
-pub const CHECKS: &[Check] = &[contracts::CHECK, contracts::CHECK_LOSS];
+pub const CHECKS: &[Check] =
+    &[contracts::CHECK, contracts::CHECK_LOSS, once::LEAF, once::CHAIN, once::RERUN];
