--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod levels;
 mod links;
+mod members;
 mod metrics;
 mod once;
 mod platform;
@@ -18,6 +19,7 @@
 mod runs;
 mod sends;
 mod settings;
+mod suspects;
 mod target;
 mod work;
 
