--- a/core/src/publish.rs
+++ b/core/src/publish.rs
@@ -76,6 +76,13 @@
         /// Revision in force.
         current: Revision,
     },
+    /// The base lies ahead of what is in force; this run sent nothing.
+    UnknownBase {
+        /// Revision that the operator revised.
+        base: Revision,
+        /// Revision in force.
+        current: Revision,
+    },
     /// The contract is not one that a reader accepts.
     Refused(RecordFault),
     /// The record was sent, and what became of it is not known yet.
@@ -103,6 +110,11 @@
                 "not confirmed: revision {current} is in force, too far past revision {base} to \
                  tell whether an earlier run was accepted; this run published nothing"
             ),
+            Self::UnknownBase { base, current } => write!(
+                f,
+                "not sent: you revised revision {base}, which is unknown; revision {current} is in \
+                 force"
+            ),
             Self::Refused(fault) => write!(f, "not accepted: {fault}"),
             Self::NotConfirmed => {
                 f.write_str("not confirmed: run the same command again to learn what became of it")
@@ -235,7 +247,9 @@
         self.stage = match word.accepted {
             Some(revision) => Stage::Confirm { act, claim: Claim::Won(revision), ask: now },
             None if act.base < word.current => Stage::Confirm { act, claim: Claim::Lost, ask: now },
-            None if act.base > word.current => Stage::Done(act.lost_to(word.current)),
+            None if act.base > word.current => {
+                Stage::Done(PublishResult::UnknownBase { base: act.base, current: word.current })
+            }
             None => Stage::ReadBack { act, resend: now },
         };
     }
