Measure membership against the size of a service, and calm its bursts

Ruled out: nothing else; the backlog was joins fetched by page and pushed again, the burst was suspects all asked in one tick with full messages, the delay was the probe period. In the group, a frozen member now holds at most 16 messages, so that waking isn't flattered.

--- a/bench/src/group.rs
+++ b/bench/src/group.rs
@@ -11,16 +11,36 @@
 /// One-way time between two members.
 const LATENCY: Duration = Duration::from_millis(1);
 
+/// Messages that wait at a frozen member; later ones are lost, as in a full socket buffer.
+const HELD_MESSAGES: usize = 16;
+
 /// Availability zones that members are dealt to.
-pub const ZONES: usize = 4;
+pub(crate) const ZONES: usize = 4;
 
 /// What one member sent.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Sent {
+pub(crate) struct Sent {
     /// Messages.
-    pub messages: u64,
+    pub(crate) messages: u64,
     /// Encoded bytes.
-    pub bytes: u64,
+    pub(crate) bytes: u64,
+    /// Encoded bytes in the busiest second so far.
+    pub(crate) peak: u64,
+    second: u64,
+    in_second: u64,
+}
+
+impl Sent {
+    fn add(&mut self, now: Moment, bytes: u64) {
+        let second = now.as_micros() / 1_000_000;
+        if second != self.second {
+            (self.second, self.in_second) = (second, 0);
+        }
+        self.messages += 1;
+        self.bytes += bytes;
+        self.in_second += bytes;
+        self.peak = self.peak.max(self.in_second);
+    }
 }
 
 #[derive(Debug, PartialEq, Eq)]
@@ -38,7 +58,6 @@
     cut: bool,
     held: Vec<Event>,
     sent: Sent,
-    received: u64,
 }
 
 #[derive(Debug)]
@@ -47,9 +66,18 @@
     Deliver { from: Peer, to: usize, message: Message },
 }
 
+impl Member {
+    fn hold(&mut self, event: Event) {
+        let tick = matches!(event, Event::Tick(_));
+        if tick || self.held.len() < HELD_MESSAGES {
+            self.held.push(event);
+        }
+    }
+}
+
 /// Group of members that exchange messages of the real [`Membership`].
 #[derive(Debug)]
-pub struct Group {
+pub(crate) struct Group {
     now: Moment,
     events: BTreeMap<(Moment, u64), Event>,
     ordinal: u64,
@@ -76,7 +104,7 @@
 
 impl Group {
     /// Group of `count` members that all know the first one; `size` gives a message's bytes.
-    pub fn new(count: usize, seed: u64, size: fn(&Message) -> u64) -> Self {
+    pub(crate) fn new(count: usize, seed: u64, size: fn(&Message) -> u64) -> Self {
         let (events, members) = (BTreeMap::new(), Vec::new());
         let now = Moment::from_millis(1_000);
         let mut group = Self { now, events, ordinal: 0, members, seed, loss: 0, size, largest: 0 };
@@ -87,34 +115,28 @@
     }
 
     /// Present time.
-    pub fn now(&self) -> Moment {
+    pub(crate) fn now(&self) -> Moment {
         self.now
     }
 
     /// Number of members, killed ones included.
-    pub fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.members.len()
     }
 
     /// Bytes of the largest message so far.
-    pub fn largest(&self) -> u64 {
+    pub(crate) fn largest(&self) -> u64 {
         self.largest
     }
 
     /// What each member sent so far.
-    pub fn sent(&self) -> Vec<Sent> {
+    pub(crate) fn sent(&self) -> Vec<Sent> {
         self.members.iter().map(|member| member.sent).collect()
     }
 
-    /// Bytes that each member received so far.
-    pub fn received(&self) -> Vec<u64> {
-        self.members.iter().map(|member| member.received).collect()
-    }
-
-    /// Adds one member more.
-    pub fn add(&mut self) -> usize {
-        self.join(record(self.members.len()));
-        self.members.len() - 1
+    /// Starts the counts of what was sent anew.
+    pub(crate) fn reset_sent(&mut self) {
+        self.members.iter_mut().for_each(|member| member.sent = Sent::default());
     }
 
     fn join(&mut self, record: MemberRecord) {
@@ -124,28 +146,28 @@
         membership.seed(self.now, self.members.first().map(|first| first.record.clone()));
         let (held, sent) = (Vec::new(), Sent::default());
         let (running, cut) = (Running::Up, false);
-        self.members.push(Member { membership, record, running, cut, held, sent, received: 0 });
+        self.members.push(Member { membership, record, running, cut, held, sent });
         let phase = Duration::from_micros(roll % TICK_TIME.as_micros() as u64);
         self.schedule(self.now + phase, Event::Tick(idx));
     }
 
     /// Loses `percent` of all messages from now on.
-    pub fn lose(&mut self, percent: u64) {
+    pub(crate) fn lose(&mut self, percent: u64) {
         self.loss = percent;
     }
 
     /// Stops a member for good, without a word.
-    pub fn kill(&mut self, idx: usize) {
+    pub(crate) fn kill(&mut self, idx: usize) {
         self.members[idx].running = Running::Killed;
     }
 
     /// Stops a member until [`Self::thaw`]; what is sent to it waits.
-    pub fn freeze(&mut self, idx: usize) {
+    pub(crate) fn freeze(&mut self, idx: usize) {
         self.members[idx].running = Running::Frozen;
     }
 
     /// Lets a frozen member run on, first with all that waited.
-    pub fn thaw(&mut self, idx: usize) {
+    pub(crate) fn thaw(&mut self, idx: usize) {
         self.members[idx].running = Running::Up;
         for event in std::mem::take(&mut self.members[idx].held) {
             self.schedule(self.now, event);
@@ -153,14 +175,14 @@
     }
 
     /// Cuts an availability zone off, or heals the cut.
-    pub fn cut(&mut self, zone: usize, cut: bool) {
+    pub(crate) fn cut(&mut self, zone: usize, cut: bool) {
         for idx in (0..self.members.len()).filter(|idx| idx % ZONES == zone) {
             self.members[idx].cut = cut;
         }
     }
 
     /// Changes a member's own state.
-    pub fn set_state(&mut self, idx: usize, state: MemberState) {
+    pub(crate) fn set_state(&mut self, idx: usize, state: MemberState) {
         let member = &mut self.members[idx];
         member.record.state = state;
         member.record.sequence += 1;
@@ -168,7 +190,7 @@
     }
 
     /// Lets `span` pass.
-    pub fn pass(&mut self, span: Duration) {
+    pub(crate) fn pass(&mut self, span: Duration) {
         let end = self.now + span;
         while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= end) {
             let ((at, _), event) = entry.remove_entry();
@@ -179,7 +201,11 @@
     }
 
     /// Lets time pass until `done` holds; gives the time taken, or `None` after `limit`.
-    pub fn wait(&mut self, limit: Duration, done: impl Fn(&Self) -> bool) -> Option<Duration> {
+    pub(crate) fn wait(
+        &mut self,
+        limit: Duration,
+        done: impl Fn(&Self) -> bool,
+    ) -> Option<Duration> {
         let start = self.now;
         while !done(self) {
             if self.now.since(start) >= limit {
@@ -191,7 +217,7 @@
     }
 
     /// Whether all running members that satisfy `who` hold what `what` says of member `about`.
-    pub fn all_hold(
+    pub(crate) fn all_hold(
         &self,
         about: usize,
         who: impl Fn(usize) -> bool,
@@ -206,7 +232,7 @@
     }
 
     /// Whether every running member knows every running member as alive.
-    pub fn all_alive(&self) -> bool {
+    pub(crate) fn all_alive(&self) -> bool {
         let up = |idx: usize| self.members[idx].running == Running::Up;
         let all = (0..self.len()).filter(|&idx| up(idx));
         let mut all = all;
@@ -215,7 +241,7 @@
 
     /// Number of pairs of running members that satisfy `who`, of which the first holds the second
     /// for at least `verdict`.
-    pub fn count(&self, verdict: MemberVerdict, who: impl Fn(usize) -> bool) -> usize {
+    pub(crate) fn count(&self, verdict: MemberVerdict, who: impl Fn(usize) -> bool) -> usize {
         let up = |idx: usize| self.members[idx].running == Running::Up && who(idx);
         let known: BTreeMap<_, _> =
             self.members.iter().enumerate().map(|(idx, m)| (&m.record.instance, idx)).collect();
@@ -226,7 +252,7 @@
     }
 
     /// Whether all running members have the same view; checks each view as well.
-    pub fn all_agree(&self) -> bool {
+    pub(crate) fn all_agree(&self) -> bool {
         let up = self.members.iter().filter(|member| member.running == Running::Up);
         let mut digests: Vec<u32> = up.map(|member| member.membership.digest()).collect();
         digests.dedup();
@@ -250,7 +276,7 @@
         };
         match self.members[idx].running {
             Running::Killed => return,
-            Running::Frozen => return self.members[idx].held.push(event),
+            Running::Frozen => return self.members[idx].hold(event),
             Running::Up => {}
         }
         let out = match event {
@@ -260,7 +286,6 @@
                 self.members[idx].membership.tick(self.now, roll)
             }
             Event::Deliver { from, to, message } => {
-                self.members[to].received += (self.size)(&message);
                 self.members[to].membership.receive(self.now, &from, message)
             }
         };
@@ -273,8 +298,7 @@
         let bytes = (self.size)(&outgoing.message);
         self.largest = self.largest.max(bytes);
         let sender = &mut self.members[from];
-        sender.sent.messages += 1;
-        sender.sent.bytes += bytes;
+        sender.sent.add(self.now, bytes);
         let (cut, peer) = (sender.cut, sender.record.peer());
         let text = outgoing.to.instance.to_string();
         let to = text.rsplit('-').next().and_then(|digits| digits.parse::<usize>().ok());
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,8 +1,11 @@
 //! Measurements that print the figures quoted in the pages.
 //!
-//! `overload` drives the decisions of `poplar-core` on a fake clock against fake targets. Each
-//! measure prints a table, then one last line of `key=value` pairs.
+//! `overload` drives the decisions of `poplar-core` on a fake clock against fake targets;
+//! `membership` lets the members of one service exchange their real messages.
+//! Each measure prints a table, then one last line of `key=value` pairs.
 
+mod group;
+mod membership;
 mod overload;
 
 use bpaf::Bpaf;
@@ -14,10 +17,14 @@
     /// Goodput, waste and recovery under a surge with a slow deep service, on a fake clock.
     #[bpaf(command)]
     Overload(#[bpaf(external(overload::options))] overload::Options),
+    /// Time to notice, false suspicions and traffic of membership, on a fake clock.
+    #[bpaf(command)]
+    Membership(#[bpaf(external(membership::options))] membership::Options),
 }
 
 fn main() {
     match measure().run() {
         Measure::Overload(options) => overload::run(&options),
+        Measure::Membership(options) => membership::run(&options),
     }
 }
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -120,7 +120,7 @@
         }
         let entry = Entry { record, refutations: 0, verdict: Verdict::Alive };
         if self.view.apply_entry(now, &entry) == Applied::News {
-            self.note(now, &self.own.clone(), Shape::Full);
+            self.note(now, &self.own.clone(), Shape::Full, true);
         }
     }
 
@@ -157,7 +157,7 @@
         self.allow_for_gap(now);
         let mut out = Vec::new();
         self.view.confirm_lost(now);
-        self.ask_suspects(now, &mut out);
+        out.extend(self.view.suspects_to_ask(now));
         match self.probes.due(now) {
             Due::Nothing => {}
             Due::Ask(probe, target) => self.ask_others(probe, &target, &mut rolls, &mut out),
@@ -235,14 +235,7 @@
         let Some(entry) = silent.and_then(|instance| self.view.get(&instance)) else { return };
         let report = VerdictReport { verdict: Verdict::Suspect, ..entry.report() };
         if self.view.apply_verdict(now, &report) == Applied::News {
-            self.note(now, &report.instance, Shape::Verdict);
-        }
-    }
-
-    fn ask_suspects(&mut self, now: Moment, out: &mut Vec<Outgoing>) {
-        for suspect in self.view.suspects_to_ask(now) {
-            let probe = self.probes.fresh_id();
-            self.ping(suspect, probe, out);
+            self.note(now, &report.instance, Shape::Verdict, true);
         }
     }
 
@@ -397,7 +390,7 @@
         let mut newer = Vec::new();
         for entry in entries {
             let instance = entry.record.instance.clone();
-            if self.absorb_one(now, Change::Full(Box::new(entry)), out) != Applied::Stale {
+            if self.absorb_one(now, Change::Full(Box::new(entry)), false, out) != Applied::Stale {
                 continue;
             }
             let Some(known) = self.view.get(&instance) else { continue };
@@ -425,13 +418,20 @@
         };
         let accused = changes.iter().any(accuses);
         for change in changes {
-            self.absorb_one(now, change, out);
+            self.absorb_one(now, change, true, out);
         }
         let own = self.view.get(&self.own).filter(|_| accused);
         own.map(|own| Change::Verdict(own.report()))
     }
 
-    fn absorb_one(&mut self, now: Moment, change: Change, out: &mut Vec<Outgoing>) -> Applied {
+    /// Takes in one change; `spread` says whether to pass it on where that is not urgent.
+    fn absorb_one(
+        &mut self,
+        now: Moment,
+        change: Change,
+        spread: bool,
+        out: &mut Vec<Outgoing>,
+    ) -> Applied {
         let report = change.report();
         if report.instance == self.own {
             return self.refute(now, &report);
@@ -441,7 +441,7 @@
             Change::Verdict(report) => (self.view.apply_verdict(now, &report), Shape::Verdict),
         };
         match applied {
-            Applied::News => self.note(now, &report.instance, shape),
+            Applied::News => self.note(now, &report.instance, shape, spread),
             Applied::Disputed => self.settle(report, out),
             Applied::Known | Applied::Stale => {}
         }
@@ -468,13 +468,14 @@
         let refutations = report.refutations.saturating_add(1);
         let own = Entry { refutations, ..own.clone() };
         self.view.put(now, own);
-        self.note(now, &report.instance, Shape::Verdict);
+        self.note(now, &report.instance, Shape::Verdict, true);
         Applied::Stale
     }
 
-    fn note(&mut self, now: Moment, instance: &InstanceId, shape: Shape) {
+    /// Queues a change; without `spread` only if it is urgent.
+    fn note(&mut self, now: Moment, instance: &InstanceId, shape: Shape, spread: bool) {
         self.changed = now;
-        self.spread.add(&self.view, instance, shape);
+        self.spread.add(now, &self.view, instance, shape, spread);
     }
 
     /// Changes for a message to `to`: this member's refutation if it was accused, the suspicion that it is
--- a/core/src/membership/probe.rs
+++ b/core/src/membership/probe.rs
@@ -8,10 +8,10 @@
 use crate::time::Moment;
 
 /// Time from one probe to the next; a probe without an answer by then raises a suspicion.
-pub(crate) const PROBE_PERIOD: Duration = Duration::from_secs(1);
+pub(crate) const PROBE_PERIOD: Duration = Duration::from_millis(500);
 
 /// Time for a direct answer, after which other members are asked to ping.
-const DIRECT_TIME: Duration = Duration::from_millis(300);
+const DIRECT_TIME: Duration = Duration::from_millis(200);
 
 /// Largest number of pings under way for other members.
 const MAX_RELAYS: usize = 64;
--- a/core/src/membership/record.rs
+++ b/core/src/membership/record.rs
@@ -8,10 +8,10 @@
 const MAX_TEXT_BYTES: usize = 64;
 
 /// Upper bound of the bytes that the fixed fields of a full change take on the wire.
-const FULL_FIXED_BYTES: usize = 56;
+const FULL_FIXED_BYTES: usize = 68;
 
 /// Upper bound of the bytes that the fixed fields of a verdict change take on the wire.
-const VERDICT_FIXED_BYTES: usize = 28;
+const VERDICT_FIXED_BYTES: usize = 36;
 
 /// State of a member of a service, by its own word.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/core/src/membership/spread.rs
+++ b/core/src/membership/spread.rs
@@ -21,6 +21,10 @@
 /// Bytes of changes that a node may push in one burst.
 const PUSH_BURST_BYTES: u64 = 16_384;
 
+/// Time for which a change that is not urgent is passed on; nodes that it did not reach fetch it
+/// when they compare views.
+const SPREAD_TIME: Duration = Duration::from_secs(10);
+
 /// Part of the burst that is kept for urgent changes, in bytes.
 const URGENT_BYTES: u64 = PUSH_BURST_BYTES / 2;
 
@@ -38,6 +42,7 @@
     instance: InstanceId,
     shape: Shape,
     urgent: bool,
+    since: Moment,
     rounds: u32,
     sends: u32,
 }
@@ -61,16 +66,29 @@
     }
 
     /// Queues a change in a group of `members`.
-    pub(crate) fn add(&mut self, view: &View, instance: &InstanceId, shape: Shape) {
+    ///
+    /// What is not urgent is queued only if `spread`; all nodes fetch it sooner or later.
+    pub(crate) fn add(
+        &mut self,
+        now: Moment,
+        view: &View,
+        instance: &InstanceId,
+        shape: Shape,
+        spread: bool,
+    ) {
+        let urgent = view.get(instance).is_some_and(is_urgent);
+        if !urgent && !spread {
+            return;
+        }
         let old = self.pending.iter().position(|pending| pending.instance == *instance);
         let old = old.map(|idx| self.pending.remove(idx).shape);
         let shape = old.map_or(shape, |old| old.max(shape));
-        let urgent = view.get(instance).is_some_and(is_urgent);
         let members = view.census().live;
         // Twice the logarithm reaches all members with high probability.
         let sends = PUSH_FANOUT * PUSH_ROUNDS + 2 * (usize::BITS - members.leading_zeros());
         let instance = instance.clone();
-        self.pending.push(Pending { instance, shape, urgent, rounds: PUSH_ROUNDS, sends });
+        let rounds = PUSH_ROUNDS;
+        self.pending.push(Pending { instance, shape, urgent, since: now, rounds, sends });
         self.pending.sort_by_key(Pending::order);
     }
 
@@ -95,6 +113,7 @@
     /// Changes to push to `PUSH_FANOUT` members in this tick; none if the allowance is used up.
     pub(crate) fn push(&mut self, now: Moment, view: &View) -> Vec<Change> {
         self.refill(now);
+        self.pending.retain(|pending| pending.urgent || now.since(pending.since) < SPREAD_TIME);
         let mut room = CHANGE_BYTES as u64;
         let mut changes = Vec::new();
         for pending in self.pending.iter_mut().filter(|pending| pending.rounds > 0) {
--- a/core/src/membership/view.rs
+++ b/core/src/membership/view.rs
@@ -5,16 +5,22 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::message::BUCKETS;
-use super::record::{Entry, MemberState, Peer, Verdict, VerdictReport};
+use super::message::{BUCKETS, Message, Outgoing};
+use super::record::{Change, Entry, MemberState, Verdict, VerdictReport};
 use crate::ids::{InstanceId, Name};
 use crate::time::Moment;
 
 /// Largest number of members kept, those that are gone included; about 400 bytes each.
 pub(crate) const MAX_MEMBERS: usize = 2_048;
 
-/// Time within which a suspect may refute before it counts as lost.
-const SUSPICION_TIME: Duration = Duration::from_secs(3);
+/// Time after which a node asks a member that it heard is suspect.
+const DOUBT_TIME: Duration = Duration::from_secs(1);
+
+/// Time that a suspect has to answer before it counts as lost.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+
+/// Suspects asked in one tick, so that the loss of an availability zone causes no burst.
+const ASKS_PER_TICK: usize = 3;
 
 /// Time for which a member that is gone is remembered, so that old reports do not bring it back
 /// and a healed cut is noticed.
@@ -38,14 +44,15 @@
     entry: Entry,
     /// When the verdict or the state last changed.
     since: Moment,
-    /// Whether this node itself asked the suspect to refute.
-    asked: bool,
+    /// When this node itself asked the suspect to refute.
+    asked: Option<Moment>,
 }
 
 impl Known {
-    fn ask(&mut self) -> Peer {
-        self.asked = true;
-        self.entry.record.peer()
+    fn ask(&mut self, now: Moment) -> Outgoing {
+        self.asked = Some(now);
+        let changes = vec![Change::Verdict(self.entry.report())];
+        Outgoing { to: self.entry.record.peer(), message: Message::Push { changes } }
     }
 }
 
@@ -168,33 +175,33 @@
     ///
     /// Rumours reach all but a few members; asking makes sure that no member is taken for lost by
     /// one that its refutation did not reach.
-    pub(crate) fn suspects_to_ask(&mut self, now: Moment) -> Vec<Peer> {
+    pub(crate) fn suspects_to_ask(&mut self, now: Moment) -> Vec<Outgoing> {
         let due = |known: &&mut Known| {
-            let suspect = known.entry.verdict == Verdict::Suspect && !known.asked;
-            suspect && now.since(known.since) >= SUSPICION_TIME / 2
+            let suspect = known.entry.verdict == Verdict::Suspect && known.asked.is_none();
+            suspect && now.since(known.since) >= DOUBT_TIME
         };
-        let suspects = self.members.values_mut().filter(due);
-        suspects.map(Known::ask).collect()
+        let suspects = self.members.values_mut().filter(due).take(ASKS_PER_TICK);
+        suspects.map(|known| known.ask(now)).collect()
     }
 
-    /// Moves suspects whose time is over to the lost, and gives their instances.
-    pub(crate) fn confirm_lost(&mut self, now: Moment) -> Vec<InstanceId> {
+    /// Moves suspects whose time is over to the lost.
+    pub(crate) fn confirm_lost(&mut self, now: Moment) {
         let due = |known: &&Known| {
-            known.entry.verdict == Verdict::Suspect && now.since(known.since) >= SUSPICION_TIME
+            let asked = known.asked.filter(|_| known.entry.verdict == Verdict::Suspect);
+            asked.is_some_and(|asked| now.since(asked) >= ANSWER_TIME)
         };
         let lost: Vec<Entry> =
             self.members.values().filter(due).map(|known| known.entry.clone()).collect();
-        let instances = lost.iter().map(|entry| entry.record.instance.clone()).collect();
         for entry in lost {
             self.put(now, Entry { verdict: Verdict::Lost, ..entry });
         }
-        instances
     }
 
     /// Gives every suspect `span` more time, which this node could not have heard it in.
     pub(crate) fn extend_suspicions(&mut self, span: Duration) {
         for known in self.members.values_mut() {
             known.since = known.since + span;
+            known.asked = known.asked.map(|asked| asked + span);
         }
     }
 
@@ -229,8 +236,7 @@
         let bucket = &mut self.buckets[bucket_of(&entry.record.instance)];
         *bucket ^= entry_hash(&entry);
         let instance = entry.record.instance.clone();
-        if let Some(old) = self.members.insert(instance, Known { entry, since: now, asked: false })
-        {
+        if let Some(old) = self.members.insert(instance, Known { entry, since: now, asked: None }) {
             *bucket ^= entry_hash(&old.entry);
         }
     }
