Let the bench choose targets by core::choice; calls in flight show slowness

Cause: the bench chose by calls in flight alone. With a smoothed latency per target in the cost, the target with the stale low figure drew the load.

--- a/bench/src/overload/world.rs
+++ b/bench/src/overload/world.rs
@@ -3,11 +3,13 @@
 //! A call holds a slot of its target from its start until its further calls are answered. A
 //! target is a number of slots and a random service time; nothing else of a cluster is simulated.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use poplar_core::{
-    AdmissionVerdict, Arrival, ErrorKind, ImportanceScale, InstanceId, Level, LevelMap, Moment,
-    Name, Rank, Refusal, Release, RequestId, RunTimes, TargetLimits, Ticket,
+    AdmissionVerdict, Arrival, Chooser, ErrorKind, ImportanceScale, InstanceId, Level, LevelMap,
+    Moment, Name, Observed, Rank, Refusal, Release, RequestId, RunTimes, TargetInfo, TargetLimits,
+    Ticket,
 };
 
 use super::clock::{Agenda, Rng};
@@ -107,6 +109,7 @@
     from: NodeIdx,
     node: NodeIdx,
     state: State,
+    sent: Moment,
     /// Sends of the same call before this one.
     tries: u32,
     /// Whether somebody still waits for the answer.
@@ -140,8 +143,8 @@
     gate: Gate,
     levels: LevelMap,
     times: RunTimes,
-    /// Calls under way from this node to each other node.
-    out: Vec<u32>,
+    /// Targets of each service as this node sees them.
+    choosers: Vec<Chooser>,
 }
 
 #[derive(Debug)]
@@ -168,6 +171,7 @@
     nodes: Vec<Node>,
     members: Vec<Vec<NodeIdx>>,
     names: Vec<Name>,
+    indices: BTreeMap<InstanceId, NodeIdx>,
     closures: Vec<Vec<ClassIdx>>,
     roots: Vec<Root>,
     calls: Vec<Call>,
@@ -180,7 +184,6 @@
         let scale = ImportanceScale::new(deployment.classes.iter().map(|class| class.importance));
         let mut nodes = Vec::new();
         let mut members = vec![Vec::new(); deployment.services.len()];
-        let total = deployment.services.iter().map(|service| service.targets).sum();
         for (idx, service) in deployment.services.iter().enumerate() {
             for number in 0..service.targets {
                 members[idx].push(NodeIdx(nodes.len()));
@@ -192,10 +195,13 @@
                     gate: Gate::new(policy, limits, scale.clone()),
                     levels: LevelMap::new(scale.clone()),
                     times: RunTimes::new(),
-                    out: vec![0; total],
+                    choosers: Vec::new(),
                 });
             }
         }
+        acquaint(deployment, &mut nodes, &members);
+        let indices = nodes.iter().enumerate();
+        let indices = indices.map(|(idx, node)| (node.instance.clone(), NodeIdx(idx))).collect();
         let classes = deployment.class_indices();
         Self {
             deployment,
@@ -205,6 +211,7 @@
             rng: Rng::new(shape.seed),
             nodes,
             members,
+            indices,
             names: deployment.classes.iter().map(|class| Name::new(class.name)).collect(),
             closures: classes.map(|class| deployment.closure(class)).collect(),
             roots: Vec::new(),
@@ -344,7 +351,7 @@
             return;
         }
         let from = self.sender_node(root, sender);
-        let node = self.choose(from, class);
+        let node = self.choose(from, class, root);
         let place = self.free.pop().unwrap_or_else(|| {
             self.calls.push(Call::vacant());
             self.calls.len() as u32 - 1
@@ -353,7 +360,9 @@
         let count = slot.count + 1;
         let state = State::OnWay;
         let (awaited, child, step, spent) = (true, None, 0, 0);
+        let sent = self.agenda.now();
         *slot = Call {
+            sent,
             count,
             root,
             class,
@@ -372,7 +381,6 @@
             Sender::Entry => self.roots[root.0].call = Some(call),
             Sender::Run(run) => self.calls[run.place as usize].child = Some(call),
         }
-        self.nodes[from.0].out[node.0] += 1;
         self.agenda.schedule(self.way(from, node), Event::Reach(call));
         if self.policy != Policy::Bridge {
             self.agenda.schedule(HOP_TIMEOUT, Event::Timeout(call));
@@ -386,16 +394,18 @@
         }
     }
 
-    /// Target for a call: the better of two, or any without poplarbridge.
-    fn choose(&mut self, from: NodeIdx, class: ClassIdx) -> NodeIdx {
-        let members = &self.members[self.deployment.class(class).service.0];
-        let one = members[self.rng.below(members.len())];
+    /// Target for a call: the choice of the core, or any without poplarbridge.
+    fn choose(&mut self, from: NodeIdx, class: ClassIdx, root: RootIdx) -> NodeIdx {
+        let service = self.deployment.class(class).service;
+        let members = &self.members[service.0];
+        let any = members[self.rng.below(members.len())];
         if self.policy != Policy::Bridge {
-            return one;
+            return any;
         }
-        let two = members[self.rng.below(members.len())];
-        let out = &self.nodes[from.0].out;
-        if out[two.0] < out[one.0] { two } else { one }
+        let (now, random) = (self.agenda.now(), self.rng.next());
+        let rank = self.roots[root.0].rank;
+        let choice = self.nodes[from.0].choosers[service.0].choose(now, rank, random, &[]);
+        choice.map_or(any, |choice| self.indices[&choice.instance])
     }
 
     /// A call comes to the node beside its target.
@@ -506,10 +516,17 @@
         let (root, class, sender) = (at.root, at.class, at.sender);
         let (from, node) = (at.from, at.node);
         let (awaited, spent, tries) = (at.awaited, at.spent, at.tries);
-        self.nodes[from.0].out[node.0] -= 1;
+        let sent = at.sent;
         self.free.push(call.place);
         if self.policy == Policy::Bridge {
             let instance = self.nodes[node.0].instance.clone();
+            let observed = match answer {
+                Answer::Done => Observed::Done { latency: now.since(sent), level },
+                Answer::NotRun => Observed::Refused { level },
+                Answer::Failed => Observed::GivenUp,
+            };
+            let service = self.deployment.class(class).service;
+            self.nodes[from.0].choosers[service.0].observe(now, &instance, observed);
             self.nodes[from.0].levels.learn(now, &self.names[class.0], &instance, level);
         }
         let born = self.roots[root.0].born;
@@ -639,6 +656,24 @@
     }
 }
 
+/// Tells every node of every target.
+fn acquaint(deployment: &Deployment, nodes: &mut [Node], members: &[Vec<NodeIdx>]) {
+    let zone = |node: &Node| Name::new(&format!("zone-{}", node.zone));
+    let infos = nodes.iter().map(|node| (node.instance.clone(), zone(node)));
+    let infos: Vec<_> = infos.collect();
+    for node in nodes {
+        for (service, members) in deployment.services.iter().zip(members) {
+            let mut chooser = Chooser::new(zone(node));
+            for member in members {
+                let (instance, zone) = infos[member.0].clone();
+                let (slots, connections) = (service.slots, service.connections);
+                chooser.join(TargetInfo { instance, zone, slots, connections });
+            }
+            node.choosers.push(chooser);
+        }
+    }
+}
+
 impl Call {
     fn vacant() -> Self {
         Self {
@@ -649,6 +684,7 @@
             from: NodeIdx(0),
             node: NodeIdx(0),
             state: State::Ended,
+            sent: Moment::default(),
             tries: 0,
             awaited: false,
             child: None,
--- a/core/src/choice.rs
+++ b/core/src/choice.rs
@@ -27,7 +27,7 @@
 const BACKOFF_MAX: Duration = Duration::from_secs(5);
 /// Calls that may be in flight to a target that has not answered yet.
 const COLD_CALLS: u32 = 1;
-/// Latency assumed of a target that has not answered yet.
+/// Latency assumed until a target has answered.
 const COLD_LATENCY: Duration = Duration::from_millis(10);
 
 /// What a target announced.
@@ -80,7 +80,10 @@
 #[derive(Debug)]
 pub struct Chooser {
     zone: Name,
+    /// Near ones first.
     targets: Vec<Target>,
+    /// Smoothed over all targets: a slow one shows by the calls that stay in flight, and sooner.
+    latency: Duration,
 }
 
 #[derive(Debug)]
@@ -94,7 +97,7 @@
     open: u32,
     /// Calls that may be in flight while the target warms up.
     allowed: u32,
-    latency: Option<Duration>,
+    answered: bool,
     level: Level,
     levelled: Moment,
     backoff: Duration,
@@ -104,7 +107,7 @@
 impl Chooser {
     /// Chooser without targets, for a node in `zone`.
     pub fn new(zone: Name) -> Self {
-        Self { zone, targets: Vec::new() }
+        Self { zone, targets: Vec::new(), latency: COLD_LATENCY }
     }
 
     /// Takes in a target that announced itself; one that is known starts cold again.
@@ -152,11 +155,11 @@
         random: u64,
         tried: &[InstanceId],
     ) -> Option<Choice> {
-        let near = self.near_count();
-        let first = self.draw(now, 0..near, random as u32, tried);
-        let first =
-            first.or_else(|| self.draw(now, 0..self.targets.len(), random as u32, tried))?;
-        let second = self.draw(now, 0..self.targets.len(), (random >> 32) as u32, tried)?;
+        let (all, roll) = (0..self.targets.len(), random as u32);
+        let near = self.draw(now, 0..self.near_count(), roll, tried);
+        let near = near.filter(|idx| self.targets[*idx].level(now) == Level::OPEN);
+        let first = near.or_else(|| self.draw(now, all.clone(), roll, tried))?;
+        let second = self.draw(now, all, (random >> 32) as u32, tried)?;
         let mut best = self.better(now, rank, first, second);
         if !self.targets[best].level(now).admits(rank) {
             best = self.best(now, rank, tried)?;
@@ -174,12 +177,11 @@
         target.in_flight = target.in_flight.saturating_sub(1);
         match observed {
             Observed::Done { latency, level } => {
-                target.answered(now, level);
+                target.renew(now, level);
                 target.allowed = target.info.slots.min(target.allowed + 1);
-                let mean = target.latency.map(|mean| smoothed(mean, latency));
-                target.latency = Some(mean.unwrap_or(latency));
+                self.latency = smoothed(self.latency, latency);
             }
-            Observed::Refused { level } => target.answered(now, level),
+            Observed::Refused { level } => target.renew(now, level),
             Observed::Unreachable => target.failed(now),
             Observed::GivenUp => {}
         }
@@ -237,11 +239,12 @@
     fn better(&self, now: Moment, rank: Rank, one: usize, two: usize) -> usize {
         let (a, b) = (&self.targets[one], &self.targets[two]);
         let (low, high) = (a.level(now), b.level(now));
-        let alike = low.admits(rank) && high.admits(rank);
+        let admitted = low.admits(rank) && high.admits(rank);
+        let alike = admitted;
         if !alike && low != high {
             return if low < high { one } else { two };
         }
-        if b.cost() < a.cost() { two } else { one }
+        if b.cost(self.latency) < a.cost(self.latency) { two } else { one }
     }
 }
 
@@ -255,7 +258,7 @@
             in_flight: 0,
             open: 0,
             allowed: COLD_CALLS,
-            latency: None,
+            answered: false,
             level: Level::OPEN,
             levelled: Moment::default(),
             backoff: Duration::ZERO,
@@ -277,8 +280,7 @@
     }
 
     /// Expected time of one more call: its share of the slots, the way, and the connection.
-    fn cost(&self) -> Duration {
-        let latency = self.latency.unwrap_or(COLD_LATENCY);
+    fn cost(&self, latency: Duration) -> Duration {
         let mut cost = latency * (self.in_flight + 1) / self.allowed;
         if !self.near {
             cost += FAR_COST;
@@ -286,13 +288,14 @@
         if self.in_flight >= self.open {
             cost += CONNECT_COST;
         }
-        if self.backoff > Duration::ZERO || (self.latency.is_none() && !self.healthy) {
+        if self.backoff > Duration::ZERO || !(self.answered || self.healthy) {
             cost += PROBE_COST;
         }
         cost
     }
 
-    fn answered(&mut self, now: Moment, level: Level) {
+    fn renew(&mut self, now: Moment, level: Level) {
+        self.answered = true;
         self.level = level;
         self.levelled = now;
         self.backoff = Duration::ZERO;
