Bar lesser calls from the queue for a second after the level stood above them

Cause: one target of a service dips below the others for a moment, queues lesser calls, and the callers' median still refuses more important ones.

--- a/core/src/admission/pressure.rs
+++ b/core/src/admission/pressure.rs
@@ -17,6 +17,8 @@
 const WINDOW: Duration = Duration::from_millis(20);
 /// Windows for which calls may still arrive that were let through under an earlier level.
 const DELAY_WINDOWS: usize = 8;
+/// Time for which the importance of a past level still bars lesser calls from the queue.
+const FLOOR_TIME: Duration = Duration::from_millis(1_000);
 /// Part of the queue places that should be taken under pressure.
 const QUEUE_GOAL: f64 = 0.3;
 /// Time in which the queue should come back to its goal.
@@ -48,6 +50,13 @@
     rate: Track,
 }
 
+/// Least importance that may wait, and until when.
+#[derive(Debug, Default)]
+struct Floor {
+    importance: Importance,
+    until: Moment,
+}
+
 /// Level with the estimates that it follows from.
 ///
 /// Memory is bounded by the 256 importances and the fixed number of windows.
@@ -57,6 +66,7 @@
     opened: Moment,
     /// Levels of the last windows, oldest first.
     recent: [Level; DELAY_WINDOWS],
+    floor: Floor,
     /// Rising importance.
     demands: Vec<Demand>,
     latency: Track,
@@ -71,6 +81,7 @@
             level: Level::OPEN,
             opened: now,
             recent: [Level::OPEN; DELAY_WINDOWS],
+            floor: Floor::default(),
             demands: Vec::new(),
             latency: Track::default(),
             finished: 0,
@@ -123,6 +134,10 @@
         self.opened = now;
         self.estimate(span, load);
         self.level = self.goal(load).map_or(Level::OPEN, |goal| self.fitting(goal));
+        let importance = self.level.importance();
+        if importance >= self.floor.importance || now >= self.floor.until {
+            self.floor = Floor { importance, until: now + FLOOR_TIME };
+        }
         self.recent.rotate_left(1);
         self.recent[DELAY_WINDOWS - 1] = self.level;
     }
@@ -132,8 +147,7 @@
     /// While callers may refuse some calls of an importance for this target, no lesser call keeps
     /// a place that one of them could have had.
     pub(crate) fn floor(&self) -> Importance {
-        let hidden = Rank::from(self.hidden());
-        hidden.importance()
+        self.floor.importance
     }
 
     /// Highest level that callers may still have applied to the calls that arrive now.
