--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -38,8 +38,8 @@
 pub use choice::{Choice, Chooser, Observed, TargetInfo};
 pub use contract::{CHAIN_DEPTH, ClassTerms, Contract, ContractError, Goal, HOP_TIME};
 pub use fold::{
-    ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, MAX_REFUSED,
-    RecordFault, Verdict, Word,
+    ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, RecordFault, Verdict,
+    Word,
 };
 pub use follow::{
     BACKOFF_MAX, BACKOFF_MIN, Judged, LONG_READ, LogBatch, LogEntry, LogReader, PULL_PAUSE,
