--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -28,13 +28,14 @@
 pub use binding::{
     AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, BindingError, Bound,
     CallRule, Evidence, Fate, Handover, HandoverEntry, Lineage, Resend, RunLimits, RunTable,
-    RunVerdict, SealedTable, SenderId, Successor, SuccessorFull, Unbound, WindowView, binder_of,
-    call_rule, overall_fate, resend_rule, shed_fate,
+    RunVerdict, SealedTable, SenderId, Successor, SuccessorFull, Unbound, WindowView, bound_resend,
+    call_rule,
 };
 pub use budget::{
     Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
     RetriesSpent, Run, come_back_after, keeper, next_step,
 };
+pub use choice::{Choice, Chooser, Observed, TargetInfo};
 pub use contract::{CHAIN_DEPTH, ClassTerms, Contract, ContractError, Goal, HOP_TIME};
 pub use fold::{
     ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, MAX_REFUSED,
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use poplar_core::{Incarnation, Name};
+use poplar_core::{Incarnation, Name, Peer};
 use poplar_kernel::{
     Clock, Draining, Life, LogFormat, Registry, RegistryError, Serving, part, root_logger,
 };
@@ -23,6 +23,7 @@
 use crate::handover::Leaver;
 use crate::levels::Levels;
 use crate::links::Links;
+use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::once::Once;
 use crate::platform::Platform;
@@ -30,6 +31,7 @@
 use crate::runs::Runs;
 use crate::sends::Sends;
 use crate::settings::Settings;
+use crate::suspects::Suspects;
 use crate::target::{Stage, Target};
 use crate::work::Work;
 
@@ -128,7 +130,8 @@
     let peer_address = sockets.peer.local_addr()?;
     let own = Sender { instance: instance.clone(), incarnation, address: peer_address.to_string() };
     let zone = settings.zone.clone();
-    let identity = Identity { instance: instance.clone(), incarnation, zone, peer_address };
+    let identity =
+        Identity { instance: instance.clone(), incarnation, zone: zone.clone(), peer_address };
     let retention = Duration::from_secs(settings.log_retention_s);
     let (contracts, hints) = Contracts::new(clock, instance.clone(), retention);
     let registry = Arc::new(Registry::default());
@@ -136,11 +139,14 @@
     registry.register(Arc::new(Directory::default()));
     registry.register(Arc::new(Levels::new(clock)));
     registry.register(Arc::new(Links::default()));
+    let peer = Peer { instance: instance.clone(), address: own.address.clone() };
+    registry.register(Arc::new(Members::new(clock, peer, zone.clone(), &registry)?));
     registry.register(Arc::new(Runs::default()));
     registry.register(Arc::new(Target::new()));
     registry.register(Arc::new(Gate::new(clock)));
     registry.register(Arc::new(Once::new(clock, instance.clone(), incarnation)));
     registry.register(Arc::new(Sends::new(clock, incarnation)));
+    registry.register(Arc::new(Suspects::new(clock, instance.clone(), &registry)?));
     let work = Arc::new(Work::new(clock, &registry)?);
     registry.register(work.clone());
     registry.register(Arc::new(Metrics::new(&registry)?));
@@ -200,7 +206,10 @@
         work: services.work.clone(),
         contracts: services.registry.find("contracts")?,
         directory: services.registry.find("directory")?,
+        members: services.registry.find("members")?,
+        suspects: services.registry.find("suspects")?,
     });
+    tokio::spawn(served.members.clone().run());
     let peers = listener::accept(sockets.peer, life.watch(), move |socket, graceful| {
         peer::connection(socket, graceful, served.clone())
     });
--- a/node/src/target.rs
+++ b/node/src/target.rs
@@ -9,7 +9,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
-use poplar_core::{ErrorKind, Moment, RequestId};
+use poplar_core::{Moment, RequestId, TargetEnd};
 use poplar_kernel::Service;
 use poplar_wire::{Announcement, Answer, CallMeta, header};
 use serde_json::{Value, json};
@@ -34,19 +34,6 @@
     expires: Moment,
 }
 
-/// How the exchange with the target ended.
-#[derive(Debug)]
-pub(crate) enum Ran {
-    /// The target's own whole answer.
-    Answer(Answer),
-    /// The target shed the request by its explicit signal.
-    Shed,
-    /// The target saw nothing of the request.
-    NotRun(ErrorKind),
-    /// The target may have run the request.
-    Unknown(ErrorKind),
-}
-
 /// Service that speaks to the target beside this node.
 #[derive(Debug)]
 pub(crate) struct Target {
@@ -95,7 +82,8 @@
 
     /// Has the target run one request.
     ///
-    /// `token` names the run; the target sends it back with its answer and with further calls.
+    /// `token` names the run; the target sends it back with its answer and with further calls. The
+    /// caller of this fills in the number of calls that the run made.
     pub(crate) async fn run(
         &self,
         address: &str,
@@ -103,7 +91,7 @@
         token: RequestId,
         largest: u64,
         body: Bytes,
-    ) -> Ran {
+    ) -> TargetEnd<Answer> {
         let req = Request::builder()
             .method(Method::POST)
             .uri(format!("http://{address}/"))
@@ -113,29 +101,25 @@
             .header(header::PARENT, token.to_string())
             .header(header::DEADLINE, meta.left.as_millis().to_string())
             .body(Full::new(body));
-        let Ok(req) = req else { return Ran::NotRun(ErrorKind::BadRequest) };
+        let Ok(req) = req else { return TargetEnd::NotConnected };
         let resp = match self.http.request(req).await {
             Ok(resp) => resp,
-            Err(error) if error.is_connect() => return Ran::NotRun(ErrorKind::Connection),
-            Err(_) => return Ran::Unknown(ErrorKind::Connection),
+            Err(error) if error.is_connect() => return TargetEnd::NotConnected,
+            Err(_) => return TargetEnd::Broken,
         };
-        if sheds(&resp) {
-            return Ran::Shed;
-        }
         if !echoes(&resp, token) {
-            return Ran::Unknown(ErrorKind::BadAnswer);
+            return TargetEnd::BadAnswer;
         }
+        let shed = shed_signal(&resp);
         let status = resp.status().as_u16();
         match Limited::new(resp.into_body(), largest as usize).collect().await {
             Ok(whole) => {
                 let body = whole.to_bytes();
                 let checksum = xxh3_64(&body);
-                Ran::Answer(Answer { status, body, checksum })
-            }
-            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-                Ran::Unknown(ErrorKind::AnswerTooLarge)
+                TargetEnd::Answer { answer: Answer { status, body, checksum }, shed, calls: 0 }
             }
-            Err(_) => Ran::Unknown(ErrorKind::BadAnswer),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => TargetEnd::TooLarge,
+            Err(_) => TargetEnd::BadAnswer,
         }
     }
 
@@ -145,9 +129,10 @@
     }
 }
 
-fn sheds<B>(resp: &http::Response<B>) -> bool {
-    resp.status().as_u16() == 503
-        && resp.headers().get(header::SHED).is_some_and(|signal| signal == "not-run")
+/// Shed signal of the target; only a 503 can carry it.
+fn shed_signal<B>(resp: &http::Response<B>) -> Option<String> {
+    let value = resp.headers().get(header::SHED).filter(|_| resp.status().as_u16() == 503)?;
+    value.to_str().ok().map(str::to_owned)
 }
 
 fn echoes<B>(resp: &http::Response<B>, token: RequestId) -> bool {
