Tell of suspicions as changes, and split the membership by job

Cause: node/src/members.rs published the view only when its hash changed, and a suspicion is not part of the hash, so routing never heard of one. An instance that came back with a smaller incarnation was ignored by all without knowing. Ruled out: taking suspicions into the hash (views would differ during each and be compared). Before: no count of changes existed; the new test did not compile.

--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -5,12 +5,14 @@
 //! here grows with the whole deployment; a node that calls another service follows a few of its
 //! members ([`Follower`]). See [membership](../../docs/design/membership.md).
 
+mod compare;
 mod message;
 mod probe;
 mod record;
 mod sample;
 mod spread;
 mod view;
+mod watch;
 
 use std::time::Duration;
 
@@ -19,32 +21,17 @@
 pub use sample::{Ask, Follower, Sample, SampleRequest};
 pub use view::ViewError;
 
-use crate::ids::InstanceId;
+use crate::ids::{Incarnation, InstanceId};
 use crate::time::Moment;
-use message::{BUCKETS, CHANGE_BYTES};
+use message::BUCKETS;
 use probe::{Due, PROBE_PERIOD, Probes};
 use sample::SampleRate;
 use spread::{PUSH_FANOUT, Shape, Spread};
-use view::{Applied, View, bucket_of, is_lost};
+use view::{Applied, View};
 
 /// Time between two calls of [`Membership::tick`].
 pub const TICK_TIME: Duration = Duration::from_millis(100);
 
-/// Gap between two ticks from which on this node itself was not running.
-const FROZEN_TIME: Duration = Duration::from_millis(700);
-
-/// Members that are asked to ping one that does not answer.
-const PING_REQUESTS: usize = 3;
-
-/// Time between two comparisons of views that should be equal.
-const COMPARE_TIME: Duration = Duration::from_secs(1);
-
-/// Time between two comparisons of a node that is still fetching its view.
-const JOIN_COMPARE_TIME: Duration = Duration::from_millis(200);
-
-/// Pages that answer a comparison in which most groups differ.
-const JOIN_PAGES: usize = 3;
-
 /// Members told by one that is about to leave.
 const FAREWELLS: usize = 8;
 
@@ -61,6 +48,8 @@
     changed: Moment,
     joined: bool,
     turn: usize,
+    /// Largest incarnation of this instance that others spoke of.
+    spoken_of: Option<Incarnation>,
 }
 
 /// Row of random numbers from one argument.
@@ -96,6 +85,7 @@
             changed: now,
             joined: false,
             turn: (roll >> 32) as usize % BUCKETS,
+            spoken_of: None,
         };
         membership.announce(now, own);
         membership
@@ -139,6 +129,20 @@
         self.view.digest()
     }
 
+    /// Number of changes of the view so far, those of suspicions included.
+    pub fn changes(&self) -> u64 {
+        self.view.changes()
+    }
+
+    /// Largest incarnation of this instance that others know and that is not this one.
+    ///
+    /// As long as there is one, all that this member says of itself is ignored: either another
+    /// process has taken its place, or it must announce itself with a larger incarnation.
+    pub fn newer_incarnation(&self) -> Option<Incarnation> {
+        let own = self.view.get(&self.own).map(|own| own.record.incarnation);
+        self.spoken_of.filter(|newer| Some(*newer) > own)
+    }
+
     /// Checks that the parts of the view agree and its bound holds.
     pub fn verify(&self) -> Result<(), ViewError> {
         self.view.verify()
@@ -221,96 +225,6 @@
         out
     }
 
-    /// After a gap nothing can be held against others for not having been heard.
-    fn allow_for_gap(&mut self, now: Moment) {
-        let gap = now.since(self.ticked);
-        self.ticked = now;
-        if gap >= FROZEN_TIME {
-            self.probes.drop_current();
-            self.view.extend_suspicions(gap);
-        }
-    }
-
-    fn suspect(&mut self, now: Moment, silent: Option<InstanceId>) {
-        let Some(entry) = silent.and_then(|instance| self.view.get(&instance)) else { return };
-        let report = VerdictReport { verdict: Verdict::Suspect, ..entry.report() };
-        if self.view.apply_verdict(now, &report) == Applied::News {
-            self.note(now, &report.instance, Shape::Verdict, true);
-        }
-    }
-
-    fn probe_next(&mut self, now: Moment, rolls: &mut Rolls, out: &mut Vec<Outgoing>) {
-        let Some(target) = self.next_of_round(rolls) else { return };
-        let probe = self.probes.start(now, target.instance.clone());
-        self.ping(target, probe, out);
-    }
-
-    /// Each round visits every live member once, in a new order.
-    fn next_of_round(&mut self, rolls: &mut Rolls) -> Option<Peer> {
-        if self.probes.round.is_empty() {
-            let live = self.live(None).map(|entry| entry.record.instance.clone());
-            let mut round: Vec<InstanceId> = live.collect();
-            for idx in (1..round.len()).rev() {
-                round.swap(idx, rolls.below(idx + 1));
-            }
-            self.probes.round = round;
-        }
-        while let Some(instance) = self.probes.round.pop() {
-            if let Some(entry) = self.view.get(&instance).filter(|entry| entry.is_live()) {
-                return Some(entry.record.peer());
-            }
-        }
-        None
-    }
-
-    /// Pings lost members too, each about once a second by all others together, so that the two
-    /// sides of a cut find each other again.
-    fn ping_lost(&mut self, rolls: &mut Rolls, out: &mut Vec<Outgoing>) {
-        let census = self.view.census();
-        if census.lost == 0 || rolls.below(census.lost + census.live) >= census.lost {
-            return;
-        }
-        let nth = rolls.below(census.lost);
-        let lost = self.view.entries().filter(|entry| is_lost(entry)).nth(nth);
-        if let Some(target) = lost.map(|entry| entry.record.peer()) {
-            let probe = self.probes.fresh_id();
-            self.ping(target, probe, out);
-        }
-    }
-
-    fn ping(&mut self, to: Peer, probe: ProbeId, out: &mut Vec<Outgoing>) {
-        let changes = self.changes_for(&to.instance, None);
-        let message = Message::Ping { probe, digest: self.digest(), changes };
-        out.push(Outgoing { to, message });
-    }
-
-    fn ping_for(
-        &mut self,
-        now: Moment,
-        from: &Peer,
-        asked: ProbeId,
-        target: &InstanceId,
-        out: &mut Vec<Outgoing>,
-    ) {
-        let Some(to) = self.view.get(target).map(|entry| entry.record.peer()) else { return };
-        if let Some(probe) = self.probes.relay(now, from.clone(), asked) {
-            self.ping(to, probe, out);
-        }
-    }
-
-    fn ask_others(
-        &self,
-        probe: ProbeId,
-        target: &InstanceId,
-        rolls: &mut Rolls,
-        out: &mut Vec<Outgoing>,
-    ) {
-        for to in self.pick_live(rolls, PING_REQUESTS, Some(target)) {
-            let message = Message::PingRequest { probe, target: target.clone() };
-            out.push(Outgoing { to, message });
-        }
-    }
-
     fn push(&mut self, now: Moment, rolls: &mut Rolls, out: &mut Vec<Outgoing>) {
         let changes = self.spread.push(now, &self.view);
         if changes.is_empty() {
@@ -321,90 +235,6 @@
         }
     }
 
-    /// Fetches the view of others until it is the same as one of theirs.
-    fn fetch(&mut self, now: Moment, rolls: &mut Rolls, out: &mut Vec<Outgoing>) {
-        if self.joined || now.since(self.compared) < JOIN_COMPARE_TIME {
-            return;
-        }
-        self.compared = now;
-        for to in self.pick_live(rolls, 1, None) {
-            let message = Message::Compare { buckets: self.view.buckets().to_vec() };
-            out.push(Outgoing { to, message });
-        }
-    }
-
-    fn compare(&mut self, now: Moment, to: &Peer, digest: u32, out: &mut Vec<Outgoing>) {
-        if digest == self.digest() {
-            self.joined = true;
-            return;
-        }
-        // While changes are on their way, views differ without anything being wrong.
-        let quiet = now.since(self.changed) >= COMPARE_TIME;
-        if quiet && now.since(self.compared) >= COMPARE_TIME {
-            self.compared = now;
-            let message = Message::Compare { buckets: self.view.buckets().to_vec() };
-            out.push(Outgoing { to: to.clone(), message });
-        }
-    }
-
-    fn answer_compare(&mut self, from: &Peer, buckets: &[u32], out: &mut Vec<Outgoing>) {
-        let own = self.view.buckets();
-        let turns = (0..BUCKETS).map(|idx| (idx + self.turn) % BUCKETS);
-        let differing: Vec<usize> =
-            turns.filter(|&idx| buckets.get(idx) != Some(&own[idx])).collect();
-        let pages = if differing.len() > BUCKETS / 2 { JOIN_PAGES } else { 1 };
-        for &bucket in differing.iter().take(pages) {
-            out.push(Outgoing { to: from.clone(), message: self.page(bucket, true) });
-            self.turn = (bucket + 1) % BUCKETS;
-        }
-    }
-
-    fn page(&self, bucket: usize, answer: bool) -> Message {
-        let mut room = CHANGE_BYTES;
-        let mut entries = Vec::new();
-        let group: Vec<&Entry> = self
-            .view
-            .entries()
-            .filter(|entry| entry.is_live() && bucket_of(&entry.record.instance) == bucket)
-            .collect();
-        let start = self.turn % group.len().max(1);
-        for entry in group.iter().cycle().skip(start).take(group.len()) {
-            let bytes = Change::Full(Box::new((*entry).clone())).bytes();
-            if bytes > room {
-                break;
-            }
-            room -= bytes;
-            entries.push((*entry).clone());
-        }
-        Message::Page { bucket: bucket as u8, entries, answer }
-    }
-
-    fn take_page(
-        &mut self,
-        now: Moment,
-        from: &Peer,
-        entries: Vec<Entry>,
-        out: &mut Vec<Outgoing>,
-    ) {
-        let mut room = CHANGE_BYTES;
-        let mut newer = Vec::new();
-        for entry in entries {
-            let instance = entry.record.instance.clone();
-            if self.absorb_one(now, Change::Full(Box::new(entry)), false, out) != Applied::Stale {
-                continue;
-            }
-            let Some(known) = self.view.get(&instance) else { continue };
-            let change = Change::Full(Box::new(known.clone()));
-            if let Some(left) = room.checked_sub(change.bytes()) {
-                room = left;
-                newer.push(change);
-            }
-        }
-        if !newer.is_empty() {
-            out.push(Outgoing { to: from.clone(), message: Message::Push { changes: newer } });
-        }
-    }
-
     /// Takes in changes; gives this member's own word if one of them takes it for a suspect.
     fn absorb(
         &mut self,
@@ -462,6 +292,7 @@
     fn refute(&mut self, now: Moment, report: &VerdictReport) -> Applied {
         let Some(own) = self.view.get(&self.own) else { return Applied::Known };
         let same = report.incarnation == own.record.incarnation;
+        self.spoken_of = self.spoken_of.max(Some(report.incarnation));
         if !same || report.verdict == Verdict::Alive || report.refutations < own.refutations {
             return if same { Applied::Known } else { Applied::Stale };
         }
--- /dev/null
+++ b/core/src/membership/compare.rs
@@ -0,0 +1,104 @@
+//! Comparison of two views group by group, which makes good whatever was lost.
+
+use std::time::Duration;
+
+use super::message::{BUCKETS, CHANGE_BYTES, Message, Outgoing};
+use super::record::{Change, Entry, Peer};
+use super::view::{Applied, bucket_of};
+use super::{Membership, Rolls};
+use crate::time::Moment;
+
+/// Time between two comparisons of views that should be equal.
+const COMPARE_TIME: Duration = Duration::from_secs(1);
+
+/// Time between two comparisons of a node that is still fetching its view.
+const JOIN_COMPARE_TIME: Duration = Duration::from_millis(200);
+
+/// Pages that answer a comparison in which most groups differ.
+const JOIN_PAGES: usize = 3;
+
+impl Membership {
+    /// Fetches the view of others until it is the same as one of theirs.
+    pub(super) fn fetch(&mut self, now: Moment, rolls: &mut Rolls, out: &mut Vec<Outgoing>) {
+        if self.joined || now.since(self.compared) < JOIN_COMPARE_TIME {
+            return;
+        }
+        self.compared = now;
+        for to in self.pick_live(rolls, 1, None) {
+            let message = Message::Compare { buckets: self.view.buckets().to_vec() };
+            out.push(Outgoing { to, message });
+        }
+    }
+
+    pub(super) fn compare(&mut self, now: Moment, to: &Peer, digest: u32, out: &mut Vec<Outgoing>) {
+        if digest == self.digest() {
+            self.joined = true;
+            return;
+        }
+        // While changes are on their way, views differ without anything being wrong.
+        let quiet = now.since(self.changed) >= COMPARE_TIME;
+        if quiet && now.since(self.compared) >= COMPARE_TIME {
+            self.compared = now;
+            let message = Message::Compare { buckets: self.view.buckets().to_vec() };
+            out.push(Outgoing { to: to.clone(), message });
+        }
+    }
+
+    pub(super) fn answer_compare(&mut self, from: &Peer, buckets: &[u32], out: &mut Vec<Outgoing>) {
+        let own = self.view.buckets();
+        let turns = (0..BUCKETS).map(|idx| (idx + self.turn) % BUCKETS);
+        let differing: Vec<usize> =
+            turns.filter(|&idx| buckets.get(idx) != Some(&own[idx])).collect();
+        let pages = if differing.len() > BUCKETS / 2 { JOIN_PAGES } else { 1 };
+        for &bucket in differing.iter().take(pages) {
+            out.push(Outgoing { to: from.clone(), message: self.page(bucket, true) });
+            self.turn = (bucket + 1) % BUCKETS;
+        }
+    }
+
+    pub(super) fn page(&self, bucket: usize, answer: bool) -> Message {
+        let mut room = CHANGE_BYTES;
+        let mut entries = Vec::new();
+        let group: Vec<&Entry> = self
+            .view
+            .entries()
+            .filter(|entry| entry.is_live() && bucket_of(&entry.record.instance) == bucket)
+            .collect();
+        let start = self.turn % group.len().max(1);
+        for entry in group.iter().cycle().skip(start).take(group.len()) {
+            let bytes = Change::Full(Box::new((*entry).clone())).bytes();
+            if bytes > room {
+                break;
+            }
+            room -= bytes;
+            entries.push((*entry).clone());
+        }
+        Message::Page { bucket: bucket as u8, entries, answer }
+    }
+
+    pub(super) fn take_page(
+        &mut self,
+        now: Moment,
+        from: &Peer,
+        entries: Vec<Entry>,
+        out: &mut Vec<Outgoing>,
+    ) {
+        let mut room = CHANGE_BYTES;
+        let mut newer = Vec::new();
+        for entry in entries {
+            let instance = entry.record.instance.clone();
+            if self.absorb_one(now, Change::Full(Box::new(entry)), false, out) != Applied::Stale {
+                continue;
+            }
+            let Some(known) = self.view.get(&instance) else { continue };
+            let change = Change::Full(Box::new(known.clone()));
+            if let Some(left) = room.checked_sub(change.bytes()) {
+                room = left;
+                newer.push(change);
+            }
+        }
+        if !newer.is_empty() {
+            out.push(Outgoing { to: from.clone(), message: Message::Push { changes: newer } });
+        }
+    }
+}
--- a/core/src/membership/view.rs
+++ b/core/src/membership/view.rs
@@ -62,6 +62,7 @@
     service: Name,
     members: BTreeMap<InstanceId, Known>,
     buckets: [u32; BUCKETS],
+    changes: u64,
 }
 
 /// Inconsistency that [`View::verify`] found.
@@ -95,7 +96,7 @@
 
 impl View {
     pub(crate) fn new(service: Name) -> Self {
-        Self { service, members: BTreeMap::new(), buckets: [0; BUCKETS] }
+        Self { service, members: BTreeMap::new(), buckets: [0; BUCKETS], changes: 0 }
     }
 
     pub(crate) fn get(&self, instance: &InstanceId) -> Option<&Entry> {
@@ -110,6 +111,10 @@
         &self.buckets
     }
 
+    pub(crate) const fn changes(&self) -> u64 {
+        self.changes
+    }
+
     pub(crate) fn digest(&self) -> u32 {
         self.buckets
             .iter()
@@ -207,8 +212,10 @@
 
     /// Forgets members that have been gone for long.
     pub(crate) fn forget_gone(&mut self, now: Moment) {
+        let before = self.members.len();
         self.members
             .retain(|_, known| known.entry.is_live() || now.since(known.since) < TOMBSTONE_TIME);
+        self.changes += u64::from(self.members.len() != before);
     }
 
     /// Checks the hashes and the bound.
@@ -233,6 +240,7 @@
     }
 
     pub(crate) fn put(&mut self, now: Moment, entry: Entry) {
+        self.changes += 1;
         let bucket = &mut self.buckets[bucket_of(&entry.record.instance)];
         *bucket ^= entry_hash(&entry);
         let instance = entry.record.instance.clone();
--- a/core/tests/membership.rs
+++ b/core/tests/membership.rs
@@ -8,8 +8,8 @@
 
 use group::{Group, ZONES};
 use poplar_core::{
-    Follower, Incarnation, MemberRecord, MemberState, MemberVerdict, Membership, Message, Moment,
-    SampleRequest,
+    Change, Follower, Incarnation, MemberRecord, MemberState, MemberVerdict, Membership, Message,
+    Moment, SampleRequest, VerdictReport,
 };
 
 const SEEDS: [u64; 3] = [11, 12, 13];
@@ -144,6 +144,35 @@
     own.verify().expect("consistent");
 }
 
+#[test]
+fn a_suspicion_counts_as_a_change_and_a_newer_incarnation_of_the_own_instance_is_told() {
+    let now = Moment::from_millis(1);
+    let mut own = Membership::new(now, member("a", 5, 1), 0);
+    own.seed(now, [member("b", 1, 1)]);
+    let (changes, digest) = (own.changes(), own.digest());
+    let suspect = VerdictReport {
+        instance: "b".into(),
+        incarnation: Incarnation(1),
+        refutations: 0,
+        verdict: MemberVerdict::Suspect,
+    };
+    let newer = VerdictReport {
+        instance: "a".into(),
+        incarnation: Incarnation(6),
+        verdict: MemberVerdict::Alive,
+        ..suspect.clone()
+    };
+    let from = member("b", 1, 1).peer();
+    let push = |report| Message::Push { changes: vec![Change::Verdict(report)] };
+    own.receive(now, &from, push(suspect));
+    assert!(own.changes() > changes && own.digest() == digest);
+    assert_eq!(own.newer_incarnation(), None);
+    own.receive(now, &from, push(newer));
+    assert_eq!(own.newer_incarnation(), Some(Incarnation(6)));
+    own.announce(now, member("a", 7, 1));
+    assert_eq!(own.newer_incarnation(), None);
+}
+
 #[test]
 fn garbage_and_floods_leave_the_view_consistent_and_bounded() {
     let now = Moment::from_millis(1);
--- a/node/src/members.rs
+++ b/node/src/members.rs
@@ -51,7 +51,7 @@
 #[derive(Default)]
 struct State {
     view: Option<Membership>,
-    digest: u32,
+    changes: u64,
     followers: BTreeMap<Name, Follower>,
 }
 
@@ -142,10 +142,10 @@
     /// Puts the view into the directory whenever it changed.
     fn publish_view(&self, state: &mut State) {
         let Some(view) = state.view.as_ref() else { return };
-        if state.digest == view.digest() {
+        if state.changes == view.changes() {
             return;
         }
-        state.digest = view.digest();
+        state.changes = view.changes();
         for entry in view.entries() {
             let doubted = entry.verdict != MemberVerdict::Alive;
             self.directory.learn(entry.record.clone());
