--- a/core/src/membership/view.rs
+++ b/core/src/membership/view.rs
@@ -65,7 +65,7 @@
     changes: u64,
 }
 
-/// Inconsistency that [`View::verify`] found.
+/// Inconsistency that `View::verify` found.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum ViewError {
     /// The hash of a group is not that of its members.
