Keep the budget and the binding of a request id with one member

Cause: a caller's re-send to another entry got a fresh retry budget, and a caller without a kept binding could have two minted for one request. Ruled out: asking the keeper for every first send (one more hop for each call): the bound is split instead, the first entry holds one part and the keeper the other. A ledger for bound re-sends was ruled out as well, since they join the one run. Before: unbounded re-sends through other entries.

--- a/core/src/binding/binder.rs
+++ b/core/src/binding/binder.rs
@@ -7,6 +7,8 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::Binding;
 use crate::ids::{InstanceId, RequestId, rendezvous_weight};
 use crate::outcome::ErrorKind;
@@ -28,7 +30,7 @@
 }
 
 /// Answer of a binder.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum BinderAnswer {
     /// Send the request under this binding, and no other.
     Bound(Binding),
--- a/node/src/ends/caller.rs
+++ b/node/src/ends/caller.rs
@@ -81,6 +81,7 @@
             .map(Duration::from_millis),
         parent: parsed(headers, header::PARENT, |text| text.parse().ok())?,
         binding: parsed(headers, header::BINDING, parse_binding)?,
+        first: parsed(headers, header::FIRST, |text| text.parse().ok())?,
         body,
     })
 }
--- a/node/src/ends/peer.rs
+++ b/node/src/ends/peer.rs
@@ -22,6 +22,7 @@
 use crate::directory::Directory;
 use crate::follow::{CONTRACTS_PATH, MEMBERS_PATH};
 use crate::handover::SUCCEED_PATH;
+use crate::keeper::{BINDING_PATH, CLOSE_PATH, Keeper, OPEN_PATH};
 use crate::members::{MEMBER_PATH, Members, SAMPLE_PATH};
 use crate::route::{ASK_PATH, BIND_PATH, CALL_PATH};
 use crate::suspects::{SUSPECTS_PATH, Suspects};
@@ -41,6 +42,7 @@
     pub(crate) directory: Arc<Directory>,
     pub(crate) members: Arc<Members>,
     pub(crate) suspects: Arc<Suspects>,
+    pub(crate) keeper: Arc<Keeper>,
 }
 
 /// Why a message got no answer.
@@ -90,7 +92,7 @@
 
 /// Answers one message; the path says which one it is.
 async fn dispatch(peers: &Peers, path: &str, body: &[u8]) -> Result<Bytes, MessageError> {
-    let Peers { work, contracts, directory, members, suspects } = peers;
+    let Peers { work, contracts, directory, members, suspects, keeper } = peers;
     let answer = match path {
         CALL_PATH => {
             let call: CallRequest = decode(body)?;
@@ -118,6 +120,15 @@
             suspects.merge(&decode::<Vec<SuspectReport>>(body)?);
             encode(&())
         }
+        OPEN_PATH => {
+            let (service, ask) = decode(body)?;
+            encode(&keeper.serve_open(&service, &ask))
+        }
+        CLOSE_PATH => {
+            keeper.serve_close(decode(body)?);
+            encode(&())
+        }
+        BINDING_PATH => encode(&keeper.serve_binding(&decode(body)?).await),
         _ => return Err(MessageError::UnknownPath),
     };
     Ok(answer?)
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -1,19 +1,20 @@
 //! Calls as callers and the own target hand them in: where a request gets its terms.
 
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use poplar_core::{
-    AttemptId, Binding, Budget, CallRule, ErrorKind, Grant, Lineage, Moment, Name, Outcome, Rank,
-    RequestId, call_rule, come_back_after,
+    AttemptId, BinderAnswer, Binding, Budget, Call, CallRule, ErrorKind, Grant, Lineage, Moment,
+    Name, OpenRequest, Opening, Outcome, Rank, RequestId, Run, call_rule, come_back_after,
 };
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
 use poplar_wire::{Answer, CallMeta};
 use serde_json::{Value, json};
 
 use crate::contracts::{Contracts, InForce, Terms};
+use crate::keeper::{BindingRequest, CloseRequest, Keeper};
 use crate::levels::Levels;
 use crate::metrics::Metrics;
 use crate::route::{Delivered, Delivery, Route};
@@ -32,6 +33,8 @@
     pub(crate) left: Option<Duration>,
     pub(crate) parent: Option<RequestId>,
     pub(crate) binding: Option<Binding>,
+    /// Whether this is the first send of the request id; `None` if the caller doesn't say.
+    pub(crate) first: Option<bool>,
     pub(crate) body: Bytes,
 }
 
@@ -50,6 +53,7 @@
     clock: Clock,
     customer: Name,
     contracts: Arc<Contracts>,
+    keeper: Arc<Keeper>,
     levels: Arc<Levels>,
     metrics: Arc<Metrics>,
     runs: Arc<Runs>,
@@ -77,6 +81,7 @@
             clock,
             customer,
             contracts: registry.find("contracts")?,
+            keeper: registry.find("keeper")?,
             levels: registry.find("levels")?,
             metrics: registry.find("metrics")?,
             runs: registry.find("runs")?,
@@ -141,9 +146,8 @@
             }
         }
         if once && binding.is_none() {
-            let binding = self.route.offer(&class.service).await.ok_or(ErrorKind::NoTarget)?;
-            let refused = refuse(ErrorKind::BindingNeeded, false);
-            return Ok(Outbound { binding: Some(binding), ..refused });
+            let first = call.first == Some(true) || call.request.is_none();
+            return self.offer(class.service, request, first).await;
         }
         let meta = CallMeta {
             customer: contract.contract.customer.clone(),
@@ -168,8 +172,73 @@
             siblings: 1,
             body: call.body,
         };
-        let budget = Mutex::new(Budget::grant(class.retries));
-        Ok(self.route.deliver(delivery, &budget).await.into())
+        let first = once || call.first == Some(true) || call.request.is_none();
+        match first {
+            true => Ok(self.deliver_first(delivery, class.retries).await),
+            false => self.deliver_again(delivery, class.retries, call.first.is_none()).await,
+        }
+    }
+
+    /// Binding of a once-only request from its keeper, for the caller to send with.
+    async fn offer(
+        &self,
+        service: Name,
+        request: RequestId,
+        first: bool,
+    ) -> Result<Outbound, ErrorKind> {
+        let ask = BindingRequest { service, request, first };
+        let answer = self.keeper.binding(&ask).await.ok_or(ErrorKind::NoTarget)?;
+        Ok(match answer {
+            BinderAnswer::Bound(binding) => {
+                let refused = refuse(ErrorKind::BindingNeeded, false);
+                Outbound { binding: Some(binding), ..refused }
+            }
+            BinderAnswer::NotRun(kind) => refuse(kind, false),
+            BinderAnswer::Unknown(kind) => refuse(kind, true),
+        })
+    }
+
+    /// Delivers the first send of a request.
+    ///
+    /// Part of the retry bound stays with the keeper of the request id, for the caller's own
+    /// re-sends; so nobody has to be asked here.
+    async fn deliver_first(&self, delivery: Delivery, retries: u32) -> Outbound {
+        let budget = Mutex::new(Budget::grant(retries - kept_back(retries)));
+        self.route.deliver(delivery, &budget, Call::new()).await.into()
+    }
+
+    /// Delivers a send that may not be the first, with what the request's keeper has left.
+    ///
+    /// `unmarked` says that the caller does not tell first sends from others.
+    async fn deliver_again(
+        &self,
+        delivery: Delivery,
+        retries: u32,
+        unmarked: bool,
+    ) -> Result<Outbound, ErrorKind> {
+        let (service, request) = (delivery.service.clone(), delivery.meta.request);
+        let ask = OpenRequest {
+            request,
+            retries: if unmarked { retries } else { kept_back(retries) },
+            first: false,
+            deadline: delivery.meta.left,
+        };
+        let run = match self.keeper.open(&service, &ask).await {
+            Some(Opening::Run(run)) => run,
+            Some(Opening::Running) => return Ok(refuse(ErrorKind::Connection, true)),
+            Some(Opening::Spent { ran }) => return Ok(refuse(ErrorKind::RetriesSpent, ran)),
+            Some(Opening::Full) => return Err(ErrorKind::Overload),
+            None => return Err(ErrorKind::NoTarget),
+        };
+        let Run { number, budget, call } = run;
+        let sends = if unmarked || call.sends() > 0 { call } else { sent_before() };
+        let budget = Mutex::new(budget);
+        let done = self.route.deliver(delivery, &budget, sends).await;
+        let budget = budget.into_inner().unwrap_or_else(PoisonError::into_inner);
+        let Delivered { outcome, retry_after, offer, sends } = done;
+        let run = Run { number, budget, call: sends };
+        self.keeper.close(&service, CloseRequest { request, run }).await;
+        Ok(Outbound { outcome, retry_after, binding: offer })
     }
 
     async fn serve_child(&self, call: Inbound, token: RequestId) -> Result<Outbound, ErrorKind> {
@@ -200,8 +269,22 @@
         };
         let service = class.service;
         let delivery = Delivery { meta, rule, within, service, siblings: 1, body: call.body };
-        Ok(self.route.deliver(delivery, run.budget()).await.into())
+        Ok(self.route.deliver(delivery, run.budget(), Call::new()).await.into())
+    }
+}
+
+/// Part of a retry bound that the keeper of the request id holds for the caller's re-sends.
+const fn kept_back(retries: u32) -> u32 {
+    retries / 2
+}
+
+/// Sends of a request whose first send went through another entry, and may have run.
+fn sent_before() -> Call {
+    let mut call = Call::new();
+    if let Ok(loan) = call.send(&mut Budget::grant(0), 0) {
+        call.lost(loan);
     }
+    call
 }
 
 impl From<Delivered> for Outbound {
--- /dev/null
+++ b/node/src/keeper.rs
@@ -0,0 +1,202 @@
+//! Keeper of request ids: the retry budget that a caller's re-sends share, and the binding of a
+//! once-only request whose caller keeps none.
+//!
+//! Each request id has one keeper among the members of the class's service, whichever entry the
+//! caller sends to. See [retries](../../docs/design/retries.md) and
+//! [at most once](../../docs/design/at-most-once.md).
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use poplar_core::{
+    Binder, BinderAnswer, BinderLimits, Binding, Incarnation, InstanceId, Ledger, MemberRecord,
+    Moment, Name, OpenRequest, Opening, RequestId, Run, keeper,
+};
+use poplar_kernel::{Clock, Registry, RegistryError, Service};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::directory::Directory;
+use crate::links::Links;
+use crate::route::Route;
+
+/// Path of questions for the budget of a request.
+pub(crate) const OPEN_PATH: &str = "/budget/open";
+/// Path at which a budget is given back.
+pub(crate) const CLOSE_PATH: &str = "/budget/close";
+/// Path of questions for the binding of a request.
+pub(crate) const BINDING_PATH: &str = "/binding";
+/// Time for which a request id is remembered after its last use.
+const WINDOW: Duration = Duration::from_secs(600);
+/// Most request ids whose budgets are kept.
+const BUDGETS: usize = 16_384;
+/// Most request ids whose bindings are kept.
+const BINDINGS: usize = 16_384;
+/// Most members remembered after they left.
+const DEPARTED: usize = 512;
+/// Time within which a keeper answers.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Budget that an entry gives back.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct CloseRequest {
+    pub(crate) request: RequestId,
+    pub(crate) run: Run,
+}
+
+/// Question for the binding of a once-only request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct BindingRequest {
+    pub(crate) service: Name,
+    pub(crate) request: RequestId,
+    /// Whether the caller marked this as the first send of the id.
+    pub(crate) first: bool,
+}
+
+/// Service that keeps request ids, and asks the keepers of others.
+pub(crate) struct Keeper {
+    clock: Clock,
+    own: InstanceId,
+    directory: Arc<Directory>,
+    links: Arc<Links>,
+    route: Arc<Route>,
+    state: Mutex<State>,
+}
+
+struct State {
+    ledger: Ledger,
+    binder: Binder,
+    /// Members of the own service when last looked at.
+    members: BTreeSet<Seen>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Seen {
+    instance: InstanceId,
+    incarnation: Incarnation,
+}
+
+impl Keeper {
+    /// Service that finds what it needs in `registry`.
+    pub(crate) fn new(
+        clock: Clock,
+        own: InstanceId,
+        registry: &Registry,
+    ) -> Result<Self, RegistryError> {
+        let now = clock.now();
+        let limits = BinderLimits { keys: BINDINGS, departed: DEPARTED, hold: WINDOW };
+        let state = State {
+            ledger: Ledger::new(now, WINDOW, BUDGETS),
+            binder: Binder::new(now, own.clone(), limits),
+            members: BTreeSet::new(),
+        };
+        Ok(Self {
+            clock,
+            own,
+            directory: registry.find("directory")?,
+            links: registry.find("links")?,
+            route: registry.find("route")?,
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Asks the keeper of a request for its budget; `None` if there is no keeper to be reached.
+    pub(crate) async fn open(&self, service: &Name, ask: &OpenRequest) -> Option<Opening> {
+        let keeper = self.keeper_of(service, ask.request)?;
+        if keeper.instance == self.own {
+            return Some(self.serve_open(service, ask));
+        }
+        let message = (service, ask);
+        self.ask(&keeper, OPEN_PATH, &message).await
+    }
+
+    /// Gives the keeper back what a run left.
+    pub(crate) async fn close(&self, service: &Name, close: CloseRequest) {
+        let Some(keeper) = self.keeper_of(service, close.request) else { return };
+        if keeper.instance == self.own {
+            return self.serve_close(close);
+        }
+        // A run that is not closed counts as lost, with its units.
+        let _: Option<()> = self.ask(&keeper, CLOSE_PATH, &close).await;
+    }
+
+    /// Asks the keeper of a request for its binding; `None` if there is none to be had.
+    pub(crate) async fn binding(&self, ask: &BindingRequest) -> Option<BinderAnswer> {
+        let keeper = self.keeper_of(&ask.service, ask.request)?;
+        if keeper.instance == self.own {
+            return self.serve_binding(ask).await;
+        }
+        self.ask(&keeper, BINDING_PATH, ask).await?
+    }
+
+    /// Decides on the budget of a request that this node keeps.
+    pub(crate) fn serve_open(&self, service: &Name, ask: &OpenRequest) -> Opening {
+        let now = self.clock.now();
+        let mut state = self.note_members(now, service);
+        state.ledger.open(now, ask)
+    }
+
+    /// Takes back what a run left.
+    pub(crate) fn serve_close(&self, close: CloseRequest) {
+        let now = self.clock.now();
+        self.lock().ledger.close(now, close.request, close.run);
+    }
+
+    /// Gives the binding of a request that this node keeps.
+    pub(crate) async fn serve_binding(&self, ask: &BindingRequest) -> Option<BinderAnswer> {
+        let fresh: Binding = self.route.offer(&ask.service).await?;
+        let now = self.clock.now();
+        let mut state = self.note_members(now, &ask.service);
+        Some(state.binder.bind(now, ask.request, ask.first, fresh))
+    }
+
+    /// Notes which members came and went, since ids move between keepers with them.
+    fn note_members(&self, now: Moment, service: &Name) -> MutexGuard<'_, State> {
+        let members = self.directory.serving(service).into_iter();
+        let seen: BTreeSet<Seen> = members
+            .map(|member| Seen { instance: member.instance, incarnation: member.incarnation })
+            .collect();
+        let mut state = self.lock();
+        if state.members != seen {
+            let gone: Vec<Seen> = state.members.difference(&seen).cloned().collect();
+            gone.iter().for_each(|member| state.binder.member_left(now, &member.instance));
+            if !gone.is_empty() {
+                state.ledger.members_changed(now);
+            }
+            state.members = seen;
+        }
+        state
+    }
+
+    fn keeper_of(&self, service: &Name, request: RequestId) -> Option<MemberRecord> {
+        let members = self.directory.serving(service);
+        let instance = keeper(request, members.iter().map(|member| &member.instance))?.clone();
+        members.into_iter().find(|member| member.instance == instance)
+    }
+
+    async fn ask<M, A>(&self, keeper: &MemberRecord, path: &'static str, message: &M) -> Option<A>
+    where
+        M: Serialize,
+        A: serde::de::DeserializeOwned,
+    {
+        let peer = keeper.address.parse().ok()?;
+        let exchange = self.links.exchange(peer, path, message);
+        tokio::time::timeout(ASK_TIMEOUT, exchange).await.ok()?.ok()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Service for Keeper {
+    fn name(&self) -> &'static str {
+        "keeper"
+    }
+
+    fn dump(&self, _now: Moment) -> Value {
+        let state = self.lock();
+        json!({ "budgets": state.ledger.len(), "bindings": state.binder.len() })
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod gate;
 mod handover;
+mod keeper;
 mod levels;
 mod links;
 mod members;
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -21,6 +21,7 @@
 use crate::follow::Follower;
 use crate::gate::Gate;
 use crate::handover::Leaver;
+use crate::keeper::Keeper;
 use crate::levels::Levels;
 use crate::links::Links;
 use crate::members::Members;
@@ -152,6 +153,7 @@
     registry.register(work.clone());
     registry.register(Arc::new(Metrics::new(&registry)?));
     registry.register(Arc::new(Route::new(clock, own, &registry)?));
+    registry.register(Arc::new(Keeper::new(clock, instance.clone(), &registry)?));
     let entry = Arc::new(Entry::new(clock, settings.customer.clone(), &registry)?);
     registry.register(entry.clone());
     let announcer = Arc::new(Announcer::new(clock, identity, &registry, records)?);
@@ -209,6 +211,7 @@
         directory: services.registry.find("directory")?,
         members: services.registry.find("members")?,
         suspects: services.registry.find("suspects")?,
+        keeper: services.registry.find("keeper")?,
     });
     tokio::spawn(served.members.clone().run());
     let peers = listener::accept(sockets.peer, life.watch(), move |socket, graceful| {
--- a/node/src/route.rs
+++ b/node/src/route.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    AttemptId, Binding, Budget, CallRule, ErrorKind, Fate, InstanceId, Lineage, Moment, Name,
+    AttemptId, Binding, Budget, Call, CallRule, ErrorKind, Fate, InstanceId, Lineage, Moment, Name,
     Outcome, RequestId,
 };
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
@@ -73,6 +73,8 @@
     pub(crate) retry_after: Option<Duration>,
     /// Binding for the next send of an outside caller, where this one definitely did not run.
     pub(crate) offer: Option<Binding>,
+    /// Sends made for the call so far.
+    pub(crate) sends: Call,
 }
 
 /// How one send ended.
@@ -135,8 +137,15 @@
     }
 
     /// Delivers one call, sending it again as far as outcome, deadline and budget allow.
-    pub(crate) async fn deliver(&self, call: Delivery, budget: &Mutex<Budget>) -> Delivered {
-        Trip::new(self, call, budget).run().await
+    ///
+    /// `sends` are those that were made for the call before, by whichever entry.
+    pub(crate) async fn deliver(
+        &self,
+        call: Delivery,
+        budget: &Mutex<Budget>,
+        sends: Call,
+    ) -> Delivered {
+        Trip::new(self, call, budget, sends).run().await
     }
 
     /// Fresh binding to some target of `service`, for an outside caller to send with.
--- a/node/src/route/trip.rs
+++ b/node/src/route/trip.rs
@@ -28,6 +28,8 @@
     call: Delivery,
     budget: &'a Mutex<Budget>,
     sends: Call,
+    /// Sends made before this trip.
+    sent: u32,
     ties: Ties,
     tried: Vec<InstanceId>,
     /// Whether a send under the present binding ended unknown.
@@ -41,19 +43,25 @@
 }
 
 impl<'a> Trip<'a> {
-    /// Call that was not sent yet.
-    pub(super) fn new(route: &'a Route, call: Delivery, budget: &'a Mutex<Budget>) -> Self {
+    /// Call with the sends that were made for it before.
+    pub(super) fn new(
+        route: &'a Route,
+        call: Delivery,
+        budget: &'a Mutex<Budget>,
+        sends: Call,
+    ) -> Self {
         let ties = match (&call.rule, &call.meta.binding) {
             (CallRule::Free, _) => Ties::Free,
             (_, Some(binding)) => Ties::Given(binding.clone()),
             (_, None) => Ties::Unbound(Unbound::new()),
         };
         let deadline = route.clock.now() + call.meta.left;
-        let (sends, tried) = (Call::new(), Vec::new());
+        let tried = Vec::new();
         Self {
             route,
             call,
             budget,
+            sent: sends.sends(),
             sends,
             ties,
             tried,
@@ -74,7 +82,7 @@
                 return self.end(outcome);
             };
             let Ok(loan) = self.lend() else {
-                let outcome = last.unwrap_or_else(|| not_run(ErrorKind::RetriesSpent));
+                let outcome = last.unwrap_or_else(|| self.spent());
                 return self.end(outcome);
             };
             let meta = self.meta(&loan);
@@ -253,6 +261,12 @@
         released
     }
 
+    /// Outcome when nothing is left to pay for a send.
+    fn spent(&self) -> Outcome<Answer> {
+        let kind = ErrorKind::RetriesSpent;
+        if self.sends.may_have_run() { Outcome::Unknown { kind } } else { not_run(kind) }
+    }
+
     fn nobody(&self) -> Outcome<Answer> {
         match self.ties {
             Ties::Bound(_) | Ties::Given(_) => Outcome::Unknown { kind: ErrorKind::BindingLost },
@@ -280,13 +294,15 @@
 
     /// Ends the trip; an offer goes back only with the not run that it belongs to.
     fn end(self, outcome: Outcome<Answer>) -> Delivered {
-        self.route.metrics.resent(u64::from(self.sends.sends().saturating_sub(1)));
+        self.route.metrics.resent(u64::from(self.sends.sends().saturating_sub(self.sent.max(1))));
         let given = matches!(self.ties, Ties::Given(_));
         let refused = matches!(outcome, Outcome::NotRun { .. });
         let offer = self.offer.clone().filter(|_| given && refused);
         match self.final_step(outcome.clone()) {
-            Next::Final { outcome, retry_after } => Delivered { outcome, retry_after, offer },
-            Next::Resend => Delivered { outcome, retry_after: None, offer },
+            Next::Final { outcome, retry_after } => {
+                Delivered { outcome, retry_after, offer, sends: self.sends }
+            }
+            Next::Resend => Delivered { outcome, retry_after: None, offer, sends: self.sends },
         }
     }
 }
