Choose targets by core's chooser, and tell an advertised address

Cause: the node drew two members and compared its waiting calls only; zones, levels, cold targets and failed connections did not count. A relay in front of a node could not be told to others. Ruled out: syncing the chooser on each call; the directory numbers its changes instead. Before: calls in flight only. Conclusion: bound sends are not chosen and so not counted.

--- a/node/src/directory.rs
+++ b/node/src/directory.rs
@@ -28,6 +28,15 @@
     records: HashMap<InstanceId, Known>,
     /// Instances that a member of the service named last, if this node follows it.
     sample: Option<BTreeSet<InstanceId>>,
+    /// Grows with each change.
+    version: u64,
+}
+
+/// Members that take work, and the version of the group that they come from.
+#[derive(Debug)]
+pub(crate) struct Serving {
+    pub(crate) version: u64,
+    pub(crate) members: Vec<MemberRecord>,
 }
 
 /// What is known of one member.
@@ -56,6 +65,9 @@
         if let Some(known) = known.filter(|known| known.record.incarnation == record.incarnation) {
             known.doubted = doubted;
         }
+        if let Some(group) = services.get_mut(&record.service) {
+            group.version += 1;
+        }
     }
 
     /// Takes in the members that a member of `service` named for this node.
@@ -64,8 +76,9 @@
             return;
         }
         members.iter().for_each(|record| self.learn(record.clone()));
-        let sample = members.iter().map(|record| record.instance.clone()).collect();
+        let sample: BTreeSet<_> = members.iter().map(|record| record.instance.clone()).collect();
         if let Some(group) = self.write().get_mut(service) {
+            group.version += u64::from(group.sample.as_ref() != Some(&sample));
             group.sample = Some(sample);
         }
     }
@@ -76,6 +89,14 @@
         self.read().get(service).map(Group::serving).unwrap_or_default()
     }
 
+    /// Members of `service` that take work, if anything changed since `version`.
+    pub(crate) fn serving_since(&self, service: &Name, version: u64) -> Option<Serving> {
+        self.want(service);
+        let services = self.read();
+        let group = services.get(service).filter(|group| group.version != version)?;
+        Some(Serving { version: group.version, members: group.serving() })
+    }
+
     /// Services whose members were asked for.
     pub(crate) fn wanted(&self) -> Vec<Name> {
         let wanted = self.wanted.read().unwrap_or_else(PoisonError::into_inner);
@@ -150,6 +171,7 @@
         if known.is_none() && self.records.len() >= MEMBERS && !self.make_room() {
             return;
         }
+        self.version += 1;
         self.records.insert(record.instance.clone(), Known { record, doubted });
     }
 
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -128,7 +128,8 @@
 ) -> Result<(Services, mpsc::Receiver<String>), StartError> {
     let incarnation = first_incarnation();
     let instance = settings.instance.clone();
-    let peer_address = sockets.peer.local_addr()?;
+    let bound_address = sockets.peer.local_addr()?;
+    let peer_address = settings.advertised.unwrap_or(bound_address);
     let own = Sender { instance: instance.clone(), incarnation, address: peer_address.to_string() };
     let zone = settings.zone.clone();
     let identity =
@@ -152,7 +153,7 @@
     let work = Arc::new(Work::new(clock, &registry)?);
     registry.register(work.clone());
     registry.register(Arc::new(Metrics::new(&registry)?));
-    registry.register(Arc::new(Route::new(clock, own, &registry)?));
+    registry.register(Arc::new(Route::new(clock, own, zone.clone(), &registry)?));
     registry.register(Arc::new(Keeper::new(clock, instance.clone(), &registry)?));
     let entry = Arc::new(Entry::new(clock, settings.customer.clone(), &registry)?);
     registry.register(entry.clone());
--- a/node/src/route.rs
+++ b/node/src/route.rs
@@ -1,5 +1,6 @@
 //! Calls that this node sends to targets: the caller's half of a hop.
 
+mod targets;
 mod trip;
 
 use std::collections::HashMap;
@@ -10,8 +11,8 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    AttemptId, Binding, Budget, Call, CallRule, ErrorKind, Fate, InstanceId, Lineage, Moment, Name,
-    Outcome, RequestId,
+    AttemptId, Binding, Budget, Call, CallRule, ErrorKind, Fate, Importance, InstanceId, Lineage,
+    Moment, Name, Observed, Outcome, Rank, RequestId,
 };
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
 use poplar_wire::{
@@ -28,6 +29,7 @@
 use crate::metrics::Metrics;
 use crate::work::{Work, outcome_of};
 
+use targets::{Chosen, Targets};
 use trip::Trip;
 
 /// Path of calls between nodes.
@@ -87,12 +89,6 @@
     Asked(Fate<Answer>),
 }
 
-/// Call that waits at an instance, counted until it is dropped.
-struct Waiting<'a> {
-    counts: &'a Mutex<HashMap<InstanceId, u32>>,
-    instance: InstanceId,
-}
-
 /// Binding that an instance offered last.
 struct Heard {
     binding: Binding,
@@ -110,7 +106,7 @@
     metrics: Arc<Metrics>,
     work: Arc<Work>,
     attempts: AtomicU64,
-    waiting: Mutex<HashMap<InstanceId, u32>>,
+    targets: Targets,
     heard: Mutex<HashMap<InstanceId, Heard>>,
 }
 
@@ -119,6 +115,7 @@
     pub(crate) fn new(
         clock: Clock,
         own: Sender,
+        zone: Name,
         registry: &Registry,
     ) -> Result<Self, RegistryError> {
         Ok(Self {
@@ -131,7 +128,7 @@
             metrics: registry.find("metrics")?,
             work: registry.find("work")?,
             attempts: AtomicU64::new(1),
-            waiting: Mutex::default(),
+            targets: Targets::new(clock, zone),
             heard: Mutex::default(),
         })
     }
@@ -151,8 +148,9 @@
     /// Fresh binding to some target of `service`, for an outside caller to send with.
     pub(crate) async fn offer(&self, service: &Name) -> Option<Binding> {
         let mut tried = Vec::new();
+        let rank = Rank::at(Importance(u8::MAX), u16::MAX);
         loop {
-            let member = self.choose(service, &tried)?;
+            let member = self.targets.choose(&self.directory, service, rank, &tried)?.member;
             if let Some(binding) = self.ask_binding(&member).await {
                 return Some(binding);
             }
@@ -160,13 +158,6 @@
         }
     }
 
-    /// Member that is to get the next send, none of `tried`.
-    fn choose(&self, service: &Name, tried: &[InstanceId]) -> Option<MemberRecord> {
-        let mut members = self.directory.serving(service);
-        members.retain(|member| !tried.contains(&member.instance));
-        self.pick(members)
-    }
-
     /// Member that answers for `binding`: the bound one, or its successor once it left.
     fn bound_member(&self, service: &Name, binding: &Binding) -> Option<MemberRecord> {
         let member = self.directory.member(service, &binding.instance)?;
@@ -177,16 +168,6 @@
         Some(member)
     }
 
-    /// Less loaded of two members drawn at random, by the calls that wait there from here.
-    fn pick(&self, members: Vec<MemberRecord>) -> Option<MemberRecord> {
-        let waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        let load = |member: &MemberRecord| waiting.get(&member.instance).copied().unwrap_or(0);
-        let first = fastrand::choice(&members)?;
-        let second = fastrand::choice(&members)?;
-        let chosen = if load(second) < load(first) { second } else { first };
-        Some(chosen.clone())
-    }
-
     /// Binding that a member offers when asked.
     async fn ask_binding(&self, member: &MemberRecord) -> Option<Binding> {
         let offered = match member.instance == self.own.instance {
@@ -224,9 +205,11 @@
     }
 
     /// Sends the call to one member and learns from the reply.
-    async fn send(&self, member: &MemberRecord, meta: CallMeta, body: Bytes) -> Reply {
-        let deadline = self.clock.now() + meta.left;
+    async fn send(&self, chosen: &mut Chosen<'_>, meta: CallMeta, body: Bytes) -> Reply {
+        let begun = self.clock.now();
+        let deadline = begun + meta.left;
         let (class, customer) = (meta.class.clone(), meta.customer.clone());
+        let member = chosen.member.clone();
         let ask = AskRequest {
             sender: self.own.clone(),
             incarnation: member.incarnation,
@@ -235,19 +218,25 @@
             binding: meta.binding.clone(),
             left: meta.left,
         };
-        let _waiting = self.count(&member.instance);
         let call = CallRequest { sender: self.own.clone(), meta, body };
-        let exchange = tokio::time::timeout(ask.left, self.exchange(member, call)).await;
+        let exchange = tokio::time::timeout(ask.left, self.exchange(&member, call)).await;
         match exchange {
             Ok(Ok(reply)) if whole(&reply, ask.request, ask.attempt) => {
+                let latency = self.clock.now().since(begun);
+                chosen.observe(observed(&reply, latency));
                 self.levels.learn(&class, &member.instance, reply.level);
                 self.contracts.hint(&customer, reply.revision, &member.address);
                 self.hear(reply.offer.as_ref());
                 Reply::Whole(reply)
             }
             Ok(Ok(_)) => Reply::Asked(Fate::Unknown(ErrorKind::BadAnswer)),
-            Ok(Err(error)) if error.unseen() => Reply::Unseen,
-            Ok(Err(_)) => Reply::Asked(self.ask(member, ask, deadline).await),
+            Ok(Err(error)) => {
+                chosen.observe(Observed::Unreachable);
+                match error.unseen() {
+                    true => Reply::Unseen,
+                    false => Reply::Asked(self.ask(&member, ask, deadline).await),
+                }
+            }
             Err(_) => Reply::Asked(Fate::Unknown(ErrorKind::Deadline)),
         }
     }
@@ -285,23 +274,14 @@
     fn next_attempt(&self) -> AttemptId {
         AttemptId(self.attempts.fetch_add(1, Ordering::Relaxed))
     }
-
-    fn count(&self, instance: &InstanceId) -> Waiting<'_> {
-        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        *waiting.entry(instance.clone()).or_default() += 1;
-        Waiting { counts: &self.waiting, instance: instance.clone() }
-    }
 }
 
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(count) = counts.get_mut(&self.instance) {
-            *count -= 1;
-            if *count == 0 {
-                counts.remove(&self.instance);
-            }
-        }
+/// What a whole reply says of the target.
+fn observed(reply: &CallReply, latency: Duration) -> Observed {
+    match reply.outcome {
+        Outcome::Done(_) => Observed::Done { latency, level: reply.level },
+        Outcome::NotRun { .. } => Observed::Refused { level: reply.level },
+        Outcome::Unknown { .. } => Observed::GivenUp,
     }
 }
 
@@ -324,9 +304,6 @@
     }
 
     fn dump(&self, _now: Moment) -> Value {
-        let waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
-        let rows: std::collections::BTreeMap<_, _> =
-            waiting.iter().map(|(instance, count)| (instance.to_string(), *count)).collect();
-        json!({ "waiting": rows })
+        json!({ "next_attempt": self.attempts.load(Ordering::Relaxed) })
     }
 }
--- /dev/null
+++ b/node/src/route/targets.rs
@@ -0,0 +1,176 @@
+//! Targets of each service as this node's own calls show them.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use poplar_core::{
+    Chooser, Incarnation, InstanceId, MemberRecord, Moment, Name, Observed, Rank, TargetInfo,
+};
+use poplar_kernel::Clock;
+
+use crate::directory::Directory;
+
+/// Connections to a target's node that calls may take, as a multiple of its slots.
+///
+/// Calls share one connection there; the bound keeps one caller from filling a target's queue.
+const CALLS_PER_SLOT: u32 = 4;
+
+/// Choosers by service, kept in step with the directory.
+#[derive(Debug)]
+pub(super) struct Targets {
+    clock: Clock,
+    zone: Name,
+    groups: Mutex<HashMap<Name, Group>>,
+}
+
+#[derive(Debug)]
+struct Group {
+    version: u64,
+    chooser: Chooser,
+    members: BTreeMap<InstanceId, MemberRecord>,
+}
+
+/// Member that gets a send, counted as in flight there if it was chosen freely.
+pub(super) struct Chosen<'a> {
+    pub(super) member: MemberRecord,
+    flight: Option<Flight<'a>>,
+}
+
+/// Call in flight; counts as given up if it is dropped before anything was observed.
+struct Flight<'a> {
+    targets: &'a Targets,
+    service: Name,
+    instance: InstanceId,
+    observed: bool,
+}
+
+impl Targets {
+    /// Targets for a node in `zone`.
+    pub(super) fn new(clock: Clock, zone: Name) -> Self {
+        Self { clock, zone, groups: Mutex::default() }
+    }
+
+    /// Chooses a member of `service`, none of `tried`.
+    pub(super) fn choose(
+        &self,
+        directory: &Directory,
+        service: &Name,
+        rank: Rank,
+        tried: &[InstanceId],
+    ) -> Option<Chosen<'_>> {
+        let now = self.clock.now();
+        let mut groups = self.lock();
+        let group = self.group(&mut groups, directory, service);
+        let choice = group.chooser.choose(now, rank, fastrand::u64(..), tried)?;
+        let member = group.members.get(&choice.instance).cloned();
+        let flight = Flight {
+            targets: self,
+            service: service.clone(),
+            instance: choice.instance,
+            observed: false,
+        };
+        drop(groups);
+        Some(Chosen { member: member?, flight: Some(flight) })
+    }
+
+    /// Whether a member of `service` that was not tried is known.
+    pub(super) fn has_other(
+        &self,
+        directory: &Directory,
+        service: &Name,
+        tried: &[InstanceId],
+    ) -> bool {
+        let mut groups = self.lock();
+        let group = self.group(&mut groups, directory, service);
+        group.members.keys().any(|instance| !tried.contains(instance))
+    }
+
+    fn group<'a>(
+        &self,
+        groups: &'a mut HashMap<Name, Group>,
+        directory: &Directory,
+        service: &Name,
+    ) -> &'a mut Group {
+        let group = groups.entry(service.clone()).or_insert_with(|| Group {
+            version: 0,
+            chooser: Chooser::new(self.zone.clone()),
+            members: BTreeMap::new(),
+        });
+        if let Some(changed) = directory.serving_since(service, group.version) {
+            group.version = changed.version;
+            group.follow(changed.members);
+        }
+        group
+    }
+
+    fn observe(&self, now: Moment, service: &Name, instance: &InstanceId, observed: Observed) {
+        if let Some(group) = self.lock().get_mut(service) {
+            group.chooser.observe(now, instance, observed);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Name, Group>> {
+        self.groups.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Group {
+    /// Takes over the members that serve now; a new incarnation of one starts cold.
+    fn follow(&mut self, members: Vec<MemberRecord>) {
+        let members: BTreeMap<_, _> =
+            members.into_iter().map(|member| (member.instance.clone(), member)).collect();
+        let incarnation = |members: &BTreeMap<InstanceId, MemberRecord>, instance| {
+            members.get(instance).map(|member: &MemberRecord| member.incarnation)
+        };
+        for instance in self.members.keys() {
+            if incarnation(&members, instance).is_none() {
+                self.chooser.leave(instance);
+            }
+        }
+        for (instance, member) in &members {
+            let known: Option<Incarnation> = incarnation(&self.members, instance);
+            if known != Some(member.incarnation) {
+                self.chooser.join(info(member));
+            }
+        }
+        self.members = members;
+    }
+}
+
+impl Chosen<'_> {
+    /// Member that a binding names; nothing is chosen, so nothing is counted.
+    pub(super) const fn bound(member: MemberRecord) -> Self {
+        Self { member, flight: None }
+    }
+
+    /// Takes in what came of the send.
+    pub(super) fn observe(&mut self, observed: Observed) {
+        if let Some(flight) = self.flight.as_mut() {
+            flight.observe(observed);
+        }
+    }
+}
+
+impl Flight<'_> {
+    fn observe(&mut self, observed: Observed) {
+        if !std::mem::replace(&mut self.observed, true) {
+            let now = self.targets.clock.now();
+            self.targets.observe(now, &self.service, &self.instance, observed);
+        }
+    }
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        self.observe(Observed::GivenUp);
+    }
+}
+
+fn info(member: &MemberRecord) -> TargetInfo {
+    TargetInfo {
+        instance: member.instance.clone(),
+        zone: member.zone.clone(),
+        slots: member.slots.max(1),
+        connections: member.slots.max(1).saturating_mul(CALLS_PER_SLOT),
+    }
+}
--- a/node/src/route/trip.rs
+++ b/node/src/route/trip.rs
@@ -4,10 +4,12 @@
 
 use poplar_core::{
     Binding, Bound, Budget, Call, CallRule, CallTerms, ErrorKind, Evidence, Fate, InstanceId,
-    Lineage, Loan, Moment, Next, Outcome, Resend, RetriesSpent, Unbound, bound_resend, next_step,
+    Lineage, Loan, Moment, Next, Observed, Outcome, Rank, Resend, RetriesSpent, Unbound,
+    bound_resend, next_step,
 };
 use poplar_wire::{Answer, CallMeta, MemberRecord};
 
+use super::targets::Chosen;
 use super::{Delivered, Delivery, Reply, Route, not_run, outcome_of};
 
 /// Binding that the next send is to carry.
@@ -77,7 +79,7 @@
     pub(super) async fn run(mut self) -> Delivered {
         let mut last = None;
         loop {
-            let Some(member) = self.next_member().await else {
+            let Some(mut chosen) = self.next_member().await else {
                 let outcome = last.unwrap_or_else(|| self.nobody());
                 return self.end(outcome);
             };
@@ -86,8 +88,8 @@
                 return self.end(outcome);
             };
             let meta = self.meta(&loan);
-            self.tried.push(member.instance.clone());
-            let reply = self.route.send(&member, meta, self.call.body.clone()).await;
+            self.tried.push(chosen.member.instance.clone());
+            let reply = self.route.send(&mut chosen, meta, self.call.body.clone()).await;
             let outcome = self.settle(loan, reply);
             if !self.may_send_again(&outcome) {
                 return self.end(outcome);
@@ -97,30 +99,41 @@
     }
 
     /// Member for the next send; a once-only call is bound to it first.
-    async fn next_member(&mut self) -> Option<MemberRecord> {
+    async fn next_member(&mut self) -> Option<Chosen<'a>> {
         let service = &self.call.service;
-        match &self.ties {
+        let named = match &self.ties {
+            Ties::Unbound(_) => return self.bind().await,
             Ties::Free => match &self.isolation {
+                None => return self.choose(),
                 Some(target) => self.route.directory.member(service, target),
-                None => self.route.choose(service, &self.tried),
             },
             Ties::Bound(bound) => self.route.bound_member(service, bound.binding()),
             Ties::Given(binding) => self.route.bound_member(service, binding),
-            Ties::Unbound(_) => self.bind().await,
-        }
+        };
+        named.map(Chosen::bound)
+    }
+
+    /// Member that is to get the next send, none of those that were tried.
+    fn choose(&self) -> Option<Chosen<'a>> {
+        let meta = &self.call.meta;
+        let rank = Rank::of(meta.importance, meta.root);
+        let route = self.route;
+        route.targets.choose(&route.directory, &self.call.service, rank, &self.tried)
     }
 
     /// Mints the binding for the next send.
-    async fn bind(&mut self) -> Option<MemberRecord> {
+    async fn bind(&mut self) -> Option<Chosen<'a>> {
         loop {
-            let member = self.route.choose(&self.call.service, &self.tried)?;
-            if self.try_bind(&member) {
-                return Some(member);
+            let mut chosen = self.choose()?;
+            if self.try_bind(&chosen.member) {
+                return Some(chosen);
             }
-            if self.route.ask_binding(&member).await.is_some() && self.try_bind(&member) {
-                return Some(member);
+            let asked = self.route.ask_binding(&chosen.member).await;
+            if asked.is_some() && self.try_bind(&chosen.member) {
+                return Some(chosen);
             }
-            self.tried.push(member.instance);
+            chosen.observe(Observed::Unreachable);
+            self.tried.push(chosen.member.instance.clone());
         }
     }
 
@@ -276,8 +289,8 @@
 
     /// Whether a target that was not tried may take the call.
     fn elsewhere(&self) -> bool {
-        let members = self.route.directory.serving(&self.call.service);
-        members.iter().any(|member| !self.tried.contains(&member.instance))
+        let route = self.route;
+        route.targets.has_other(&route.directory, &self.call.service, &self.tried)
     }
 
     fn binding(&self) -> Option<&Binding> {
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -45,6 +45,12 @@
         default: None,
         doc: "Where the own target announces itself and operators look; best on loopback.",
     },
+    Setting {
+        name: "advertised_address",
+        kind: Kind::Addresses,
+        default: Some("[]"),
+        doc: "Where other nodes reach this one, if that is not its peer_address; one at most.",
+    },
     Setting {
         name: "log_address",
         kind: Kind::Address,
@@ -80,6 +86,7 @@
     pub(crate) caller_address: SocketAddr,
     pub(crate) peer_address: SocketAddr,
     pub(crate) admin_address: SocketAddr,
+    pub(crate) advertised: Option<SocketAddr>,
     pub(crate) log_address: SocketAddr,
     pub(crate) peers: Vec<SocketAddr>,
     pub(crate) log_retention_s: u64,
@@ -99,6 +106,7 @@
             caller_address: values.address("caller_address")?,
             peer_address: values.address("peer_address")?,
             admin_address: values.address("admin_address")?,
+            advertised: values.addresses("advertised_address")?.first().copied(),
             log_address: values.address("log_address")?,
             peers: values.addresses("peers")?,
             log_retention_s: values.count("log_retention_s")?,
