Start what has a slot before refusing what stands below the level

Before: admission-deadline.txt line 18: expected "patient runs", found "patient is refused as not run (overload)".

--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -239,9 +239,6 @@
     fn release(&mut self, now: Moment) -> Release {
         self.advance(now);
         let mut release = Release::default();
-        for below in self.take_below_floor() {
-            release.refuse.push(self.refusal(&below, ErrorKind::Overload));
-        }
         for late in self.queue.take_late(now) {
             release.refuse.push(self.refusal(&late, ErrorKind::Deadline));
         }
@@ -251,6 +248,9 @@
             self.running.insert(next.ticket, next.rank.importance());
             release.start.push(next.ticket);
         }
+        for below in self.take_below_floor() {
+            release.refuse.push(self.refusal(&below, ErrorKind::Overload));
+        }
         release
     }
 
