--- a/core/tests/fold/publish.rs
+++ b/core/tests/fold/publish.rs
@@ -2,7 +2,7 @@
 
 use poplar_core::{
     ContractRecord, Fold, MAX_PUBLISHED, Moment, Offset, PublishAction, PublishPlan, PublishResult,
-    Publisher, ReadAction, Revision, Verdict,
+    Publisher, ReadAction, Revision, Verdict, publish_id,
 };
 
 use crate::log::{Log, contract, customer, fold_of, publish};
@@ -185,3 +185,24 @@
     let lost = PublishResult::Superseded { base: Revision(0), current: Revision(1) };
     assert_eq!(result, lost);
 }
+
+#[test]
+fn a_base_ahead_of_what_is_in_force_is_told_and_nothing_is_sent() {
+    let mut world = World::new(&[]);
+    world.log.append(publish(7, 0));
+    let publisher = world.publisher(1, Some(2));
+    let unknown = PublishResult::UnknownBase { base: Revision(2), current: Revision(1) };
+    assert_eq!(world.run(publisher), unknown);
+    assert_eq!(world.log.end(), 1);
+}
+
+#[test]
+fn an_act_that_came_before_its_base_is_settled_once_the_base_is_reached() {
+    let mut world = World::new(&[]);
+    let plan = world.publisher(1, Some(1));
+    let id = publish_id(&customer(), Revision(1), &1_u64.to_le_bytes());
+    let early = ContractRecord::Publish { id, base: Revision(1), contract: contract(1) };
+    world.log.append(early);
+    world.log.append(publish(7, 0));
+    assert_eq!(world.run(plan), accepted(2, 2));
+}
--- /dev/null
+++ b/model/tests/contracts.rs
@@ -0,0 +1,243 @@
+//! The model's runs, replayed through the real fold: same verdicts and states at each step.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use poplar_core::{
+    Contract, ContractRecord, Fold, Goal, Judged, LogBatch, LogEntry, LogReader, Moment, Name,
+    Offset, PublishId, ReadAction, Revision, Verdict,
+};
+use poplar_model::Model;
+use poplar_model::contracts::{
+    ACTS, Contracts, Event, FOUNDING, NODES, Record, Rule, Scope, State, Verdict as ModelVerdict,
+    World,
+};
+
+/// Runs replayed, and events in each.
+const RUNS: u64 = 4_000;
+const EVENTS: usize = 48;
+const SEED: u64 = 5_051_203;
+
+fn customer() -> Name {
+    Name::new("armor")
+}
+
+fn contract(act: u8) -> Arc<Contract> {
+    let services = vec![Name::new(&act.to_string())];
+    Arc::new(Contract {
+        customer: customer(),
+        goal: Goal::Recovery,
+        services,
+        classes: BTreeMap::new(),
+    })
+}
+
+/// Real folds by the model's state that they stand for.
+///
+/// A snapshot's real state is the fold that its author held, found again by its offset and line.
+#[derive(Default)]
+struct Folds {
+    known: Vec<(State, Fold)>,
+}
+
+impl Folds {
+    fn insert(&mut self, state: State, fold: &Fold) {
+        if self.known.iter().all(|(known, _)| *known != state) {
+            self.known.push((state, fold.clone()));
+        }
+    }
+
+    fn get(&self, state: State) -> Fold {
+        let found = self.known.iter().find(|(known, _)| *known == state);
+        found.expect("a state on the log was held by a reader before").1.clone()
+    }
+
+    fn record(&self, record: Record) -> ContractRecord {
+        match record {
+            Record::Publish { act, base } => ContractRecord::Publish {
+                id: PublishId(u128::from(act)),
+                base: Revision(u64::from(base)),
+                contract: contract(act),
+            },
+            Record::Snapshot(state) => {
+                ContractRecord::Snapshot { state: Box::new(self.get(state)) }
+            }
+            Record::Resume { expected, state } => ContractRecord::Resume {
+                expected: Offset(u64::from(expected)),
+                state: Box::new(self.get(state)),
+            },
+        }
+    }
+}
+
+/// Real readers beside the model's nodes.
+struct Replay {
+    readers: Vec<LogReader>,
+    folds: Folds,
+}
+
+impl Replay {
+    fn new(world: &World) -> Self {
+        let mut replay = Self { readers: Vec::new(), folds: Folds::default() };
+        replay.folds.insert(State::default(), &Fold::new());
+        for node in world.nodes {
+            let founding = Record::Publish { act: FOUNDING, base: 0 };
+            let mut fold = Fold::new();
+            fold.apply(Offset(0), &replay.folds.record(founding));
+            let mut reader = new_reader();
+            reader.on_peer(Moment::default(), &fold);
+            replay.folds.insert(node.state, &fold);
+            replay.readers.push(reader);
+        }
+        replay
+    }
+
+    fn step(&mut self, before: &World, event: Event) {
+        match event {
+            Event::Read(node) => self.read(before, node),
+            Event::Pull { node, peer } => {
+                // The model's nodes know the bounds of the log at once, real ones by a read.
+                self.hand_over(before, node, None);
+                let fold = self.readers[peer].fold().clone();
+                assert!(self.readers[node].on_peer(Moment::default(), &fold), "pull is taken");
+            }
+            Event::Crash(node) => self.readers[node] = new_reader(),
+            _ => {}
+        }
+    }
+
+    fn read(&mut self, before: &World, node: usize) {
+        let log = before.log;
+        let scan = before.nodes[node].scan.max(log.start);
+        let entry = log.get(scan).map(|record| LogEntry {
+            offset: Offset(u64::from(scan)),
+            record: Some(self.folds.record(record)),
+        });
+        let judged = self.hand_over(before, node, entry);
+        let mut state = before.nodes[node].state;
+        let expected = log.get(scan).map(|record| state.apply(Rule::default(), scan, &record));
+        assert_eq!(judged.first().map(|item| spelled(&item.verdict)), expected);
+    }
+
+    fn hand_over(&mut self, world: &World, node: usize, entry: Option<LogEntry>) -> Vec<Judged> {
+        let batch = LogBatch {
+            start: Offset(u64::from(world.log.start)),
+            end: Offset(u64::from(world.log.end())),
+            records: entry.into_iter().collect(),
+        };
+        self.readers[node].on_read(Moment::default(), 0, &batch)
+    }
+
+    fn compare(&mut self, world: &World) {
+        for (reader, node) in self.readers.iter_mut().zip(&world.nodes) {
+            let fold = reader.fold().clone();
+            self.folds.insert(node.state, &fold);
+            assert_eq!(fold.next(), Offset(u64::from(node.state.next)));
+            assert_eq!(fold.revision(&customer()).0, u64::from(node.state.line.revision()));
+            let body = fold.in_force(&customer()).map(|found| found.contract.clone());
+            assert_eq!(body, node.state.line.acts().last().map(|act| contract(*act)));
+            for act in 0..ACTS as u8 {
+                let word = fold.word(&customer(), PublishId(u128::from(act)));
+                let accepted = node.state.accepted(Rule::default(), act);
+                assert_eq!(word.accepted.map(|revision| revision.0), accepted.map(u64::from));
+            }
+            assert_eq!(reader.verify(), Ok(()));
+            assert_eq!(self.folds.get(node.state), fold, "equal offsets, equal states");
+        }
+    }
+
+    /// Where a reader reads next is where the model's node does, unless the log's start moved.
+    fn compare_scan(&mut self, world: &World) {
+        for (reader, node) in self.readers.iter_mut().zip(&world.nodes) {
+            let mut probe = reader.clone();
+            let mut action = probe.poll(Moment::from_millis(60_000), &[]);
+            if action == ReadAction::Pull {
+                action = probe.poll(Moment::from_millis(60_000), &[]);
+            }
+            let ReadAction::Read { from, .. } = action else {
+                panic!("expected a read, got {action:?}");
+            };
+            let scan = Offset(u64::from(node.scan));
+            let start = Offset(u64::from(world.log.start));
+            assert_eq!(from.max(start), scan.max(start));
+        }
+    }
+}
+
+fn new_reader() -> LogReader {
+    let week = std::time::Duration::from_secs(7 * 86_400);
+    LogReader::new(Moment::default(), "reader".into(), week)
+}
+
+fn spelled(verdict: &Verdict) -> ModelVerdict {
+    match verdict {
+        Verdict::Accepted(revision) => ModelVerdict::Accepted(revision.0 as u8),
+        Verdict::Duplicate(revision) => ModelVerdict::Duplicate(revision.0 as u8),
+        Verdict::Superseded(current) => ModelVerdict::Superseded(current.0 as u8),
+        Verdict::Stale => ModelVerdict::Stale,
+        Verdict::SnapshotTaken => ModelVerdict::SnapshotTaken,
+        Verdict::SnapshotIgnored => ModelVerdict::SnapshotIgnored,
+        Verdict::Resumed => ModelVerdict::Resumed,
+        Verdict::ResumeIgnored => ModelVerdict::ResumeIgnored,
+        Verdict::Gap { .. } => ModelVerdict::Gap,
+        Verdict::Malformed(fault) => panic!("the model has no malformed records: {fault}"),
+    }
+}
+
+/// Next number of the splitmix64 sequence.
+fn draw(seed: &mut u64) -> usize {
+    *seed = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let mixed = (*seed ^ (*seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((mixed ^ (mixed >> 31)) >> 1) as usize
+}
+
+fn replay_runs(scope: Scope) -> BTreeMap<&'static str, usize> {
+    let model = Contracts { rule: Rule::default(), scope };
+    let mut seed = SEED;
+    let mut events = BTreeMap::new();
+    for _ in 0..RUNS {
+        let mut world = model.initial();
+        let mut replay = Replay::new(&world);
+        for _ in 0..EVENTS {
+            let steps = model.steps(&world);
+            if steps.is_empty() {
+                break;
+            }
+            let step = &steps[draw(&mut seed) % steps.len()];
+            replay.step(&world, step.event);
+            world = step.next;
+            replay.compare(&world);
+            replay.compare_scan(&world);
+            *events.entry(kind(step.event)).or_insert(0) += 1;
+        }
+    }
+    events
+}
+
+fn kind(event: Event) -> &'static str {
+    match event {
+        Event::Read(_) => "read",
+        Event::Pull { .. } => "pull",
+        Event::Crash(_) => "crash",
+        Event::LandResume(_) => "resume",
+        Event::Snapshot(_) => "snapshot",
+        Event::Expire => "expire",
+        _ => "other",
+    }
+}
+
+#[test]
+fn the_real_fold_follows_the_models_runs() {
+    assert_eq!(NODES, 2);
+    let wide = Scope { offsets: 12, appends: [2, 2], crashes: 2, loss: false };
+    let events = replay_runs(wide);
+    assert!(events.len() == 7, "some kind of event never came: {events:?}");
+}
+
+#[test]
+fn the_real_fold_follows_the_models_runs_behind_a_loss() {
+    let loss = Scope { offsets: 12, appends: [2, 2], crashes: 0, loss: true };
+    let events = replay_runs(loss);
+    assert!(events.contains_key("resume"), "no resume record came: {events:?}");
+}
