Take idle slots into account by how many are idle

Cause: one idle slot cut the remembered demand of refused calls by 0.3 per window, so the level fell open and the queue overflowed, in turns. Ruled out: none.

--- a/core/src/admission/pressure.rs
+++ b/core/src/admission/pressure.rs
@@ -27,8 +27,8 @@
 const QUEUE_WEIGHT: f64 = 0.1;
 /// Smallest part of an importance from which its rate is estimated.
 const VISIBLE_MIN: f64 = 0.02;
-/// Factor per window on the rates of hidden demand while slots stay idle.
-const IDLE_FACTOR: f64 = 0.7;
+/// Part of the rate of hidden demand that one window with every slot idle takes off.
+const IDLE_CUT: f64 = 0.4;
 /// Lots in one importance.
 const LOTS: f64 = 65_536.0;
 
@@ -157,7 +157,8 @@
 
     fn estimate(&mut self, span: Duration, load: Load) {
         let hidden = self.hidden();
-        let idle = load.queued == 0 && load.running < load.limit as usize;
+        let busy = (load.running + load.queued) as f64 / f64::from(load.limit.max(1));
+        let idle = (1.0 - busy).max(0.0);
         for demand in &mut self.demands {
             let visible = hidden.visible(demand.importance);
             let count = f64::from(std::mem::take(&mut demand.count));
@@ -169,8 +170,8 @@
                     (count + 1.0).sqrt() / (count + 1.0),
                 );
             }
-            if idle && visible < 1.0 {
-                demand.rate.scale(IDLE_FACTOR);
+            if visible < 1.0 {
+                demand.rate.scale(1.0 - IDLE_CUT * idle);
             }
         }
         let finished = f64::from(std::mem::take(&mut self.finished));
