Measure faults against the running processes

Cause: nothing had shown what the processes do when nodes die, freeze or go silent under load. Ruled out: a simulator of a cluster; the measure starts the real programs on loopback and a relay that silences open connections. Before: not measured. Conclusion: the counts of the targets decide what ran twice, not what the callers were told.

--- /dev/null
+++ b/bench/src/deployment.rs
@@ -0,0 +1,316 @@
+//! One customer's deployment as real processes on loopback, for measures under faults.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use poplar_core::Contract;
+use poplar_standins::{HttpClient, LogFaults, Relay, read_contract};
+
+/// Time within which every node must know every target.
+const JOIN_TRIES: u32 = 200;
+/// Pause between two looks.
+const JOIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a deployment could not be run.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum DeploymentError {
+    #[error("{what}: {source}")]
+    Io { what: String, source: std::io::Error },
+    #[error("{what}: no ready line")]
+    NotReady { what: String },
+    #[error("{0}")]
+    Contract(#[from] poplar_standins::ContractOptionError),
+    #[error("{0}")]
+    Http(#[from] poplar_standins::HttpError),
+    #[error("the members did not join")]
+    NotJoined,
+}
+
+/// Sizes of one service, as the brief gives them.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Sizes {
+    pub(crate) service: &'static str,
+    pub(crate) targets: usize,
+    pub(crate) slots: u32,
+    pub(crate) connections: u32,
+    pub(crate) service_ms: u64,
+}
+
+/// One customer's sizes and load.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Plan {
+    pub(crate) customer: &'static str,
+    pub(crate) zones: &'static [&'static str],
+    pub(crate) mix: &'static str,
+    pub(crate) services: &'static [Sizes],
+}
+
+/// Armor's four services.
+pub(crate) const ARMOR: Plan = Plan {
+    customer: "armor",
+    zones: &["rennes", "brest", "lorient", "vannes"],
+    mix: "read-listing=50,book-reminder=25,submit-change=15,correct-schedule=10",
+    services: &[
+        sizes("reminders", 4, 160, 1_100, 4),
+        sizes("corrections", 4, 160, 1_100, 4),
+        sizes("listings", 4, 20, 230, 6),
+        sizes("archives", 5, 130, 900, 3),
+    ],
+};
+
+/// Vatuvale's four services.
+pub(crate) const VATUVALE: Plan = Plan {
+    customer: "vatuvale",
+    zones: &["lautoka", "nadi", "labasa"],
+    mix: "show-cover=45,find-part=30,dispatch-mechanic=15,pay-grower=10",
+    services: &[
+        sizes("claims-office", 4, 260, 1_600, 4),
+        sizes("field-dispatch", 3, 340, 2_150, 4),
+        sizes("parts-counter", 3, 50, 400, 5),
+        sizes("policy-desk", 5, 200, 1_300, 3),
+    ],
+};
+
+const fn sizes(
+    service: &'static str,
+    targets: usize,
+    slots: u32,
+    connections: u32,
+    service_ms: u64,
+) -> Sizes {
+    Sizes { service, targets, slots, connections, service_ms }
+}
+
+/// Process that is killed when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Process {
+    child: Child,
+    ready: String,
+}
+
+/// Node, target and the relay in front of the node.
+#[derive(Debug)]
+pub(crate) struct Instance {
+    pub(crate) service: &'static str,
+    pub(crate) node: Process,
+    pub(crate) target: Process,
+    pub(crate) relay: Relay,
+}
+
+/// Running deployment.
+#[derive(Debug)]
+pub(crate) struct Deployment {
+    pub(crate) plan: Plan,
+    pub(crate) contract: Contract,
+    pub(crate) instances: Vec<Instance>,
+    log: Process,
+    directory: PathBuf,
+}
+
+impl Process {
+    fn start(program: &str, args: &[String]) -> Result<Self, DeploymentError> {
+        let path = binary(program)?;
+        let io = |source| DeploymentError::Io { what: program.to_owned(), source };
+        let mut child = Command::new(path)
+            .args(args)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .map_err(io)?;
+        let mut ready = String::new();
+        if let Some(out) = child.stdout.take() {
+            BufReader::new(out).read_line(&mut ready).map_err(io)?;
+        }
+        if !ready.starts_with("ready ") {
+            return Err(DeploymentError::NotReady { what: program.to_owned() });
+        }
+        Ok(Self { child, ready })
+    }
+
+    /// Value of a field of the ready line.
+    pub(crate) fn field(&self, key: &str) -> String {
+        let fields = self.ready.split_whitespace().filter_map(|field| field.split_once('='));
+        let found = fields.into_iter().find(|(name, _)| *name == key);
+        found.map(|(_, value)| value.to_owned()).unwrap_or_default()
+    }
+
+    /// Sends a signal by its name, as in `STOP`.
+    pub(crate) fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        // A process that is gone needs no signal.
+        let _ = Command::new("kill").arg(format!("-{name}")).arg(pid).status();
+    }
+
+    /// Waits for the end and gives the exit code.
+    pub(crate) fn wait(&mut self) -> Option<i32> {
+        self.child.wait().ok()?.code()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A process that is gone cannot be killed.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Deployment {
+    /// Starts log, nodes and targets, publishes the contract and waits until all know each other.
+    pub(crate) async fn start(plan: Plan, relayed: bool) -> Result<Self, DeploymentError> {
+        let contract = read_contract(&contract_path(&plan))?;
+        let log = Process::start("poplar-log", &[])?;
+        let directory = std::env::temp_dir().join(format!("poplar-bench-{}", std::process::id()));
+        let made = std::fs::create_dir_all(&directory);
+        made.map_err(|source| DeploymentError::Io { what: "settings".into(), source })?;
+        let mut this = Self { plan, contract, instances: Vec::new(), log, directory };
+        for sizes in plan.services {
+            for number in 0..sizes.targets {
+                let instance = this.start_instance(sizes, number, relayed).await?;
+                this.instances.push(instance);
+            }
+        }
+        this.publish().await?;
+        this.await_members().await?;
+        Ok(this)
+    }
+
+    /// Starts one more instance of a service, whose settings name an old one as a peer.
+    pub(crate) async fn start_instance(
+        &self,
+        sizes: &Sizes,
+        number: usize,
+        relayed: bool,
+    ) -> Result<Instance, DeploymentError> {
+        let relay = Relay::start().await;
+        let relay = relay.map_err(|source| DeploymentError::Io { what: "relay".into(), source })?;
+        let name = format!("{}-{number}", sizes.service);
+        let file = self.settings_file(&name, number, relayed.then_some(relay.address))?;
+        let node = Process::start("poplar-node", &["--settings".to_owned(), file])?;
+        if let Ok(peer) = node.field("peer").parse() {
+            relay.lead_to(peer);
+        }
+        let target = self.start_target(sizes, &node)?;
+        Ok(Instance { service: sizes.service, node, target, relay })
+    }
+
+    /// Starts a target beside a node.
+    pub(crate) fn start_target(
+        &self,
+        sizes: &Sizes,
+        node: &Process,
+    ) -> Result<Process, DeploymentError> {
+        let flag = |name: &str, value: String| [format!("--{name}"), value];
+        let args = [
+            flag("service", sizes.service.to_owned()),
+            flag("node-admin", node.field("admin")),
+            flag("node-caller", node.field("caller")),
+            flag("slots", sizes.slots.to_string()),
+            flag("connections", sizes.connections.to_string()),
+            flag("service-time-ms", sizes.service_ms.to_string()),
+            flag("contract", contract_path(&self.plan).display().to_string()),
+        ];
+        Process::start("poplar-target", &args.concat())
+    }
+
+    /// Switches faults of the log.
+    pub(crate) async fn set_log(&self, faults: &LogFaults) -> Result<(), DeploymentError> {
+        HttpClient::default().post(&self.log.field("address"), "/control", faults).await?;
+        Ok(())
+    }
+
+    /// Caller addresses of the nodes.
+    pub(crate) fn callers(&self) -> Vec<String> {
+        self.instances.iter().map(|instance| instance.node.field("caller")).collect()
+    }
+
+    /// Addresses of the targets.
+    pub(crate) fn targets(&self) -> Vec<String> {
+        self.instances.iter().map(|instance| instance.target.field("address")).collect()
+    }
+
+    fn settings_file(
+        &self,
+        name: &str,
+        number: usize,
+        advertised: Option<SocketAddr>,
+    ) -> Result<String, DeploymentError> {
+        let path = self.directory.join(format!("{name}.yaml"));
+        let zone = self.plan.zones[number % self.plan.zones.len()];
+        let peers: Vec<_> = self.instances.iter().take(3).map(|i| i.node.field("peer")).collect();
+        let advertised = advertised.map(|address| address.to_string()).unwrap_or_default();
+        let text = format!(
+            "instance: {name}\ncustomer: {}\nzone: {zone}\ncaller_address: 127.0.0.1:0\n\
+             peer_address: 127.0.0.1:0\nadmin_address: 127.0.0.1:0\nlog_address: {}\n\
+             peers: [{}]\nadvertised_address: [{advertised}]\n",
+            self.plan.customer,
+            self.log.field("address"),
+            peers.join(", "),
+        );
+        let written = std::fs::write(&path, text);
+        written.map_err(|source| DeploymentError::Io { what: name.to_owned(), source })?;
+        Ok(path.display().to_string())
+    }
+
+    async fn publish(&self) -> Result<(), DeploymentError> {
+        let record = serde_json::json!({
+            "kind": "publish",
+            "id": format!("{:032x}", 1),
+            "base": 0,
+            "contract": self.contract,
+        });
+        let log = self.log.field("address");
+        HttpClient::default().post(&log, "/streams/contracts/records", &record).await?;
+        Ok(())
+    }
+
+    /// Waits until every node knows the contract and every target.
+    async fn await_members(&self) -> Result<(), DeploymentError> {
+        let http = HttpClient::default();
+        for instance in &self.instances {
+            let admin = instance.node.field("admin");
+            let mut joined = false;
+            for _ in 0..JOIN_TRIES {
+                let state: serde_json::Value = http.get(&admin, "/state").await?.json()?;
+                if self.is_complete(&state) {
+                    joined = true;
+                    break;
+                }
+                tokio::time::sleep(JOIN_PAUSE).await;
+            }
+            if !joined {
+                return Err(DeploymentError::NotJoined);
+            }
+        }
+        Ok(())
+    }
+
+    fn is_complete(&self, state: &serde_json::Value) -> bool {
+        let rows = state["directory"].as_array().map(Vec::as_slice).unwrap_or_default();
+        let serving = rows.iter().filter(|row| row["state"] == "serving").count();
+        let in_force = state["contracts"]["in_force"].as_array().is_some_and(|c| !c.is_empty());
+        in_force && serving >= self.instances.len()
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // The directory holds settings files of processes that are gone.
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// Program of this workspace that was built beside this one.
+fn binary(program: &str) -> Result<PathBuf, DeploymentError> {
+    let own = std::env::current_exe();
+    let own = own.map_err(|source| DeploymentError::Io { what: program.to_owned(), source })?;
+    Ok(own.with_file_name(program))
+}
+
+fn contract_path(plan: &Plan) -> PathBuf {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    root.join("examples").join(format!("{}.yaml", plan.customer))
+}
--- /dev/null
+++ b/bench/src/faults.rs
@@ -0,0 +1,239 @@
+//! Faults against the running processes while load runs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use poplar_core::Name;
+use poplar_standins::{
+    CallerSettings, ClassLoad, Graph, HttpClient, LogFaults, Report, Switches, parse_mix,
+    run_caller,
+};
+
+use crate::deployment::{ARMOR, Deployment, DeploymentError, Plan, VATUVALE};
+
+/// Time for which calls are started in each scenario.
+const SPAN: Duration = Duration::from_secs(8);
+/// Time from the start of the load to the fault.
+const BEFORE: Duration = Duration::from_secs(2);
+/// Time for which a freeze lasts.
+const FREEZE: Duration = Duration::from_secs(3);
+
+/// Options of the measure.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct Options {
+    /// Deployment: armor or vatuvale
+    #[bpaf(argument("NAME"), fallback("armor".to_owned()), display_fallback)]
+    deployment: String,
+    /// Calls a second
+    #[bpaf(argument("RATE"), fallback(300.0), display_fallback)]
+    rate: f64,
+    /// Seed of the request ids and of the mix
+    #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+    seed: u64,
+    /// Run only this scenario
+    #[bpaf(argument("NAME"))]
+    only: Option<String>,
+}
+
+/// Fault of one scenario.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    KillNode,
+    KillInstance,
+    FreezeNode,
+    FreezeTarget,
+    Silence,
+    LogOutage,
+    Drain,
+    SlowTarget,
+}
+
+const SCENARIOS: &[(&str, Fault)] = &[
+    ("calm", Fault::None),
+    ("kill-node", Fault::KillNode),
+    ("kill-instance", Fault::KillInstance),
+    ("freeze-node", Fault::FreezeNode),
+    ("freeze-target", Fault::FreezeTarget),
+    ("silence", Fault::Silence),
+    ("log-outage", Fault::LogOutage),
+    ("drain", Fault::Drain),
+    ("slow-target", Fault::SlowTarget),
+];
+
+/// Runs every scenario and prints the table.
+pub(crate) fn run(options: &Options) {
+    let runtime = tokio::runtime::Runtime::new();
+    let Ok(runtime) = runtime else { return eprintln!("faults: no runtime") };
+    if let Err(error) = runtime.block_on(run_all(options)) {
+        eprintln!("faults: {error}");
+        std::process::exit(1);
+    }
+}
+
+async fn run_all(options: &Options) -> Result<(), DeploymentError> {
+    let plan = if options.deployment == "vatuvale" { VATUVALE } else { ARMOR };
+    println!("faults: {} processes as in the brief, {} calls/s", plan.customer, options.rate);
+    println!(
+        "{:<14} {:>6} {:>6} {:>7} {:>7} {:>6} {:>5} {:>6} {:>9} {:>11}  kinds",
+        "scenario",
+        "sent",
+        "whole",
+        "refused",
+        "unknown",
+        "failed",
+        "cut",
+        "wrong",
+        "ran_twice",
+        "refused_ran"
+    );
+    let mut total = Report::default();
+    for (name, fault) in SCENARIOS {
+        if options.only.as_deref().is_some_and(|only| only != *name) {
+            continue;
+        }
+        let report = scenario(options, plan, *fault).await?;
+        println!(
+            "{name:<14} {:>6} {:>6} {:>7} {:>7} {:>6} {:>5} {:>6} {:>9} {:>11}  {:?} {:?}",
+            report.sent,
+            report.whole,
+            report.refused,
+            report.unknown,
+            report.failed,
+            report.cut,
+            report.wrong,
+            report.ran_twice,
+            report.refused_ran,
+            report.kinds,
+            report.failures
+        );
+        total.wrong += report.wrong;
+        total.ran_twice += report.ran_twice;
+        total.refused_ran += report.refused_ran;
+        total.sent += report.sent;
+        total.whole += report.whole;
+    }
+    println!(
+        "sent={} whole={} wrong={} ran_twice={} refused_ran={} seed={}",
+        total.sent, total.whole, total.wrong, total.ran_twice, total.refused_ran, options.seed
+    );
+    Ok(())
+}
+
+async fn scenario(options: &Options, plan: Plan, fault: Fault) -> Result<Report, DeploymentError> {
+    let mut deployment = Deployment::start(plan, fault == Fault::Silence).await?;
+    let load = tokio::spawn(run_caller(load(options, &deployment)));
+    tokio::time::sleep(BEFORE).await;
+    inflict(&mut deployment, fault).await?;
+    match load.await {
+        Ok(report) => Ok(report?),
+        Err(_) => Err(DeploymentError::NotReady { what: "caller".into() }),
+    }
+}
+
+fn load(options: &Options, deployment: &Deployment) -> CallerSettings {
+    let contract = &deployment.contract;
+    let classes: BTreeMap<Name, ClassLoad> = contract
+        .classes
+        .iter()
+        .map(|(class, terms)| {
+            let load = ClassLoad { repeatable: terms.repeatable, deadline: terms.deadline };
+            (class.clone(), load)
+        })
+        .collect();
+    CallerSettings {
+        nodes: deployment.callers(),
+        customer: Name::new(deployment.plan.customer),
+        rate: options.rate,
+        span: SPAN,
+        mix: parse_mix(deployment.plan.mix).unwrap_or_default(),
+        graph: Graph::of_contract(contract),
+        classes,
+        deadline: Duration::from_secs(3),
+        seed: options.seed,
+        targets: deployment.targets(),
+    }
+}
+
+/// First instance of every service is hit.
+async fn inflict(deployment: &mut Deployment, fault: Fault) -> Result<(), DeploymentError> {
+    let services: Vec<_> = deployment.plan.services.iter().map(|sizes| sizes.service).collect();
+    let first = |service: &&str| {
+        deployment.instances.iter().position(|instance| instance.service == *service)
+    };
+    let victims: Vec<usize> = services.iter().filter_map(first).collect();
+    match fault {
+        Fault::None => {}
+        Fault::KillNode => each(deployment, &victims, |i| i.node.signal("KILL")),
+        Fault::KillInstance => each(deployment, &victims, |i| {
+            i.node.signal("KILL");
+            i.target.signal("KILL");
+        }),
+        Fault::FreezeNode => freeze(deployment, &victims, true).await,
+        Fault::FreezeTarget => freeze(deployment, &victims, false).await,
+        Fault::Silence => {
+            for _ in 0..2 {
+                deployment.instances.iter().for_each(|instance| instance.relay.silence());
+                tokio::time::sleep(FREEZE).await;
+            }
+        }
+        Fault::LogOutage => outage(deployment).await?,
+        Fault::Drain => drain(deployment, &victims),
+        Fault::SlowTarget => slow(deployment, &victims).await?,
+    }
+    Ok(())
+}
+
+fn each(
+    deployment: &mut Deployment,
+    victims: &[usize],
+    mut hit: impl FnMut(&mut crate::deployment::Instance),
+) {
+    for idx in victims {
+        hit(&mut deployment.instances[*idx]);
+    }
+}
+
+async fn freeze(deployment: &mut Deployment, victims: &[usize], node: bool) {
+    let signal = |instance: &crate::deployment::Instance, name| match node {
+        true => instance.node.signal(name),
+        false => instance.target.signal(name),
+    };
+    each(deployment, victims, |i| signal(i, "STOP"));
+    tokio::time::sleep(FREEZE).await;
+    each(deployment, victims, |i| signal(i, "CONT"));
+}
+
+/// Takes the log down, kills an instance and starts another one, which must join through peers.
+async fn outage(deployment: &mut Deployment) -> Result<(), DeploymentError> {
+    let down = LogFaults { outage: Some(true), ..LogFaults::default() };
+    deployment.set_log(&down).await?;
+    let sizes = deployment.plan.services[0];
+    let instance = deployment.start_instance(&sizes, sizes.targets, false).await?;
+    deployment.instances.push(instance);
+    Ok(())
+}
+
+/// Ends instances gracefully: the target first, then its node.
+fn drain(deployment: &mut Deployment, victims: &[usize]) {
+    each(deployment, victims, |i| i.target.signal("TERM"));
+    each(deployment, victims, |i| i.node.signal("TERM"));
+    for idx in victims {
+        let instance = &mut deployment.instances[*idx];
+        let codes = (instance.target.wait(), instance.node.wait());
+        if codes != (Some(0), Some(0)) {
+            println!("drain: {} ended with {codes:?}", instance.service);
+        }
+    }
+}
+
+async fn slow(deployment: &mut Deployment, victims: &[usize]) -> Result<(), DeploymentError> {
+    let http = HttpClient::default();
+    let switches = Switches { slow: Some(10.0), ..Switches::default() };
+    for idx in victims {
+        let address = deployment.instances[*idx].target.field("address");
+        http.post(&address, "/control", &switches).await?;
+    }
+    Ok(())
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,6 +4,8 @@
 //! `membership` lets the members of one service exchange their real messages.
 //! Each measure prints a table, then one last line of `key=value` pairs.
 
+mod deployment;
+mod faults;
 mod group;
 mod membership;
 mod overload;
@@ -17,6 +19,9 @@
     /// Goodput, waste and recovery under a surge with a slow deep service, on a fake clock.
     #[bpaf(command)]
     Overload(#[bpaf(external(overload::options))] overload::Options),
+    /// Faults against running processes while load runs.
+    #[bpaf(command)]
+    Faults(#[bpaf(external(faults::options))] faults::Options),
     /// Time to notice, false suspicions and traffic of membership, on a fake clock.
     #[bpaf(command)]
     Membership(#[bpaf(external(membership::options))] membership::Options),
@@ -25,6 +30,7 @@
 fn main() {
     match measure().run() {
         Measure::Overload(options) => overload::run(&options),
+        Measure::Faults(options) => faults::run(&options),
         Measure::Membership(options) => membership::run(&options),
     }
 }
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -255,19 +255,26 @@
 /// Compares what the callers were told with what the targets counted.
 async fn compare_runs(settings: &CallerSettings, tally: &mut Tally) -> Result<(), HttpError> {
     let client = HttpClient::default();
-    let mut runs = BTreeMap::<RequestId, u64>::new();
+    let mut runs = BTreeMap::<RequestId, Run>::new();
     for target in &settings.targets {
         // A target that has stopped by now has no counts to give.
         let Ok(counts) = client.get(target, "/control/runs").await else { continue };
         tally.report.counted += 1;
         for (request, run) in counts.json::<BTreeMap<String, Run>>()? {
             if let Ok(request) = request.parse() {
-                *runs.entry(request).or_default() += run.count;
+                let known = Run { class: run.class.clone(), count: 0 };
+                runs.entry(request).or_insert(known).count += run.count;
             }
         }
     }
-    let count = |id: &RequestId| runs.get(id).copied().unwrap_or(0);
-    tally.report.ran_twice = tally.once.iter().filter(|id| count(id) > 1).count() as u64;
+    let count = |id: &RequestId| runs.get(id).map_or(0, |run| run.count);
+    let once = |run: &&Run| {
+        let terms = settings.classes.get(&Name::new(&run.class));
+        terms.is_some_and(|terms| !terms.repeatable)
+    };
+    // Child calls have ids of their own, so the targets' classes tell which ones count.
+    let twice = runs.values().filter(once).filter(|run| run.count > 1);
+    tally.report.ran_twice = twice.count() as u64;
     tally.report.refused_ran = tally.refused.iter().filter(|id| count(id) > 0).count() as u64;
     Ok(())
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 mod graph;
 mod http;
 mod log;
+mod relay;
 mod target;
 
 pub use caller::{CallerSettings, ClassLoad, Report, run_caller};
@@ -15,4 +16,5 @@
 pub use graph::{Graph, GraphError, MixEntry, parse_mix};
 pub use http::{HttpClient, HttpError, Reply, stop_signal};
 pub use log::{LogFaults, LogServer, LoseAcks};
+pub use relay::Relay;
 pub use target::{Switches, TargetServer, TargetSettings};
