Tell a silent connection from a silent node

Ruled out: hedged sends, which double the load in an overload. Conclusion: the question is held 300 ms at most and repeated, the member that answered it gets the next send, and idle connections are retired when one is found silent.

--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -187,7 +187,15 @@
         first: bool,
     ) -> Result<Outbound, ErrorKind> {
         let ask = BindingRequest { service, request, first };
-        let answer = self.keeper.binding(&ask).await.ok_or(ErrorKind::NoTarget)?;
+        let answer = match self.keeper.binding(&ask).await {
+            Some(answer) => answer,
+            // No other binding can be out for an id that was never sent.
+            None if first => {
+                let fresh = self.route.offer(&ask.service).await;
+                BinderAnswer::Bound(fresh.ok_or(ErrorKind::NoTarget)?)
+            }
+            None => return Err(ErrorKind::NoTarget),
+        };
         Ok(match answer {
             BinderAnswer::Bound(binding) => {
                 let refused = refuse(ErrorKind::BindingNeeded, false);
--- a/node/src/links.rs
+++ b/node/src/links.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -22,9 +23,9 @@
 use tokio::net::TcpStream;
 
 /// Pause between pings while calls wait on a connection.
-const PING_EVERY: Duration = Duration::from_millis(700);
+const PING_EVERY: Duration = Duration::from_millis(400);
 /// Time within which a ping must be answered.
-const PING_TIMEOUT: Duration = Duration::from_millis(800);
+const PING_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time within which a connection must be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Flow-control window of one connection, in bytes.
@@ -51,13 +52,28 @@
     }
 }
 
-/// Slot of one peer; the lock is held while connecting, so that one connection is made at a time.
-type Slot = Arc<tokio::sync::Mutex<Option<SendRequest<Full<Bytes>>>>>;
+/// Place for the connection to one peer.
+#[derive(Default)]
+struct Slot {
+    /// Held while connecting, so that one connection is made at a time.
+    sender: tokio::sync::Mutex<Option<SendRequest<Full<Bytes>>>>,
+    /// Messages without an answer yet.
+    waiting: AtomicUsize,
+}
+
+/// Message without an answer yet, counted until it is dropped.
+struct Waiting<'a>(&'a Slot);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.fetch_sub(1, Ordering::AcqRel);
+    }
+}
 
 /// Service that exchanges messages with other nodes.
 #[derive(Default)]
 pub(crate) struct Links {
-    slots: Mutex<HashMap<SocketAddr, Slot>>,
+    slots: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
 }
 
 impl Links {
@@ -73,7 +89,24 @@
         A: DeserializeOwned,
     {
         let body = poplar_wire::encode(message)?;
-        let mut sender = self.sender(peer).await?;
+        let slot = self.slot(peer);
+        slot.waiting.fetch_add(1, Ordering::AcqRel);
+        let _waiting = Waiting(&slot);
+        let answer = self.send(&slot, peer, path, body).await;
+        if matches!(answer, Err(LinkError::Broken(_))) {
+            self.retire_idle();
+        }
+        Ok(poplar_wire::decode(&answer?)?)
+    }
+
+    async fn send(
+        &self,
+        slot: &Slot,
+        peer: SocketAddr,
+        path: &'static str,
+        body: Bytes,
+    ) -> Result<Bytes, LinkError> {
+        let mut sender = slot.sender(peer).await?;
         let uri = Uri::builder()
             .scheme("http")
             .authority(peer.to_string())
@@ -86,17 +119,28 @@
             .body(Full::new(body))
             .map_err(|_| LinkError::Unreached(peer))?;
         let resp = sender.send_request(req).await.map_err(|_| LinkError::Broken(peer))?;
-        let bytes = Limited::new(resp.into_body(), MESSAGE_LIMIT_BYTES)
-            .collect()
-            .await
-            .map_err(|_| LinkError::Broken(peer))?
-            .to_bytes();
-        Ok(poplar_wire::decode(&bytes)?)
+        let whole = Limited::new(resp.into_body(), MESSAGE_LIMIT_BYTES).collect().await;
+        Ok(whole.map_err(|_| LinkError::Broken(peer))?.to_bytes())
     }
 
+    /// Drops the connections that nothing waits on, after one that something waited on failed.
+    ///
+    /// What lost track of one open connection may have lost track of others, and an idle one
+    /// would show it only to the next call.
+    fn retire_idle(&self) {
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        slots.retain(|_, slot| slot.waiting.load(Ordering::Acquire) > 0);
+    }
+
+    fn slot(&self, peer: SocketAddr) -> Arc<Slot> {
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        slots.entry(peer).or_default().clone()
+    }
+}
+
+impl Slot {
     async fn sender(&self, peer: SocketAddr) -> Result<SendRequest<Full<Bytes>>, LinkError> {
-        let slot = self.slot(peer);
-        let mut held = slot.lock().await;
+        let mut held = self.sender.lock().await;
         if let Some(sender) = held.as_ref().filter(|sender| !sender.is_closed()) {
             return Ok(sender.clone());
         }
@@ -104,11 +148,6 @@
         *held = Some(sender.clone());
         Ok(sender)
     }
-
-    fn slot(&self, peer: SocketAddr) -> Slot {
-        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
-        slots.entry(peer).or_default().clone()
-    }
 }
 
 async fn connect(peer: SocketAddr) -> Result<SendRequest<Full<Bytes>>, LinkError> {
--- a/node/src/route.rs
+++ b/node/src/route.rs
@@ -42,7 +42,11 @@
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Pause before a question that found no connection is asked again.
 const ASK_PAUSE: Duration = Duration::from_millis(50);
-/// Questions about one send before its outcome counts as unknown.
+/// Time for which the other node holds a question while the call runs.
+const ASK_WAIT: Duration = Duration::from_millis(300);
+/// Time beyond that within which it must answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Questions about one send without an answer before its outcome counts as unknown.
 const ASK_TRIES: u32 = 3;
 /// Instances whose offered bindings are remembered.
 const OFFERS: usize = 1_024;
@@ -85,8 +89,10 @@
     Whole(CallReply),
     /// The other node saw nothing of it.
     Unseen,
-    /// No whole reply came; this is what the other node said when asked, if it could be asked.
+    /// No whole reply came; this is what the other node said when asked.
     Asked(Fate<Answer>),
+    /// No whole reply came, and the other node could not be asked.
+    Lost,
 }
 
 /// Binding that an instance offered last.
@@ -230,32 +236,50 @@
                 Reply::Whole(reply)
             }
             Ok(Ok(_)) => Reply::Asked(Fate::Unknown(ErrorKind::BadAnswer)),
-            Ok(Err(error)) => {
+            Ok(Err(error)) if error.unseen() => {
                 chosen.observe(Observed::Unreachable);
-                match error.unseen() {
-                    true => Reply::Unseen,
-                    false => Reply::Asked(self.ask(&member, ask, deadline).await),
-                }
+                Reply::Unseen
             }
+            Ok(Err(_)) => match self.ask(&member, ask, deadline).await {
+                Some(fate) => Reply::Asked(fate),
+                None => {
+                    chosen.observe(Observed::Unreachable);
+                    Reply::Lost
+                }
+            },
             Err(_) => Reply::Asked(Fate::Unknown(ErrorKind::Deadline)),
         }
     }
 
     /// Asks on a new connection what became of a send whose connection failed.
-    async fn ask(&self, member: &MemberRecord, ask: AskRequest, deadline: Moment) -> Fate<Answer> {
-        let unknown = Fate::Unknown(ErrorKind::Connection);
-        let Ok(peer) = member.address.parse() else { return unknown };
-        for _ in 0..ASK_TRIES {
-            let left = deadline.since(self.clock.now());
+    ///
+    /// `None` if the node can't be asked.
+    async fn ask(
+        &self,
+        member: &MemberRecord,
+        ask: AskRequest,
+        deadline: Moment,
+    ) -> Option<Fate<Answer>> {
+        let peer = member.address.parse().ok()?;
+        let mut tries = 0;
+        while tries < ASK_TRIES {
+            let left = deadline.since(self.clock.now()).min(ASK_WAIT);
+            if left.is_zero() {
+                return Some(Fate::Unknown(ErrorKind::Deadline));
+            }
             let ask = AskRequest { left, ..ask.clone() };
             let exchange = self.links.exchange(peer, ASK_PATH, &ask);
-            match tokio::time::timeout(left, exchange).await {
-                Ok(Ok(AskReply { fate })) => return fate,
-                Ok(Err(_)) => tokio::time::sleep(ASK_PAUSE).await,
-                Err(_) => return Fate::Unknown(ErrorKind::Deadline),
+            match tokio::time::timeout(left + ASK_TIMEOUT, exchange).await {
+                Ok(Ok(AskReply { fate: Fate::Running })) => tries = 0,
+                Ok(Ok(AskReply { fate })) => return Some(fate),
+                Ok(Err(_)) => {
+                    tries += 1;
+                    tokio::time::sleep(ASK_PAUSE).await;
+                }
+                Err(_) => return None,
             }
         }
-        unknown
+        None
     }
 
     async fn exchange(
--- a/node/src/route/trip.rs
+++ b/node/src/route/trip.rs
@@ -38,6 +38,8 @@
     open: bool,
     deadline: Moment,
     offer: Option<Binding>,
+    /// Member that has just answered on a new connection, for the next send.
+    prefer: Option<InstanceId>,
     /// Target that alone may run the request.
     isolation: Option<InstanceId>,
     /// Whether a run of the request may have crashed its target.
@@ -70,6 +72,7 @@
             open: false,
             deadline,
             offer: None,
+            prefer: None,
             isolation: None,
             suspect: false,
         }
@@ -100,10 +103,11 @@
 
     /// Member for the next send; a once-only call is bound to it first.
     async fn next_member(&mut self) -> Option<Chosen<'a>> {
+        let prefer = self.prefer.take();
         let service = &self.call.service;
         let named = match &self.ties {
-            Ties::Unbound(_) => return self.bind().await,
-            Ties::Free => match &self.isolation {
+            Ties::Unbound(_) => return self.bind(prefer).await,
+            Ties::Free => match self.isolation.as_ref().or(prefer.as_ref()) {
                 None => return self.choose(),
                 Some(target) => self.route.directory.member(service, target),
             },
@@ -122,9 +126,15 @@
     }
 
     /// Mints the binding for the next send.
-    async fn bind(&mut self) -> Option<Chosen<'a>> {
+    async fn bind(&mut self, mut prefer: Option<InstanceId>) -> Option<Chosen<'a>> {
         loop {
-            let mut chosen = self.choose()?;
+            let preferred = prefer
+                .take()
+                .and_then(|instance| self.route.directory.member(&self.call.service, &instance));
+            let mut chosen = match preferred {
+                Some(member) => Chosen::bound(member),
+                None => self.choose()?,
+            };
             if self.try_bind(&chosen.member) {
                 return Some(chosen);
             }
@@ -189,7 +199,12 @@
                 self.sends.answered(&mut budget, loan, units, &outcome);
                 outcome
             }
+            Reply::Lost => {
+                self.sends.lost(loan);
+                Outcome::Unknown { kind: ErrorKind::Connection }
+            }
             Reply::Asked(Fate::NotRun(kind)) => {
+                self.prefer = self.tried.pop();
                 let outcome = not_run(kind);
                 let units = loan.grant().units;
                 self.sends.answered(&mut budget, loan, units, &outcome);
--- a/node/src/work.rs
+++ b/node/src/work.rs
@@ -125,9 +125,8 @@
         contract.map_or(own, |contract| self.levels.joined(&contract, class, own))
     }
 
-    /// Tells what became of a send whose connection failed, once that is certain.
+    /// Tells what became of a send whose connection failed; `Running` if it has not ended in time.
     pub(crate) async fn ask(&self, ask: AskRequest) -> Fate<Answer> {
-        let lost = Fate::Unknown(ErrorKind::Deadline);
         let fate = async {
             match &ask.binding {
                 None => self.sends.ask(&ask).await,
@@ -137,7 +136,7 @@
                 },
             }
         };
-        tokio::time::timeout(ask.left, fate).await.unwrap_or(lost)
+        tokio::time::timeout(ask.left, fate).await.unwrap_or(Fate::Running)
     }
 
     /// Binding to the target beside this node, ahead of a once-only call.
