Leave a read aside that a pull has overtaken

Cause: found on reading the node: a hint pulls a peer's fold while a long read is under way; the read then ends before the fold and was counted as an error of the log. Ruled out: forbidding pulls during a read (a revision would wait for the read to end). Before: a_read_that_a_pull_overtook_is_no_error_of_the_log failed: the reader backed off. Conclusion: pulls and reads may overlap.

--- a/core/src/follow.rs
+++ b/core/src/follow/mod.rs
@@ -2,10 +2,14 @@
 //!
 //! The shell performs one [`ReadAction`] at a time and reports its result. The reader holds no
 //! record beyond the fold, so its memory is bounded by the fold and one batch. See
-//! [contracts](../../docs/design/contracts.md).
+//! [contracts](../../../docs/design/contracts.md).
+
+mod batch;
 
 use std::time::Duration;
 
+pub use batch::{LogBatch, LogEntry};
+
 use crate::fold::{ContractRecord, Fold, FoldError, Verdict};
 use crate::ids::{InstanceId, Offset, PublishId, rendezvous_weight};
 use crate::time::Moment;
@@ -34,26 +38,6 @@
 /// Records between two snapshots, so that a new reader has a bounded way to go.
 pub const SNAPSHOT_RECORDS: u64 = 1_024;
 
-/// Records of one read, with the bounds of the log at that time.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LogBatch {
-    /// First offset that the log still has.
-    pub start: Offset,
-    /// Offset that the next append will get.
-    pub end: Offset,
-    /// Records in order, from where the read started or from `start`.
-    pub records: Vec<LogEntry>,
-}
-
-/// Record at its offset.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LogEntry {
-    /// Offset.
-    pub offset: Offset,
-    /// Record, or nothing if the bytes could not be decoded.
-    pub record: Option<ContractRecord>,
-}
-
 /// What the shell does next.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ReadAction {
@@ -108,6 +92,8 @@
     fold: Fold,
     /// Where the next read starts; ahead of the fold while records are missing.
     scan: Offset,
+    /// Where the read under way started.
+    asked: Offset,
     /// Bounds of the log as last heard; no end after an error or an append.
     start: Offset,
     end: Option<Offset>,
@@ -145,6 +131,7 @@
             started: now,
             fold: Fold::new(),
             scan: Offset(0),
+            asked: Offset(0),
             start: Offset(0),
             end: None,
             failures: 0,
@@ -197,23 +184,28 @@
             let until = if blocked { self.ready.min(self.pull) } else { self.ready };
             return ReadAction::Wait(until);
         }
-        match self.due_record(now, live) {
-            Some(record) => ReadAction::Append(record),
-            None => ReadAction::Read { from: self.scan, wait: self.read_wait() },
+        if let Some(record) = self.due_record(now, live) {
+            return ReadAction::Append(record);
         }
+        self.asked = self.scan;
+        ReadAction::Read { from: self.scan, wait: self.read_wait() }
     }
 
     /// Takes in what a read brought; `draw` is a random number.
     ///
-    /// A batch with a hole, or one that ends before what was already read, changes nothing and
-    /// counts as an error of the log.
+    /// A batch with a hole, or one that ends before where the read started, changes nothing and
+    /// counts as an error of the log. One that a peer's fold has overtaken is left aside.
     pub fn on_read(&mut self, now: Moment, draw: u64, batch: &LogBatch) -> Vec<Judged> {
-        if !self.is_sound(batch) {
+        if !batch.is_sound(self.asked) {
             self.on_error(now, draw);
             return Vec::new();
         }
         self.failures = 0;
         self.ready = now;
+        if self.asked != self.scan {
+            self.end = None;
+            return Vec::new();
+        }
         self.note_bounds(now, batch);
         let judged = self.judge(now, &batch.records);
         self.note_progress(now);
@@ -253,19 +245,6 @@
         Ok(self.fold.verify()?)
     }
 
-    fn is_sound(&self, batch: &LogBatch) -> bool {
-        let mut expected = None;
-        for entry in &batch.records {
-            if expected.is_some_and(|offset| offset != entry.offset) {
-                return false;
-            }
-            expected = Some(Offset(entry.offset.0.saturating_add(1)));
-        }
-        let first = batch.records.first().map_or(batch.start, |entry| entry.offset);
-        let last = expected.unwrap_or(batch.start);
-        first <= self.scan.max(batch.start) && last <= batch.end && self.scan <= batch.end
-    }
-
     fn note_bounds(&mut self, now: Moment, batch: &LogBatch) {
         self.start = self.start.max(batch.start);
         self.end = Some(batch.end);
--- a/core/tests/fold/reader.rs
+++ b/core/tests/fold/reader.rs
@@ -71,6 +71,22 @@
     assert!(matches!(reader.poll(at(20), &[]), ReadAction::Read { .. }));
 }
 
+#[test]
+fn a_read_that_a_pull_overtook_is_no_error_of_the_log() {
+    let records = [publish(1, 0), publish(2, 1), publish(3, 2)];
+    let mut log = Log::default();
+    log.append(records[0].clone());
+    let mut reader = reader("a");
+    read_once(&mut reader, at(0), &log, 10);
+    let ReadAction::Read { from, .. } = reader.poll(at(0), &[]) else {
+        panic!("a current reader reads on");
+    };
+    let batch = log.read(from, 10);
+    reader.on_peer(at(1), &fold_of(&records));
+    assert!(reader.on_read(at(2), 0, &batch).is_empty());
+    assert!(matches!(reader.poll(at(2), &[]), ReadAction::Read { from: Offset(3), .. }));
+}
+
 #[test]
 fn backoff_grows_to_its_bound_and_is_jittered() {
     assert!(backoff(1, 0) < backoff(5, 0));
@@ -89,7 +105,9 @@
     assert_eq!(reader.fold(), &Fold::new());
     reader.on_read(at(9), 0, &log.read(Offset(0), 3));
     assert!(reader.is_current());
+    assert!(matches!(reader.poll(at(9), &[]), ReadAction::Read { from: Offset(3), .. }));
     assert!(reader.on_read(at(9), 0, &Log::default().read(Offset(3), 3)).is_empty());
+    assert_eq!(reader.poll(at(9), &[]), ReadAction::Pull);
     assert_eq!(reader.fold().revision(&customer()), Revision(3));
     assert!(!reader.is_current());
 }
--- a/ctl/src/error.rs
+++ b/ctl/src/error.rs
@@ -46,7 +46,7 @@
             Self::NotPublished { result, .. } => match result {
                 PublishResult::Accepted { .. } => 0,
                 PublishResult::Refused(_) => 2,
-                PublishResult::Superseded { .. } => 3,
+                PublishResult::Superseded { .. } | PublishResult::UnknownBase { .. } => 3,
                 PublishResult::NotSent => 4,
                 PublishResult::NotConfirmed | PublishResult::TooOld { .. } => 5,
             },
--- a/model/tests/contracts.rs
+++ b/model/tests/contracts.rs
@@ -125,6 +125,7 @@
             end: Offset(u64::from(world.log.end())),
             records: entry.into_iter().collect(),
         };
+        asked(&mut self.readers[node]);
         self.readers[node].on_read(Moment::default(), 0, &batch)
     }
 
@@ -150,13 +151,7 @@
     fn compare_scan(&mut self, world: &World) {
         for (reader, node) in self.readers.iter_mut().zip(&world.nodes) {
             let mut probe = reader.clone();
-            let mut action = probe.poll(Moment::from_millis(60_000), &[]);
-            if action == ReadAction::Pull {
-                action = probe.poll(Moment::from_millis(60_000), &[]);
-            }
-            let ReadAction::Read { from, .. } = action else {
-                panic!("expected a read, got {action:?}");
-            };
+            let from = asked(&mut probe);
             let scan = Offset(u64::from(node.scan));
             let start = Offset(u64::from(world.log.start));
             assert_eq!(from.max(start), scan.max(start));
@@ -169,6 +164,19 @@
     LogReader::new(Moment::default(), "reader".into(), week)
 }
 
+/// Offset that a reader asks for next.
+fn asked(reader: &mut LogReader) -> Offset {
+    let later = Moment::from_millis(60_000);
+    let action = match reader.poll(later, &[]) {
+        ReadAction::Pull => reader.poll(later, &[]),
+        action => action,
+    };
+    let ReadAction::Read { from, .. } = action else {
+        panic!("expected a read, got {action:?}");
+    };
+    from
+}
+
 fn spelled(verdict: &Verdict) -> ModelVerdict {
     match verdict {
         Verdict::Accepted(revision) => ModelVerdict::Accepted(revision.0 as u8),
