Try to run a once-only request twice, and close what let it

Cause: a review of the node found three ways: (1) a binding sent without a request id got a fresh id each time, so each re-send ran; (2) a binding was dropped where the node's contract called the class repeatable; (3) the client took another binding while the outcome of its own was open. Ruled out: taking the binding for the id (bindings are shared by requests).

--- a/client/src/attempts.rs
+++ b/client/src/attempts.rs
@@ -92,7 +92,6 @@
             }
             Outcome::Unknown { kind } => {
                 self.first = false;
-                self.binding = received.binding.or(self.binding.take());
                 if kind.reply().retryable && self.may_send(now, Duration::ZERO) {
                     return Step::Send(Duration::ZERO);
                 }
--- a/client/tests/attempts.rs
+++ b/client/tests/attempts.rs
@@ -88,3 +88,12 @@
     let lost = unknown(ErrorKind::BindingLost);
     assert_eq!(attempts.receive(NOW, lost.clone()), Step::Finish(lost.outcome));
 }
+
+#[test]
+fn a_binding_is_never_exchanged_while_its_outcome_is_open() {
+    let mut attempts = attempts();
+    attempts.receive(NOW, needs("a/1/0/0"));
+    let other = Received { binding: Some("b/1/0/0".to_owned()), ..unknown(ErrorKind::Connection) };
+    attempts.receive(NOW, other);
+    assert_eq!(attempts.binding(), Some("a/1/0/0"));
+}
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -136,9 +136,15 @@
         }
         let (contract, terms) = self.terms(&call)?;
         let class = terms.class;
-        let once = !class.repeatable;
+        // A binding counts whatever this node's contract says of the class: another entry may
+        // have sent a copy under it.
+        let once = !class.repeatable || call.binding.is_some();
+        if once && call.request.is_none() {
+            // Two sends could not be told to be the same request.
+            return Err(ErrorKind::BadRequest);
+        }
         let request = call.request.unwrap_or_else(|| RequestId(fastrand::u128(..)));
-        let binding = call.binding.filter(|_| once);
+        let binding = call.binding;
         if binding.is_none() {
             let rank = Rank::of(class.importance, request);
             if self.levels.is_doomed(&contract, &call.class, rank) {
@@ -146,8 +152,7 @@
             }
         }
         if once && binding.is_none() {
-            let first = call.first == Some(true) || call.request.is_none();
-            return self.offer(class.service, request, first).await;
+            return self.offer(class.service, request, call.first == Some(true)).await;
         }
         let meta = CallMeta {
             customer: contract.contract.customer.clone(),
--- a/node/src/work.rs
+++ b/node/src/work.rs
@@ -104,10 +104,8 @@
         let (request, attempt) = (call.meta.request, call.meta.attempt);
         let (customer, class) = (call.meta.customer.clone(), call.meta.class.clone());
         let ready = self.ready(&call.meta);
-        let bound = match &ready {
-            Ok(ready) => !ready.terms.class.repeatable,
-            Err(_) => call.meta.binding.is_some(),
-        };
+        let once = ready.as_ref().is_ok_and(|ready| !ready.terms.class.repeatable);
+        let bound = once || call.meta.binding.is_some();
         let served = match bound {
             true => self.serve_bound(call, ready).await,
             false => self.serve_free(call, ready).await,
