Refuse at the entry only if no known instance takes lesser calls

Cause: with near targets first, an entry had heard of the near instance alone and refused direct calls that the others would still have queued.

--- a/core/src/admission/map.rs
+++ b/core/src/admission/map.rs
@@ -11,8 +11,6 @@
 
 /// Time after which one call is let through to learn the level anew.
 const FRESH_TIME: Duration = Duration::from_millis(50);
-/// Time for which an instance that answers late still counts as one that takes lesser calls.
-const RECENT_TIME: Duration = Duration::from_millis(500);
 /// Time between two such calls of one class.
 const PROBE_TIME: Duration = Duration::from_millis(25);
 /// Time after which a level that no answer has renewed begins to fall.
@@ -134,13 +132,11 @@
 impl Row {
     fn level(&self, now: Moment, scale: &ImportanceScale) -> Level {
         let newest = self.newest();
-        let within = |span| move |known: &&Learnt| newest.since(known.at) <= span;
-        let fresh = self.learnt.iter().filter(within(FRESH_TIME));
+        let fresh = self.learnt.iter().filter(|known| newest.since(known.at) <= FRESH_TIME);
         let mut levels: Vec<_> = fresh.map(|known| known.level).collect();
         levels.sort_unstable();
         let median = levels.get(levels.len().saturating_sub(1) / 2).copied().unwrap_or_default();
-        let recent = self.learnt.iter().filter(within(RECENT_TIME));
-        let lowest = recent.map(|known| known.level).min().unwrap_or_default();
+        let lowest = self.learnt.iter().map(|known| known.level).min().unwrap_or_default();
         let clamped = lowest.importance() < median.importance();
         let level = if clamped { median.whole() } else { median };
         level.fallen(now.since(newest).saturating_sub(HOLD_TIME), scale)
