Count an instance as open from the time it is met until it answers

Cause: an entry that had never called two of three instances refused calls because the third did. The node has to call LevelMap::meet as members join.

--- a/bench/src/overload/world.rs
+++ b/bench/src/overload/world.rs
@@ -656,7 +656,7 @@
     }
 }
 
-/// Tells every node of every target.
+/// Tells every node of every target, as the membership does.
 fn acquaint(deployment: &Deployment, nodes: &mut [Node], members: &[Vec<NodeIdx>]) {
     let zone = |node: &Node| Name::new(&format!("zone-{}", node.zone));
     let infos = nodes.iter().map(|node| (node.instance.clone(), zone(node)));
@@ -671,6 +671,11 @@
             }
             node.choosers.push(chooser);
         }
+        for class in &deployment.classes[..] {
+            for member in &members[class.service.0] {
+                node.levels.meet(&Name::new(class.name), &infos[member.0].0);
+            }
+        }
     }
 }
 
--- a/core/src/admission/map.rs
+++ b/core/src/admission/map.rs
@@ -56,6 +56,18 @@
         self.scale = scale;
     }
 
+    /// Takes in that `instance` runs calls of `class`; until it answers, it counts as open.
+    ///
+    /// Without this, a caller could refuse a call because the only instance that it has heard of
+    /// does, while others would let a lesser call give way.
+    pub fn meet(&mut self, class: &Name, instance: &InstanceId) {
+        let known = self.classes.get(class).map_or(&[][..], |row| &row.learnt);
+        let full = known.len() >= INSTANCES_MAX;
+        if !full && known.iter().all(|known| known.instance != *instance) {
+            self.learn(Moment::default(), class, instance, Level::OPEN);
+        }
+    }
+
     /// Takes in the level that came with an answer of `instance` to a call of `class`.
     pub fn learn(&mut self, now: Moment, class: &Name, instance: &InstanceId, level: Level) {
         if !self.classes.contains_key(class) && self.classes.len() >= CLASSES_MAX {
