Adapt the concurrency of a target to latency without experiments

Cause: announced slots may be overstated, and a limiter that reads any rise of latency as overload would also throttle a target that is merely slow. Ruled out: lowering the limit now and then to see what it does, as that costs goodput whenever it is tried under pressure. Before: the limit is the announced slots after the cold ramp.

--- a/bench/src/overload/gate.rs
+++ b/bench/src/overload/gate.rs
@@ -115,6 +115,14 @@
         }
     }
 
+    /// Calls that the target runs.
+    pub(crate) fn running(&self) -> usize {
+        match self {
+            Self::Core(admission) => admission.in_flight(),
+            Self::Fifo(fifo) => fifo.running.len(),
+        }
+    }
+
     /// Whether a call that arrived now would run at once.
     pub(crate) fn has_room(&self) -> bool {
         match self {
--- a/bench/src/overload/mod.rs
+++ b/bench/src/overload/mod.rs
@@ -33,6 +33,9 @@
     /// Factor on the service time of the deep service under pressure
     #[bpaf(argument("X"), fallback(2.0), display_fallback)]
     slowdown: f64,
+    /// Factor by which the deep service's targets announce more slots than they have
+    #[bpaf(argument("X"), fallback(1.0), display_fallback)]
+    overstated: f64,
     /// Deployment to run: armor or vatuvale; both without it
     #[bpaf(argument("NAME"))]
     deployment: Option<String>,
@@ -69,8 +72,9 @@
 }
 
 fn measure(deployment: &Deployment, options: &Options) -> Line {
-    let Options { seed, surge, calm, slowdown, .. } = *options;
-    let shape = Shape { seed, surge, calm, slowdown, phase: Duration::from_secs(20) };
+    let Options { seed, surge, calm, slowdown, overstated, .. } = *options;
+    let phase = Duration::from_secs(20);
+    let shape = Shape { seed, surge, calm, slowdown, overstated, phase };
     println!("{}: capacity {:.0}/s, surge {surge}, seed {seed}", deployment.name, {
         deployment.capacity()
     });
--- a/bench/src/overload/world.rs
+++ b/bench/src/overload/world.rs
@@ -13,7 +13,7 @@
 };
 
 use super::clock::{Agenda, Rng};
-use super::deployment::{ClassIdx, Deployment, LOCAL_MICROS, ZONE_MICROS};
+use super::deployment::{ClassIdx, Deployment, LOCAL_MICROS, ServiceIdx, ZONE_MICROS};
 use super::gate::{Gate, Policy};
 use super::tally::Tally;
 
@@ -38,6 +38,8 @@
     pub(crate) calm: f64,
     /// Factor on the service time of the deep service under pressure.
     pub(crate) slowdown: f64,
+    /// Factor by which the deep service's targets announce more slots than they have.
+    pub(crate) overstated: f64,
     /// Length of each of the three phases.
     pub(crate) phase: Duration,
 }
@@ -187,7 +189,10 @@
         for (idx, service) in deployment.services.iter().enumerate() {
             for number in 0..service.targets {
                 members[idx].push(NodeIdx(nodes.len()));
-                let limits = TargetLimits::derive(service.slots, service.connections);
+                let deep = ServiceIdx(idx) == deployment.deep;
+                let factor = if deep { shape.overstated } else { 1.0 };
+                let announced = (f64::from(service.slots) * factor) as u32;
+                let limits = TargetLimits::derive(announced, service.connections);
                 let name = format!("{}-{number}", service.name);
                 nodes.push(Node {
                     zone: number % deployment.zones,
@@ -457,7 +462,9 @@
         let spec = self.deployment.class(at.class);
         let slow = spec.service == self.deployment.deep && self.shape.is_surging(now);
         let factor = if slow { self.shape.slowdown } else { 1.0 };
-        let mean = spec.work_ms as f64 / 1e3 * factor;
+        let slots = self.deployment.services[spec.service.0].slots as usize;
+        let crowd = self.nodes[at.node.0].gate.running() as f64 / slots as f64;
+        let mean = spec.work_ms as f64 / 1e3 * factor * crowd.max(1.0);
         let work = mean / 2.0 + self.rng.exponential(mean / 2.0);
         self.agenda.schedule(Duration::from_secs_f64(work), Event::Worked(call));
     }
@@ -671,7 +678,7 @@
             }
             node.choosers.push(chooser);
         }
-        for class in &deployment.classes[..] {
+        for class in deployment.classes {
             for member in &members[class.service.0] {
                 node.levels.meet(&Name::new(class.name), &infos[member.0].0);
             }
--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -4,6 +4,7 @@
 //! and which rank of call it would refuse next; callers keep that in a [`LevelMap`]. See
 //! [overload](../../../docs/design/overload.md).
 
+mod concurrency;
 mod level;
 mod map;
 mod pressure;
@@ -18,6 +19,7 @@
 use crate::outcome::ErrorKind;
 use crate::time::Moment;
 
+use concurrency::Concurrency;
 pub use level::{Level, Rank};
 pub use map::LevelMap;
 use pressure::{Load, Pressure};
@@ -86,8 +88,9 @@
 #[derive(Debug)]
 pub struct Admission {
     limits: TargetLimits,
-    limit: u32,
-    running: BTreeMap<Ticket, Importance>,
+    concurrency: Concurrency,
+    /// Calls that run, and how many ran once each had started.
+    running: BTreeMap<Ticket, u32>,
     queue: Queue,
     pressure: Pressure,
 }
@@ -97,7 +100,7 @@
     pub fn new(now: Moment, limits: TargetLimits, scale: ImportanceScale) -> Self {
         Self {
             limits,
-            limit: limits.cold,
+            concurrency: Concurrency::new(now, limits),
             running: BTreeMap::new(),
             queue: Queue::default(),
             pressure: Pressure::new(now, scale),
@@ -120,7 +123,7 @@
             return Verdict::Refuse(self.refusal(&waiting, ErrorKind::Deadline));
         }
         if self.has_room() {
-            self.running.insert(arrival.ticket, arrival.rank.importance());
+            self.start(arrival.ticket);
             return Verdict::Admit;
         }
         self.enqueue(waiting)
@@ -128,8 +131,8 @@
 
     /// Ends a run that took `latency` and starts what may start now.
     pub fn finish(&mut self, now: Moment, ticket: Ticket, latency: Duration) -> Release {
-        if self.running.remove(&ticket).is_some() {
-            self.limit = self.limits.slots.min(self.limit + 1);
+        if let Some(beside) = self.running.remove(&ticket) {
+            self.concurrency.finished(now, beside, latency);
             self.pressure.finished(latency);
         }
         self.release(now)
@@ -168,7 +171,7 @@
 
     /// Calls that may run at once at present.
     pub fn limit(&self) -> u32 {
-        self.limit
+        self.concurrency.limit()
     }
 
     /// Least importance among the calls that wait.
@@ -178,8 +181,8 @@
 
     /// Checks the invariants and says which one is broken.
     pub fn verify(&self) -> Result<(), String> {
-        if self.limit > self.limits.slots {
-            return Err(format!("limit {} exceeds slots {}", self.limit, self.limits.slots));
+        if self.limit() > self.limits.slots {
+            return Err(format!("limit {} exceeds slots {}", self.limit(), self.limits.slots));
         }
         if self.queue.len() > self.limits.queue as usize {
             return Err(format!("{} calls wait, {} may", self.queue.len(), self.limits.queue));
@@ -190,14 +193,19 @@
         self.queue.verify()
     }
 
+    fn start(&mut self, ticket: Ticket) {
+        let beside = self.running.len() as u32 + 1;
+        self.running.insert(ticket, beside);
+    }
+
     fn has_room(&self) -> bool {
-        self.running.len() < self.limit as usize
+        self.running.len() < self.limit() as usize
     }
 
     fn advance(&mut self, now: Moment) {
         let load = Load {
             running: self.running.len(),
-            limit: self.limit,
+            limit: self.limit(),
             queued: self.queue.len(),
             places: self.limits.queue,
         };
@@ -248,7 +256,7 @@
         while self.has_room()
             && let Some(next) = self.queue.pop_first()
         {
-            self.running.insert(next.ticket, next.rank.importance());
+            self.start(next.ticket);
             release.start.push(next.ticket);
         }
         release
@@ -257,7 +265,7 @@
     fn refusal(&self, waiting: &Waiting, kind: ErrorKind) -> Refusal {
         let ahead = self.queue.len() as u32 + 1;
         let latency = self.pressure.latency().unwrap_or_default();
-        let wait = latency * ahead / self.limit.max(1);
+        let wait = latency * ahead / self.limit().max(1);
         let retry_after = retry_after(wait, waiting.rank.lot());
         Refusal { ticket: waiting.ticket, kind, retry_after }
     }
--- /dev/null
+++ b/core/tests/limit.rs
@@ -0,0 +1,80 @@
+//! Limits derived from announcement and observation.
+
+use std::time::Duration;
+
+use poplar_core::{
+    Admission, Arrival, Importance, ImportanceScale, Moment, Name, Rank, RunTimes, TargetLimits,
+    Ticket, retry_after,
+};
+
+const SLOTS: u32 = 40;
+
+fn admission() -> Admission {
+    let scale = ImportanceScale::new([Importance(1)]);
+    Admission::new(Moment::default(), TargetLimits::derive(SLOTS, 400), scale)
+}
+
+/// Runs batches of ten and of as many as may run for a minute; gives back the limit.
+fn settled(admission: &mut Admission, latency: impl Fn(u32) -> Duration) -> u32 {
+    for step in 0..1_200 {
+        let now = Moment::from_millis(step * 50);
+        let batch = if step % 2 == 0 { 10 } else { admission.limit() };
+        let tickets = (0..batch).map(|n| Ticket(step * 100 + u64::from(n)));
+        let tickets: Vec<_> = tickets.collect();
+        for ticket in &tickets {
+            let rank = Rank::at(Importance(1), 0);
+            let (age, left) = (Duration::ZERO, Duration::from_secs(1));
+            let rest = Duration::ZERO;
+            let call = Arrival { ticket: *ticket, rank, age, left, rest, paid: false };
+            admission.arrive(now, call);
+        }
+        for ticket in tickets {
+            admission.finish(now, ticket, latency(batch));
+        }
+        assert_eq!(admission.verify(), Ok(()));
+    }
+    admission.limit()
+}
+
+#[test]
+fn a_target_that_overstates_its_slots_gets_fewer() {
+    let truth = 15;
+    let queues_inside = |n: u32| Duration::from_millis(40) * n.max(truth) / truth;
+    let limit = settled(&mut admission(), queues_inside);
+    assert!((truth..=SLOTS * 2 / 3).contains(&limit), "limit settled at {limit}");
+}
+
+#[test]
+fn a_target_that_is_merely_slow_keeps_its_slots() {
+    let mut admission = admission();
+    assert_eq!(settled(&mut admission, |_| Duration::from_millis(40)), SLOTS);
+    assert_eq!(settled(&mut admission, |_| Duration::from_millis(400)), SLOTS);
+}
+
+#[test]
+fn a_cold_target_starts_with_a_quarter_of_its_slots_and_gains_one_per_answer() {
+    let mut admission = admission();
+    assert_eq!(admission.limit(), SLOTS / 4);
+    let rank = Rank::at(Importance(1), 0);
+    let (age, left, rest) = (Duration::ZERO, Duration::from_secs(1), Duration::ZERO);
+    let call = Arrival { ticket: Ticket(1), rank, age, left, rest, paid: false };
+    admission.arrive(Moment::default(), call);
+    admission.finish(Moment::default(), Ticket(1), Duration::from_millis(10));
+    assert_eq!(admission.limit(), SLOTS / 4 + 1);
+}
+
+#[test]
+fn refused_callers_come_back_spread_over_as_long_as_they_wait_at_least() {
+    let wait = Duration::from_millis(50);
+    let (first, last) = (retry_after(wait, 0), retry_after(wait, u16::MAX));
+    assert_eq!((first, last), (Duration::from_millis(200), Duration::from_millis(600)));
+}
+
+#[test]
+fn only_a_call_that_hardly_any_run_could_serve_is_late() {
+    let class = Name::new("book");
+    let mut times = RunTimes::new();
+    assert_eq!(times.expected(&class), Duration::ZERO);
+    (0..50).for_each(|_| times.observe(&class, Duration::from_millis(80)));
+    assert_eq!(times.expected(&class), Duration::from_millis(40));
+}
