--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -247,9 +247,6 @@
     fn release(&mut self, now: Moment) -> Release {
         self.advance(now);
         let mut release = Release::default();
-        for below in self.take_below_floor() {
-            release.refuse.push(self.refusal(&below, ErrorKind::Overload));
-        }
         for late in self.queue.take_late(now) {
             release.refuse.push(self.refusal(&late, ErrorKind::Deadline));
         }
@@ -259,6 +256,9 @@
             self.start(next.ticket);
             release.start.push(next.ticket);
         }
+        for below in self.take_below_floor() {
+            release.refuse.push(self.refusal(&below, ErrorKind::Overload));
+        }
         release
     }
 
--- a/core/src/binding/binder.rs
+++ b/core/src/binding/binder.rs
@@ -1,24 +1,19 @@
 //! Binder of a key: remembers the binding for a caller that sends only an idempotency key.
 //!
+//! The binder of a key is the [`keeper`](crate::keeper) of the request id.
 //! This path gives less than a binding that the caller keeps; which guarantee holds for which
 //! caller is stated in [at most once](../../../docs/design/at-most-once.md#guarantees).
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use super::Binding;
 use crate::ids::{InstanceId, RequestId, rendezvous_weight};
 use crate::outcome::ErrorKind;
 use crate::time::Moment;
 
-/// Member of a service that is the binder of a key; `None` if there is no member.
-pub fn binder_of<'a>(
-    request: RequestId,
-    members: impl IntoIterator<Item = &'a InstanceId>,
-) -> Option<&'a InstanceId> {
-    members.into_iter().max_by_key(|member| (weight(request, member), *member))
-}
-
 fn weight(request: RequestId, member: &InstanceId) -> u64 {
     rendezvous_weight(request.0, member.0.as_str())
 }
@@ -35,7 +30,7 @@
 }
 
 /// Answer of a binder.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum BinderAnswer {
     /// Send the request under this binding, and no other.
     Bound(Binding),
--- a/core/src/fold.rs
+++ b/core/src/fold.rs
@@ -22,12 +22,6 @@
 /// a repeated record be told apart from one that lost a race.
 pub const MAX_PUBLISHED: usize = 16;
 
-/// Publish ids that are remembered because their base was not yet reached when they were refused.
-///
-/// Without it a late copy of a refused record could be accepted once the revision reaches its
-/// base. A publisher reads the log before it appends, so such a record is rare.
-pub const MAX_REFUSED: usize = 64;
-
 /// Record on the stream of contracts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
@@ -155,14 +149,13 @@
 
 /// State of a reader of the stream of contracts: what is in force up to an offset.
 ///
-/// Bounded by [`MAX_CUSTOMERS`] contracts with [`MAX_PUBLISHED`] ids each and [`MAX_REFUSED`] ids
-/// in all. Two folds with the same [`next`](Self::next) are equal.
+/// Bounded by [`MAX_CUSTOMERS`] contracts with [`MAX_PUBLISHED`] ids each. Two folds with the same
+/// [`next`](Self::next) are equal.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fold {
     next: Offset,
     customers: BTreeMap<Name, Entry>,
-    refused: Vec<PublishId>,
 }
 
 /// Contract in force for one customer, with the acts of publishing that led there.
@@ -253,7 +246,7 @@
 
     /// Checks the bounds and that each customer's entry fits together.
     pub fn verify(&self) -> Result<(), FoldError> {
-        if self.customers.len() > MAX_CUSTOMERS || self.refused.len() > MAX_REFUSED {
+        if self.customers.len() > MAX_CUSTOMERS {
             return Err(FoldError::TooLarge);
         }
         self.customers.iter().try_for_each(|(customer, entry)| entry.verify(customer))
@@ -273,10 +266,7 @@
         if let Some(revision) = word.accepted {
             return Verdict::Duplicate(revision);
         }
-        if base != word.current || self.refused.contains(&id) {
-            if base > word.current {
-                remember(&mut self.refused, id, MAX_REFUSED);
-            }
+        if base != word.current {
             return Verdict::Superseded(word.current);
         }
         match self.accept(id, base, contract) {
@@ -301,7 +291,7 @@
         let entry = self.customers.entry(contract.customer.clone());
         let entry = entry.or_insert_with(|| Entry::new(contract));
         entry.contract = contract.clone();
-        remember(&mut entry.published, Published { id, revision }, MAX_PUBLISHED);
+        entry.remember(Published { id, revision });
         Ok(revision)
     }
 
@@ -345,6 +335,14 @@
         found.map(|published| published.revision)
     }
 
+    /// Appends, and drops the oldest beyond the bound.
+    fn remember(&mut self, published: Published) {
+        if self.published.len() >= MAX_PUBLISHED {
+            self.published.remove(0);
+        }
+        self.published.push(published);
+    }
+
     fn verify(&self, customer: &Name) -> Result<(), FoldError> {
         if self.contract.customer != *customer {
             return Err(FoldError::ForeignContract(customer.clone()));
@@ -362,11 +360,3 @@
 fn after(offset: Offset) -> Offset {
     Offset(offset.0.saturating_add(1))
 }
-
-/// Appends to a bounded list and drops the oldest beyond the bound.
-fn remember<T>(list: &mut Vec<T>, item: T, bound: usize) {
-    if list.len() >= bound {
-        list.remove(0);
-    }
-    list.push(item);
-}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -28,8 +28,8 @@
 pub use binding::{
     AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, BindingError, Bound,
     CallRule, Evidence, Fate, Handover, HandoverEntry, Lineage, Resend, RunLimits, RunTable,
-    RunVerdict, SealedTable, SenderId, Successor, SuccessorFull, Unbound, WindowView, binder_of,
-    call_rule, overall_fate, resend_rule, shed_fate,
+    RunVerdict, SealedTable, SenderId, Successor, SuccessorFull, Unbound, WindowView, bound_resend,
+    call_rule,
 };
 pub use budget::{
     Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
@@ -38,8 +38,8 @@
 pub use choice::{Choice, Chooser, Observed, TargetInfo};
 pub use contract::{CHAIN_DEPTH, ClassTerms, Contract, ContractError, Goal, HOP_TIME};
 pub use fold::{
-    ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, MAX_REFUSED,
-    RecordFault, Verdict, Word,
+    ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, RecordFault, Verdict,
+    Word,
 };
 pub use follow::{
     BACKOFF_MAX, BACKOFF_MIN, Judged, LONG_READ, LogBatch, LogEntry, LogReader, PULL_PAUSE,
@@ -50,6 +50,10 @@
     rendezvous_owner, rendezvous_weight,
 };
 pub use limit::{ClassLimits, ImportanceScale, RunTimes, TargetLimits, retry_after};
+pub use membership::{
+    Ask, Change, Entry, Follower, MemberRecord, MemberState, Membership, Message, Outgoing, Peer,
+    ProbeId, Sample, SampleRequest, TICK_TIME, Verdict as MemberVerdict, VerdictReport, ViewError,
+};
 pub use outcome::{ErrorKind, Outcome, Reply, TargetEnd};
 pub use publish::{PublishAction, PublishPlan, PublishResult, Publisher, RESEND, publish_id};
 pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
--- a/node/src/route/trip.rs
+++ b/node/src/route/trip.rs
@@ -3,11 +3,13 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use poplar_core::{
-    Binding, Bound, Budget, Call, CallRule, CallTerms, ErrorKind, Evidence, Fate, InstanceId, Loan,
-    Moment, Next, Outcome, Resend, RetriesSpent, Unbound, next_step, overall_fate, resend_rule,
+    Binding, Bound, Budget, Call, CallRule, CallTerms, ErrorKind, Evidence, Fate, InstanceId,
+    Lineage, Loan, Moment, Next, Observed, Outcome, Rank, Resend, RetriesSpent, Unbound,
+    bound_resend, next_step,
 };
 use poplar_wire::{Answer, CallMeta, MemberRecord};
 
+use super::targets::Chosen;
 use super::{Delivered, Delivery, Reply, Route, not_run, outcome_of};
 
 /// Binding that the next send is to carry.
@@ -28,73 +30,110 @@
     call: Delivery,
     budget: &'a Mutex<Budget>,
     sends: Call,
+    /// Sends made before this trip.
+    sent: u32,
     ties: Ties,
     tried: Vec<InstanceId>,
-    /// Whether an earlier send ended unknown.
+    /// Whether a send under the present binding ended unknown.
     open: bool,
     deadline: Moment,
     offer: Option<Binding>,
+    /// Target that alone may run the request.
+    isolation: Option<InstanceId>,
+    /// Whether a run of the request may have crashed its target.
+    suspect: bool,
 }
 
 impl<'a> Trip<'a> {
-    /// Call that was not sent yet.
-    pub(super) fn new(route: &'a Route, call: Delivery, budget: &'a Mutex<Budget>) -> Self {
+    /// Call with the sends that were made for it before.
+    pub(super) fn new(
+        route: &'a Route,
+        call: Delivery,
+        budget: &'a Mutex<Budget>,
+        sends: Call,
+    ) -> Self {
         let ties = match (&call.rule, &call.meta.binding) {
             (CallRule::Free, _) => Ties::Free,
             (_, Some(binding)) => Ties::Given(binding.clone()),
             (_, None) => Ties::Unbound(Unbound::new()),
         };
         let deadline = route.clock.now() + call.meta.left;
-        let (sends, tried) = (Call::new(), Vec::new());
-        Self { route, call, budget, sends, ties, tried, open: false, deadline, offer: None }
+        let tried = Vec::new();
+        Self {
+            route,
+            call,
+            budget,
+            sent: sends.sends(),
+            sends,
+            ties,
+            tried,
+            open: false,
+            deadline,
+            offer: None,
+            isolation: None,
+            suspect: false,
+        }
     }
 
     /// Sends the call until it has an outcome that stays.
     pub(super) async fn run(mut self) -> Delivered {
         let mut last = None;
         loop {
-            let Some(member) = self.next_member().await else {
+            let Some(mut chosen) = self.next_member().await else {
                 let outcome = last.unwrap_or_else(|| self.nobody());
                 return self.end(outcome);
             };
             let Ok(loan) = self.lend() else {
-                let outcome = last.unwrap_or_else(|| not_run(ErrorKind::RetriesSpent));
+                let outcome = last.unwrap_or_else(|| self.spent());
                 return self.end(outcome);
             };
             let meta = self.meta(&loan);
-            self.tried.push(member.instance.clone());
-            let reply = self.route.send(&member, meta, self.call.body.clone()).await;
+            self.tried.push(chosen.member.instance.clone());
+            let reply = self.route.send(&mut chosen, meta, self.call.body.clone()).await;
             let outcome = self.settle(loan, reply);
-            let overall = self.overall(outcome.clone());
             if !self.may_send_again(&outcome) {
-                return self.end(overall);
+                return self.end(outcome);
             }
-            last = Some(overall);
+            last = Some(outcome);
         }
     }
 
     /// Member for the next send; a once-only call is bound to it first.
-    async fn next_member(&mut self) -> Option<MemberRecord> {
+    async fn next_member(&mut self) -> Option<Chosen<'a>> {
         let service = &self.call.service;
-        match &self.ties {
-            Ties::Free => self.route.choose(service, &self.tried),
+        let named = match &self.ties {
+            Ties::Unbound(_) => return self.bind().await,
+            Ties::Free => match &self.isolation {
+                None => return self.choose(),
+                Some(target) => self.route.directory.member(service, target),
+            },
             Ties::Bound(bound) => self.route.bound_member(service, bound.binding()),
             Ties::Given(binding) => self.route.bound_member(service, binding),
-            Ties::Unbound(_) => self.bind().await,
-        }
+        };
+        named.map(Chosen::bound)
+    }
+
+    /// Member that is to get the next send, none of those that were tried.
+    fn choose(&self) -> Option<Chosen<'a>> {
+        let meta = &self.call.meta;
+        let rank = Rank::of(meta.importance, meta.root);
+        let route = self.route;
+        route.targets.choose(&route.directory, &self.call.service, rank, &self.tried)
     }
 
     /// Mints the binding for the next send.
-    async fn bind(&mut self) -> Option<MemberRecord> {
+    async fn bind(&mut self) -> Option<Chosen<'a>> {
         loop {
-            let member = self.route.choose(&self.call.service, &self.tried)?;
-            if self.try_bind(&member) {
-                return Some(member);
+            let mut chosen = self.choose()?;
+            if self.try_bind(&chosen.member) {
+                return Some(chosen);
             }
-            if self.route.ask_binding(&member).await.is_some() && self.try_bind(&member) {
-                return Some(member);
+            let asked = self.route.ask_binding(&chosen.member).await;
+            if asked.is_some() && self.try_bind(&chosen.member) {
+                return Some(chosen);
             }
-            self.tried.push(member.instance);
+            chosen.observe(Observed::Unreachable);
+            self.tried.push(chosen.member.instance.clone());
         }
     }
 
@@ -140,6 +179,8 @@
             Reply::Whole(reply) => {
                 self.sends.answered(&mut budget, loan, reply.units, &reply.outcome);
                 self.offer = reply.offer;
+                self.isolation = reply.isolation;
+                self.suspect |= reply.suspect;
                 reply.outcome
             }
             Reply::Unseen => {
@@ -176,19 +217,45 @@
 
     /// Decides whether another send follows one that ended with `outcome`.
     fn may_send_again(&mut self, outcome: &Outcome<Answer>) -> bool {
-        if hold(self.budget).left() == 0 || self.left().is_zero() {
-            return false;
+        let worth = matches!(self.next_step(outcome.clone()), Next::Resend);
+        if matches!(self.ties, Ties::Free) {
+            return worth;
         }
-        let fate = fate_of(outcome);
-        let again = match (resend_rule(self.call.rule, self.call.within, &fate), &self.ties) {
+        let funded = hold(self.budget).left() > 0 && !self.left().is_zero();
+        match (bound_resend(&fate_of(outcome)), &self.ties) {
+            (Resend::Never, _) => false,
+            (Resend::SameBinding, _) => {
+                self.open = true;
+                funded
+            }
             // Only the caller that mints the bindings may take the next one.
-            (Resend::Never, _) | (Resend::NextBinding, Ties::Given(_)) => false,
-            (Resend::Anywhere, _) => self.elsewhere(),
-            (Resend::SameBinding, _) => true,
-            (Resend::NextBinding, _) => self.elsewhere() && self.release(),
+            (Resend::NextBinding, Ties::Given(_)) => false,
+            (Resend::NextBinding, _) => worth && self.release(),
+        }
+    }
+
+    /// What follows `outcome`, by the one decision that every holder of a call shares.
+    fn next_step(&self, outcome: Outcome<Answer>) -> Next<Answer> {
+        let free = matches!(self.ties, Ties::Free);
+        let terms = CallTerms {
+            once: self.call.within == Lineage::Once,
+            // For a bound call a not run speaks for every send under the binding.
+            ran: free && self.sends.may_have_run(),
+            suspect: self.suspect,
+            elsewhere: self.elsewhere(),
+            units: hold(self.budget).left(),
+            left: self.left(),
         };
-        self.open |= again && matches!(fate, Fate::Unknown(_));
-        again
+        next_step(outcome, &terms, fastrand::u64(..))
+    }
+
+    /// Final answer for `outcome`, although another send might have been worth its unit.
+    fn final_step(&self, outcome: Outcome<Answer>) -> Next<Answer> {
+        let free = matches!(self.ties, Ties::Free);
+        let ran = free && self.sends.may_have_run();
+        let left = self.left();
+        let terms = CallTerms { once: true, ran, suspect: false, elsewhere: false, units: 0, left };
+        next_step(outcome, &terms, fastrand::u64(..))
     }
 
     /// Gives the call free for the next binding, after the last one was told not run.
@@ -207,13 +274,10 @@
         released
     }
 
-    /// Outcome over all sends.
-    fn overall(&self, last: Outcome<Answer>) -> Outcome<Answer> {
-        let open = self.open;
-        match (overall_fate(self.call.rule, open, fate_of(&last)), last) {
-            (Fate::Unknown(kind), Outcome::NotRun { .. }) => Outcome::Unknown { kind },
-            (_, last) => last,
-        }
+    /// Outcome when nothing is left to pay for a send.
+    fn spent(&self) -> Outcome<Answer> {
+        let kind = ErrorKind::RetriesSpent;
+        if self.sends.may_have_run() { Outcome::Unknown { kind } } else { not_run(kind) }
     }
 
     fn nobody(&self) -> Outcome<Answer> {
@@ -225,8 +289,8 @@
 
     /// Whether a target that was not tried may take the call.
     fn elsewhere(&self) -> bool {
-        let members = self.route.directory.serving(&self.call.service);
-        members.iter().any(|member| !self.tried.contains(&member.instance))
+        let route = self.route;
+        route.targets.has_other(&route.directory, &self.call.service, &self.tried)
     }
 
     fn binding(&self) -> Option<&Binding> {
@@ -243,21 +307,15 @@
 
     /// Ends the trip; an offer goes back only with the not run that it belongs to.
     fn end(self, outcome: Outcome<Answer>) -> Delivered {
-        self.route.metrics.resent(u64::from(self.sends.sends().saturating_sub(1)));
-        let terms = CallTerms {
-            once: true,
-            ran: false,
-            suspect: false,
-            elsewhere: false,
-            units: 0,
-            left: self.left(),
-        };
+        self.route.metrics.resent(u64::from(self.sends.sends().saturating_sub(self.sent.max(1))));
         let given = matches!(self.ties, Ties::Given(_));
         let refused = matches!(outcome, Outcome::NotRun { .. });
-        let offer = self.offer.filter(|_| given && refused);
-        match next_step(outcome.clone(), &terms, fastrand::u64(..)) {
-            Next::Final { outcome, retry_after } => Delivered { outcome, retry_after, offer },
-            Next::Resend => Delivered { outcome, retry_after: None, offer },
+        let offer = self.offer.clone().filter(|_| given && refused);
+        match self.final_step(outcome.clone()) {
+            Next::Final { outcome, retry_after } => {
+                Delivered { outcome, retry_after, offer, sends: self.sends }
+            }
+            Next::Resend => Delivered { outcome, retry_after: None, offer, sends: self.sends },
         }
     }
 }
