Ask the request id's keeper for its budget in the node

Cause: each entry granted the whole bound anew, so a caller that sent the same id to several nodes got several budgets (entry.rs: Budget::grant per call). Before: nothing asked. Conclusion: node/src/budgets.rs asks the keeper for ids that callers chose; ids drawn by the entry need none. A copy of a bound call joins at its target and gets no units.

--- a/core/src/budget/ledger.rs
+++ b/core/src/budget/ledger.rs
@@ -9,13 +9,17 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Budget, Call, Units};
-use crate::ids::{InstanceId, RequestId, rendezvous_owner};
+use super::{Budget, Call, RetriesSpent, Units};
+use crate::ids::{InstanceId, RequestId, rendezvous_owner, rendezvous_weight};
+use crate::outcome::Outcome;
 use crate::time::Moment;
 
 /// Units kept back while a run is out, so that one re-send remains if its entry is lost.
 const RESERVE_UNITS: u32 = 1;
 
+/// Largest number of members remembered as gone; with more, no unknown id is vouched for.
+const MAX_GONE: usize = 64;
+
 /// Instance that keeps the budget of `request`, among the serving members of the service.
 ///
 /// Every node with the same members names the same keeper; one member's loss moves only the ids
@@ -51,6 +55,24 @@
     pub call: Call,
 }
 
+impl Run {
+    /// Pays for the run's first send, for a holder that counts the run's sends from nothing.
+    pub fn prepay(&mut self) -> Result<(), RetriesSpent> {
+        if self.call.may_have_run() {
+            // The send itself is charged then, and so are those of the calls below it.
+            self.budget.rerun = true;
+            return if self.budget.left() > 0 { Ok(()) } else { Err(RetriesSpent) };
+        }
+        if self.call.sends() > 0 { self.budget.spend() } else { Ok(()) }
+    }
+
+    /// Notes that the run sent the request and how it ended; the counterpart of [`Self::prepay`].
+    pub fn ended<A>(&mut self, outcome: &Outcome<A>) {
+        self.call.sends = self.call.sends.saturating_add(1);
+        self.call.ran |= !matches!(outcome, Outcome::NotRun { .. });
+    }
+}
+
 /// Answer of the keeper.
 #[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Opening {
@@ -77,6 +99,14 @@
     expiry: Moment,
 }
 
+/// Member that may have kept ids before.
+#[derive(Debug)]
+struct Gone {
+    since: Moment,
+    own: InstanceId,
+    member: InstanceId,
+}
+
 /// Budgets of the request ids that one instance keeps.
 ///
 /// Holds at most `capacity` ids, each of some 100 bytes, for `window` after their last use.
@@ -85,6 +115,7 @@
     started: Moment,
     window: Duration,
     capacity: usize,
+    gone: Vec<Gone>,
     accounts: HashMap<RequestId, Account>,
     expiries: BTreeSet<(Moment, RequestId)>,
 }
@@ -109,7 +140,7 @@
     /// Empty ledger of an instance that became a keeper at `now`.
     pub fn new(now: Moment, window: Duration, capacity: usize) -> Self {
         let (accounts, expiries) = (HashMap::new(), BTreeSet::new());
-        Self { started: now, window, capacity, accounts, expiries }
+        Self { started: now, window, capacity, gone: Vec::new(), accounts, expiries }
     }
 
     /// Number of request ids kept.
@@ -122,11 +153,17 @@
         self.accounts.is_empty()
     }
 
-    /// Tells that ids of another keeper may have moved here at `now`.
+    /// Tells the keeper `own` that the member `gone` serves no more since `now`.
     ///
-    /// From then on an id that is unknown here may have been sent before, for one window.
-    pub fn members_changed(&mut self, now: Moment) {
-        self.started = now;
+    /// For one window, an id that `gone` kept before may have been sent although it is unknown here.
+    pub fn member_gone(&mut self, now: Moment, own: &InstanceId, gone: InstanceId) {
+        self.gone.retain(|past| now.since(past.since) < self.window);
+        if self.gone.len() >= MAX_GONE {
+            self.started = now;
+            self.gone.clear();
+            return;
+        }
+        self.gone.push(Gone { since: now, own: own.clone(), member: gone });
     }
 
     /// Decides whether an entry may send the request, and with which units.
@@ -167,12 +204,20 @@
     }
 
     fn account(&mut self, now: Moment, ask: &OpenRequest) -> &mut Account {
-        let vouched = ask.first || now.since(self.started) >= self.window;
-        let units = Units(if vouched { ask.retries } else { 0 });
+        let units =
+            Units(if ask.first || self.vouches(now, ask.request) { ask.retries } else { 0 });
         let fresh = Account { units, call: Call::new(), runs: 0, out: None, expiry: now };
         self.accounts.entry(ask.request).or_insert(fresh)
     }
 
+    /// Whether an id that is unknown here was not sent before within the window.
+    fn vouches(&self, now: Moment, request: RequestId) -> bool {
+        let weight = |id: &InstanceId| (rendezvous_weight(request.0, id.0.as_str()), id.clone());
+        let kept = |past: &Gone| weight(&past.member) > weight(&past.own);
+        let recent = self.gone.iter().filter(|past| now.since(past.since) < self.window);
+        now.since(self.started) >= self.window && !recent.into_iter().any(kept)
+    }
+
     fn renew(&mut self, now: Moment, request: RequestId) {
         let Some(account) = self.accounts.get_mut(&request) else { return };
         self.expiries.remove(&(account.expiry, request));
--- a/core/tests/budget.rs
+++ b/core/tests/budget.rs
@@ -157,6 +157,9 @@
 
     /// One entry's whole run of the request.
     fn enter(&mut self, request: RequestId, run: Run) -> Run {
+        if self.below(2) == 0 {
+            return self.enter_prepaid(request, run);
+        }
         let Run { number, mut budget, mut call } = run;
         let share = budget.share(1);
         if let Ok(loan) = self.send(&mut call, &mut budget, request, share) {
@@ -165,6 +168,20 @@
         Run { number, budget, call }
     }
 
+    /// The same by a holder that counts its own sends from nothing.
+    fn enter_prepaid(&mut self, request: RequestId, mut run: Run) -> Run {
+        if run.prepay().is_err() {
+            return run;
+        }
+        let mut call = Call::new();
+        let share = run.budget.share(1);
+        if let Ok(loan) = self.send(&mut call, &mut run.budget, request, share) {
+            let (outcome, _) = self.finish(request, call, loan, &mut run.budget, 0);
+            run.ended(&outcome);
+        }
+        run
+    }
+
     fn excess(&self) -> u32 {
         self.sends.values().map(|sends| sends - 1).sum()
     }
@@ -270,6 +287,40 @@
     assert_eq!(ledger.len(), 1);
 }
 
+#[test]
+fn after_a_members_loss_only_the_ids_it_kept_get_no_retries() {
+    let start = Moment::from_millis(1);
+    let now = start + WINDOW;
+    let (own, gone): (InstanceId, InstanceId) = ("own".into(), "gone".into());
+    let mut ledger = Ledger::new(start, WINDOW, 1_000);
+    ledger.member_gone(now, &own, gone.clone());
+    for id in (0..200).map(RequestId) {
+        let Opening::Run(run) = ledger.open(now, &ask(id, 3)) else { panic!("refused") };
+        let was_kept = keeper(id, [&own, &gone]) == Some(&gone);
+        assert_eq!(run.budget.left(), if was_kept { 0 } else { 2 });
+    }
+}
+
+#[test]
+fn a_prepaid_run_charges_each_resend_once_and_the_calls_of_a_rerun() {
+    let now = Moment::from_millis(100_000);
+    let mut ledger = Ledger::new(Moment::default(), WINDOW, 4);
+    let refused = Outcome::<()>::NotRun { kind: ErrorKind::Overload, retry_after: DEADLINE };
+    let mut left = Vec::new();
+    for outcome in [refused.clone(), refused, Outcome::Done(()), Outcome::Done(())] {
+        let Opening::Run(mut run) = ledger.open(now, &ask(RequestId(7), 4)) else { break };
+        run.prepay().expect("units are left");
+        let mut call = Call::new();
+        let loan = call.send(&mut run.budget, 0).expect("paid");
+        assert_eq!(loan.grant().rerun, run.call.may_have_run());
+        call.answered(&mut run.budget, loan, 0, &outcome);
+        run.ended(&outcome);
+        left.push(run.budget.left());
+        ledger.close(now, RequestId(7), run);
+    }
+    assert_eq!(left, [3, 2, 1, 0], "one unit stays with the keeper until it is the last");
+}
+
 #[test]
 fn the_loss_of_a_member_moves_only_the_ids_it_kept() {
     let members: Vec<InstanceId> = (0..9).map(|n| format!("i{n}").as_str().into()).collect();
--- a/node/src/ends/peer.rs
+++ b/node/src/ends/peer.rs
@@ -18,6 +18,7 @@
 };
 use tokio::net::TcpStream;
 
+use crate::budgets::{Budgets, CLOSE_PATH, OPEN_PATH};
 use crate::contracts::Contracts;
 use crate::directory::Directory;
 use crate::follow::{CONTRACTS_PATH, MEMBERS_PATH};
@@ -41,6 +42,7 @@
     pub(crate) directory: Arc<Directory>,
     pub(crate) members: Arc<Members>,
     pub(crate) suspects: Arc<Suspects>,
+    pub(crate) budgets: Arc<Budgets>,
 }
 
 /// Why a message got no answer.
@@ -90,7 +92,7 @@
 
 /// Answers one message; the path says which one it is.
 async fn dispatch(peers: &Peers, path: &str, body: &[u8]) -> Result<Bytes, MessageError> {
-    let Peers { work, contracts, directory, members, suspects } = peers;
+    let Peers { work, contracts, directory, members, suspects, budgets } = peers;
     let answer = match path {
         CALL_PATH => {
             let call: CallRequest = decode(body)?;
@@ -118,6 +120,11 @@
             suspects.merge(&decode::<Vec<SuspectReport>>(body)?);
             encode(&())
         }
+        OPEN_PATH => encode(&budgets.answer(&decode(body)?)),
+        CLOSE_PATH => {
+            budgets.take_back(decode(body)?);
+            encode(&())
+        }
         _ => return Err(MessageError::UnknownPath),
     };
     Ok(answer?)
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -6,13 +6,14 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    AttemptId, Binding, Budget, CallRule, ErrorKind, Grant, Lineage, Moment, Name, Outcome, Rank,
-    RequestId, call_rule, come_back_after,
+    AttemptId, Binding, Budget, CallRule, ErrorKind, Grant, Lineage, Moment, Name, OpenRequest,
+    Outcome, Rank, RequestId, call_rule, come_back_after,
 };
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
 use poplar_wire::{Answer, CallMeta};
 use serde_json::{Value, json};
 
+use crate::budgets::Budgets;
 use crate::contracts::{Contracts, InForce, Terms};
 use crate::levels::Levels;
 use crate::metrics::Metrics;
@@ -49,6 +50,7 @@
 pub(crate) struct Entry {
     clock: Clock,
     customer: Name,
+    budgets: Arc<Budgets>,
     contracts: Arc<Contracts>,
     levels: Arc<Levels>,
     metrics: Arc<Metrics>,
@@ -76,6 +78,7 @@
         Ok(Self {
             clock,
             customer,
+            budgets: registry.find("budgets")?,
             contracts: registry.find("contracts")?,
             levels: registry.find("levels")?,
             metrics: registry.find("metrics")?,
@@ -168,8 +171,35 @@
             siblings: 1,
             body: call.body,
         };
-        let budget = Mutex::new(Budget::grant(class.retries));
-        Ok(self.route.deliver(delivery, &budget).await.into())
+        let Some(request) = call.request else {
+            // An id that was drawn here cannot come again.
+            let budget = Mutex::new(Budget::grant(class.retries));
+            return Ok(self.route.deliver(delivery, &budget).await.into());
+        };
+        let (retries, deadline) = (class.retries, class.deadline);
+        let ask = OpenRequest { request, retries, first: false, deadline };
+        self.deliver_kept(delivery, ask).await
+    }
+
+    /// Delivers a call whose id the caller chose, with the units that earlier sends left.
+    async fn deliver_kept(
+        &self,
+        delivery: Delivery,
+        ask: OpenRequest,
+    ) -> Result<Outbound, ErrorKind> {
+        match self.budgets.open(&delivery.service, ask).await {
+            Ok(held) => {
+                let done = self.route.deliver(delivery, held.budget()).await;
+                held.close(&done.outcome);
+                Ok(done.into())
+            }
+            // A copy of a bound call joins the run at its target, so it needs no unit.
+            Err(_) if delivery.meta.binding.is_some() => {
+                let budget = Mutex::new(Budget::grant(0));
+                Ok(self.route.deliver(delivery, &budget).await.into())
+            }
+            Err(shut) => Ok(refuse(shut.kind, shut.ran)),
+        }
     }
 
     async fn serve_child(&self, call: Inbound, token: RequestId) -> Result<Outbound, ErrorKind> {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,6 +1,7 @@
 //! The process beside each target: takes calls in, routes them, admits them, runs them there.
 
 mod announce;
+mod budgets;
 mod contracts;
 mod directory;
 mod ends;
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc;
 
 use crate::announce::{Announcer, Identity};
+use crate::budgets::Budgets;
 use crate::contracts::Contracts;
 use crate::directory::Directory;
 use crate::ends::{admin, caller, listener, peer};
@@ -140,6 +141,7 @@
     registry.register(Arc::new(Levels::new(clock)));
     registry.register(Arc::new(Links::default()));
     let peer = Peer { instance: instance.clone(), address: own.address.clone() };
+    registry.register(Arc::new(Budgets::new(clock, peer.clone(), &registry)?));
     registry.register(Arc::new(Members::new(clock, peer, zone.clone(), &registry)?));
     registry.register(Arc::new(Runs::default()));
     registry.register(Arc::new(Target::new()));
@@ -208,6 +210,7 @@
         directory: services.registry.find("directory")?,
         members: services.registry.find("members")?,
         suspects: services.registry.find("suspects")?,
+        budgets: services.registry.find("budgets")?,
     });
     tokio::spawn(served.members.clone().run());
     let peers = listener::accept(sockets.peer, life.watch(), move |socket, graceful| {
