--- a/node/src/keeper.rs
+++ b/node/src/keeper.rs
@@ -160,9 +160,9 @@
         let mut state = self.lock();
         if state.members != seen {
             let gone: Vec<Seen> = state.members.difference(&seen).cloned().collect();
-            gone.iter().for_each(|member| state.binder.member_left(now, &member.instance));
-            if !gone.is_empty() {
-                state.ledger.members_changed(now);
+            for Seen { instance, .. } in gone {
+                state.binder.member_left(now, &instance);
+                state.ledger.member_gone(now, &self.own, instance);
             }
             state.members = seen;
         }
