Pass a question for a request's keeper on to the right member

Ruled out: a full list of members at each entry. Before: two entries with different samples could ask two keepers.

--- a/node/src/ends/peer.rs
+++ b/node/src/ends/peer.rs
@@ -120,15 +120,12 @@
             suspects.merge(&decode::<Vec<SuspectReport>>(body)?);
             encode(&())
         }
-        OPEN_PATH => {
-            let (service, ask) = decode(body)?;
-            encode(&keeper.serve_open(&service, &ask))
-        }
+        OPEN_PATH => encode(&keeper.serve_open(decode(body)?).await),
         CLOSE_PATH => {
-            keeper.serve_close(decode(body)?);
+            keeper.serve_close(decode(body)?).await;
             encode(&())
         }
-        BINDING_PATH => encode(&keeper.serve_binding(&decode(body)?).await),
+        BINDING_PATH => encode(&keeper.serve_binding(decode(body)?).await),
         _ => return Err(MessageError::UnknownPath),
     };
     Ok(answer?)
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -192,7 +192,7 @@
         first: bool,
     ) -> Result<Outbound, ErrorKind> {
         let ask = BindingRequest { service, request, first };
-        let answer = match self.keeper.binding(&ask).await {
+        let answer = match self.keeper.binding(ask.clone()).await {
             Some(answer) => answer,
             // No other binding can be out for an id that was never sent.
             None if first => {
@@ -236,7 +236,7 @@
             first: false,
             deadline: delivery.meta.left,
         };
-        let run = match self.keeper.open(&service, &ask).await {
+        let run = match self.keeper.open(&service, ask).await {
             Some(Opening::Run(run)) => run,
             Some(Opening::Running) => return Ok(refuse(ErrorKind::Connection, true)),
             Some(Opening::Spent { ran }) => return Ok(refuse(ErrorKind::RetriesSpent, ran)),
--- a/node/src/keeper.rs
+++ b/node/src/keeper.rs
@@ -38,6 +38,21 @@
 /// Time within which a keeper answers.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Message to the keeper of a request id.
+///
+/// A sender that sees only a sample of the service may name the wrong member; that one knows all
+/// and passes the message on, once.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Routed<M> {
+    pub(crate) service: Name,
+    pub(crate) request: RequestId,
+    /// Whether the message has left the node that it came to.
+    pub(crate) hops: bool,
+    /// Whether it was passed on, so that its receiver decides.
+    pub(crate) forwarded: bool,
+    pub(crate) message: M,
+}
+
 /// Budget that an entry gives back.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct CloseRequest {
@@ -102,53 +117,74 @@
     }
 
     /// Asks the keeper of a request for its budget; `None` if there is no keeper to be reached.
-    pub(crate) async fn open(&self, service: &Name, ask: &OpenRequest) -> Option<Opening> {
-        let keeper = self.keeper_of(service, ask.request)?;
-        if keeper.instance == self.own {
-            return Some(self.serve_open(service, ask));
-        }
-        let message = (service, ask);
-        self.ask(&keeper, OPEN_PATH, &message).await
+    pub(crate) async fn open(&self, service: &Name, ask: OpenRequest) -> Option<Opening> {
+        self.serve_open(first_hop(service, ask.request, ask)).await
     }
 
-    /// Gives the keeper back what a run left.
+    /// Gives the keeper back what a run left; a run that is not closed counts as lost.
     pub(crate) async fn close(&self, service: &Name, close: CloseRequest) {
-        let Some(keeper) = self.keeper_of(service, close.request) else { return };
-        if keeper.instance == self.own {
-            return self.serve_close(close);
-        }
-        // A run that is not closed counts as lost, with its units.
-        let _: Option<()> = self.ask(&keeper, CLOSE_PATH, &close).await;
+        self.serve_close(first_hop(service, close.request, close)).await;
     }
 
     /// Asks the keeper of a request for its binding; `None` if there is none to be had.
-    pub(crate) async fn binding(&self, ask: &BindingRequest) -> Option<BinderAnswer> {
-        let keeper = self.keeper_of(&ask.service, ask.request)?;
-        if keeper.instance == self.own {
-            return self.serve_binding(ask).await;
-        }
-        self.ask(&keeper, BINDING_PATH, ask).await?
+    pub(crate) async fn binding(&self, ask: BindingRequest) -> Option<BinderAnswer> {
+        let service = ask.service.clone();
+        self.serve_binding(first_hop(&service, ask.request, ask)).await
     }
 
-    /// Decides on the budget of a request that this node keeps.
-    pub(crate) fn serve_open(&self, service: &Name, ask: &OpenRequest) -> Opening {
+    /// Decides on the budget of a request that this node keeps, or has its keeper decide.
+    pub(crate) async fn serve_open(&self, asked: Routed<OpenRequest>) -> Option<Opening> {
+        if let Some(keeper) = self.other_keeper(&asked)? {
+            return self.ask(&keeper, OPEN_PATH, &asked.forward()).await?;
+        }
         let now = self.clock.now();
-        let mut state = self.note_members(now, service);
-        state.ledger.open(now, ask)
+        let mut state = self.note_members(now, &asked.service);
+        Some(state.ledger.open(now, &asked.message))
     }
 
-    /// Takes back what a run left.
-    pub(crate) fn serve_close(&self, close: CloseRequest) {
-        let now = self.clock.now();
-        self.lock().ledger.close(now, close.request, close.run);
+    /// Takes back what a run left, or passes it on to the keeper.
+    pub(crate) async fn serve_close(&self, asked: Routed<CloseRequest>) {
+        match self.other_keeper(&asked) {
+            Some(Some(keeper)) => {
+                // A run that is not closed counts as lost, with its units.
+                let _: Option<()> = self.ask(&keeper, CLOSE_PATH, &asked.forward()).await;
+            }
+            Some(None) => {
+                let now = self.clock.now();
+                let CloseRequest { request, run } = asked.message;
+                self.lock().ledger.close(now, request, run);
+            }
+            None => {}
+        }
     }
 
-    /// Gives the binding of a request that this node keeps.
-    pub(crate) async fn serve_binding(&self, ask: &BindingRequest) -> Option<BinderAnswer> {
-        let fresh: Binding = self.route.offer(&ask.service).await?;
+    /// Gives the binding of a request that this node keeps, or has its keeper give it.
+    pub(crate) async fn serve_binding(
+        &self,
+        asked: Routed<BindingRequest>,
+    ) -> Option<BinderAnswer> {
+        if let Some(keeper) = self.other_keeper(&asked)? {
+            return self.ask(&keeper, BINDING_PATH, &asked.forward()).await?;
+        }
+        let BindingRequest { service, request, first } = asked.message;
+        let fresh: Binding = self.route.offer(&service).await?;
         let now = self.clock.now();
-        let mut state = self.note_members(now, &ask.service);
-        Some(state.binder.bind(now, ask.request, ask.first, fresh))
+        let mut state = self.note_members(now, &service);
+        Some(state.binder.bind(now, request, first, fresh))
+    }
+
+    /// Keeper that the message should go to, if it isn't this node; `None` if there is no keeper.
+    fn other_keeper<M>(&self, asked: &Routed<M>) -> Option<Option<MemberRecord>> {
+        if asked.forwarded {
+            return Some(None);
+        }
+        let members = self.directory.serving(&asked.service);
+        let ids = members.iter().map(|member| &member.instance);
+        let instance = keeper(asked.request, ids)?.clone();
+        if instance == self.own {
+            return Some(None);
+        }
+        members.into_iter().find(|member| member.instance == instance).map(Some)
     }
 
     /// Notes which members came and went, since ids move between keepers with them.
@@ -169,12 +205,6 @@
         state
     }
 
-    fn keeper_of(&self, service: &Name, request: RequestId) -> Option<MemberRecord> {
-        let members = self.directory.serving(service);
-        let instance = keeper(request, members.iter().map(|member| &member.instance))?.clone();
-        members.into_iter().find(|member| member.instance == instance)
-    }
-
     async fn ask<M, A>(&self, keeper: &MemberRecord, path: &'static str, message: &M) -> Option<A>
     where
         M: Serialize,
@@ -190,6 +220,20 @@
     }
 }
 
+impl<M> Routed<M> {
+    /// Message as the one member that is asked next gets it.
+    ///
+    /// The second hop is the last: two members with different views would pass it on for good.
+    fn forward(self) -> Self {
+        let forwarded = self.hops;
+        Self { forwarded, hops: true, ..self }
+    }
+}
+
+fn first_hop<M>(service: &Name, request: RequestId, message: M) -> Routed<M> {
+    Routed { service: service.clone(), request, hops: false, forwarded: false, message }
+}
+
 impl Service for Keeper {
     fn name(&self) -> &'static str {
         "keeper"
