--- a/core/tests/fold/publish.rs
+++ b/core/tests/fold/publish.rs
@@ -20,16 +20,19 @@
     log: Log,
     appends: Vec<Appends>,
     node_up: bool,
+    /// Records that the node has not read yet.
+    lag: usize,
     clock: u64,
 }
 
 impl World {
     fn new(appends: &[Appends]) -> Self {
-        Self { log: Log::default(), appends: appends.to_vec(), node_up: true, clock: 0 }
+        Self { log: Log::default(), appends: appends.to_vec(), node_up: true, lag: 0, clock: 0 }
     }
 
     fn node(&self) -> Fold {
-        fold_of(self.log.records())
+        let read = self.log.end() - self.lag;
+        fold_of(&self.log.records()[..read])
     }
 
     fn publisher(&self, body: u64, base: Option<u64>) -> Publisher {
@@ -116,7 +119,10 @@
     world.node_up = false;
     let publisher = world.publisher(1, Some(0));
     assert_eq!(world.run(publisher), PublishResult::NotSent);
-    world.node_up = true;
+    (world.node_up, world.lag) = (true, 1);
+    let behind = world.publisher(1, Some(0));
+    assert_eq!(world.run(behind), PublishResult::NotSent);
+    world.lag = 0;
     let again = world.publisher(1, Some(0));
     let lost = PublishResult::Superseded { base: Revision(0), current: Revision(1) };
     assert_eq!(world.run(again), lost);
@@ -168,7 +174,7 @@
 }
 
 #[test]
-fn a_record_that_a_resume_voided_is_not_reported_as_accepted() {
+fn a_voided_record_is_not_reported_as_accepted_and_its_base_stays() {
     let mut world = World::new(&[]);
     world.node_up = false;
     let mut publisher = world.publisher(1, None);
@@ -176,8 +182,11 @@
         world.clock += 50;
         assert_eq!(world.step(&mut publisher), None);
     }
-    let resume = ContractRecord::Resume { expected: Offset(1), state: Box::new(Fold::new()) };
-    assert_eq!(world.node().apply(Offset(1), &resume), Verdict::Resumed);
+    // Publisher reads two records at a time, so that the one after the resume record comes apart.
+    let copy = world.log.records()[0].clone();
+    world.log.append(copy);
+    let resume = ContractRecord::Resume { expected: Offset(2), state: Box::new(Fold::new()) };
+    assert_eq!(world.node().apply(Offset(2), &resume), Verdict::Resumed);
     world.log.append(resume);
     world.log.append(publish(2, 0));
     world.node_up = true;
--- a/core/tests/fold/reader.rs
+++ b/core/tests/fold/reader.rs
@@ -153,6 +153,19 @@
     assert_eq!(better.fold().revision(&customer()), Revision(2));
 }
 
+#[test]
+fn an_offer_that_expired_in_the_gap_is_made_again() {
+    let live = [InstanceId::from("a")];
+    let (mut log, fold) = log_with_loss(2);
+    let mut reader = reader("a");
+    reader.on_peer(at(0), &fold);
+    assert_eq!(run(&mut reader, &mut log, &live, [0, 20]).len(), 1);
+    log.truncate(log.end());
+    log.append(publish(8, 2));
+    assert_eq!(run(&mut reader, &mut log, &live, [20, 40]).len(), 1);
+    assert!(reader.has_gap());
+}
+
 #[test]
 fn a_node_without_a_state_never_speaks_for_others() {
     let (mut log, _) = log_with_loss(0);
