--- a/kernel/src/logs.rs
+++ b/kernel/src/logs.rs
@@ -41,7 +41,7 @@
     }
 }
 
-/// Logger of one part; `name` is its fixed prefix.
+/// Logger of one part; `name` stands in each line of JSON, and as a prefix in each sentence.
 pub fn part(root: &Logger, name: &'static str) -> Logger {
     root.new(o!("part" => name))
 }
--- a/node/src/follow.rs
+++ b/node/src/follow.rs
@@ -99,7 +99,7 @@
                     next = self.learn(next, batch);
                 }
                 Err(error) => {
-                    warn!(self.logger, "read failed"; "stream" => MEMBERS, "error" => %error);
+                    warn!(self.logger, "log: read failed"; "stream" => MEMBERS, "error" => %error);
                     self.exchange_members().await;
                     pause = next_pause(pause).await;
                 }
@@ -113,7 +113,7 @@
             let Ok(body) = serde_json::to_vec(&record) else { continue };
             let mut pause = PAUSE_MIN;
             while let Err(error) = self.platform.append(MEMBERS, body.clone().into()).await {
-                warn!(self.logger, "append not confirmed"; "error" => %error);
+                warn!(self.logger, "log: append not confirmed"; "error" => %error);
                 pause = next_pause(pause).await;
             }
         }
@@ -123,7 +123,7 @@
         match self.platform.read(CONTRACTS, from, wait).await {
             Ok(batch) => {
                 for judged in self.contracts.on_read(&decoded(batch)) {
-                    info!(self.logger, "contract record judged";
+                    info!(self.logger, "log: contract record judged";
                         "offset" => %judged.offset, "verdict" => ?judged.verdict);
                 }
             }
@@ -136,7 +136,7 @@
         match self.platform.append(CONTRACTS, body.into()).await {
             Ok(offset) => {
                 self.contracts.on_append();
-                info!(self.logger, "state appended"; "offset" => %offset);
+                info!(self.logger, "log: state appended"; "offset" => %offset);
             }
             Err(error) => self.failed(&error),
         }
@@ -144,7 +144,7 @@
 
     fn failed(&self, error: &PlatformError) {
         self.contracts.on_error();
-        warn!(self.logger, "log failed"; "stream" => CONTRACTS, "error" => %error);
+        warn!(self.logger, "log: log failed"; "stream" => CONTRACTS, "error" => %error);
     }
 
     async fn pull_contracts(&self) {
@@ -158,7 +158,7 @@
         if let Ok(fold) = pulled
             && self.contracts.on_peer(&fold)
         {
-            info!(self.logger, "contracts pulled"; "peer" => %peer, "next" => %fold.next());
+            info!(self.logger, "log: contracts pulled"; "peer" => %peer, "next" => %fold.next());
         }
     }
 
--- a/node/src/levels.rs
+++ b/node/src/levels.rs
@@ -1,14 +1,16 @@
 //! Admission levels that this node learnt from answers.
 
-use std::sync::{Mutex, PoisonError};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use poplar_core::{
     Contract, ImportanceScale, InstanceId, Level, LevelMap, Moment, Name, Rank, Revision,
 };
-use poplar_kernel::{Clock, Service};
+use poplar_kernel::{Clock, Registry, RegistryError, Service};
 use serde_json::{Value, json};
 
 use crate::contracts::InForce;
+use crate::directory::Directory;
 
 /// Most classes below one class that are looked at; a graph of calls is no deeper than 18.
 const BELOW_MAX: usize = 256;
@@ -17,6 +19,7 @@
 #[derive(Debug)]
 pub(crate) struct Levels {
     clock: Clock,
+    directory: Arc<Directory>,
     state: Mutex<State>,
 }
 
@@ -24,13 +27,22 @@
 struct State {
     revision: Revision,
     map: LevelMap,
+    /// Instances of each class that the map was last told of.
+    met: BTreeMap<Name, Met>,
+}
+
+#[derive(Debug, Default)]
+struct Met {
+    version: u64,
+    members: BTreeSet<InstanceId>,
 }
 
 impl Levels {
-    /// Service without knowledge.
-    pub(crate) fn new(clock: Clock) -> Self {
+    /// Service that finds what it needs in `registry`.
+    pub(crate) fn new(clock: Clock, registry: &Registry) -> Result<Self, RegistryError> {
         let map = LevelMap::new(ImportanceScale::new([]));
-        Self { clock, state: Mutex::new(State { revision: Revision::default(), map }) }
+        let state = State { revision: Revision::default(), map, met: BTreeMap::new() };
+        Ok(Self { clock, directory: registry.find("directory")?, state: Mutex::new(state) })
     }
 
     /// Takes in the level that came with an answer.
@@ -47,6 +59,9 @@
         classes.push(class);
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.revise(contract);
+        for class in &classes {
+            state.meet(&self.directory, contract, class);
+        }
         state.map.is_doomed(now, rank, classes)
     }
 
@@ -65,8 +80,24 @@
         if self.revision != contract.revision {
             self.revision = contract.revision;
             self.map.revise(ImportanceScale::derive(&contract.contract));
+            self.met.clear();
         }
     }
+
+    /// Tells the map which instances run calls of `class`, if they changed.
+    ///
+    /// An instance that was never called counts as open, so that no call is refused here for the
+    /// word of the only one that was.
+    fn meet(&mut self, directory: &Directory, contract: &InForce, class: &Name) {
+        let Some(terms) = contract.contract.classes.get(class) else { return };
+        let met = self.met.entry(class.clone()).or_default();
+        let Some(serving) = directory.serving_since(&terms.service, met.version) else { return };
+        let members: BTreeSet<_> =
+            serving.members.into_iter().map(|member| member.instance).collect();
+        met.members.difference(&members).for_each(|gone| self.map.forget(gone));
+        members.iter().for_each(|instance| self.map.meet(class, instance));
+        *met = Met { version: serving.version, members };
+    }
 }
 
 /// Classes that a run of `class` calls, directly or through others, each once.
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -97,18 +97,18 @@
     spawn_followers(clock, &settings, &services, Channels { hints, appends }, &root)?;
     print_ready(&sockets)?;
     let life = life.serve();
-    info!(logger, "serving"; "instance" => %settings.instance);
+    info!(logger, "process: serving"; "instance" => %settings.instance);
     let mut terminate = signal(SignalKind::terminate())?;
     let ends = spawn_ends(sockets, &life, &services, clock, settings.customer.clone())?;
     terminate.recv().await;
-    info!(logger, "draining");
+    info!(logger, "process: draining");
     let life = drain(life.drain(), &services, clock, &logger).await;
     let _stopped = life.stop();
     for end in ends {
         // A cancelled end has nothing left to say.
         let _ = end.await;
     }
-    info!(logger, "stopped");
+    info!(logger, "process: stopped");
     Ok(())
 }
 
@@ -140,7 +140,7 @@
     registry.register(settings.values.clone());
     registry.register(Arc::new(contracts));
     registry.register(Arc::new(Directory::default()));
-    registry.register(Arc::new(Levels::new(clock)));
+    registry.register(Arc::new(Levels::new(clock, &registry)?));
     registry.register(Arc::new(Links::default()));
     let peer = Peer { instance: instance.clone(), address: own.address.clone() };
     registry.register(Arc::new(Members::new(clock, peer, zone.clone(), &registry)?));
@@ -253,12 +253,12 @@
         tokio::time::sleep(DRAIN_POLL).await;
     }
     if busy(services) {
-        warn!(logger, "calls cut off by the drain limit"; "calls" => services.work.in_flight());
+        warn!(logger, "process: calls cut off by the drain limit"; "calls" => services.work.in_flight());
     }
     if let Some(service) = services.announcer.service() {
         let successor = services.leaver.hand_over(&service).await;
         if let Some(successor) = &successor {
-            info!(logger, "once-only table handed over"; "successor" => %successor);
+            info!(logger, "process: once-only table handed over"; "successor" => %successor);
         }
         services.announcer.leave(successor);
     }
