Find a run under a later binding before a successor says not run

Cause: a caller that lost its binding can come back with an older one, bound to an incarnation that this node succeeds. The taken-over table lacks the request, so the answer was "not run" although it ran here under a later one. Ruled out: keying handed-over tables by minter. Before: `RunTable` could not be asked by request alone. The node's own path has no test of its own yet. Conclusion: "not run" from a successor now also speaks for its own table.

--- a/core/src/binding/runs.rs
+++ b/core/src/binding/runs.rs
@@ -140,6 +140,14 @@
         self.recorded(request, binding)
     }
 
+    /// What became of a request under whatever binding it came, unless it is on record as not run.
+    ///
+    /// A caller that lost its binding may come back with an older one, bound to an incarnation
+    /// that this node succeeds. Its "not run" must not hide a run under a later binding here.
+    pub fn ran(&self, request: RequestId) -> Option<Fate<A>> {
+        ran(self.entries.get(&request))
+    }
+
     /// Refuses a copy that was not admitted, and returns what the sender may be told.
     ///
     /// The tombstone is on record when this returns, so that a late copy is refused as well. The
@@ -323,6 +331,12 @@
     }
 }
 
+/// Fate of a recorded request that ran, may have run or is running.
+pub(crate) fn ran<A: Clone>(entry: Option<&Entry<A>>) -> Option<Fate<A>> {
+    let fate = &entry?.fate;
+    (!matches!(fate, Fate::NotRun(_))).then(|| fate.clone())
+}
+
 /// What to keep of an outcome, and its size in bytes.
 pub(crate) fn ending<A>(outcome: Outcome<A>, size: usize, room: usize) -> (Fate<A>, usize) {
     match outcome {
--- a/core/src/binding/sealed.rs
+++ b/core/src/binding/sealed.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::runs::{Entry, ending};
+use super::runs::{Entry, ending, ran};
 use super::{Binding, Fate};
 use crate::ids::{Incarnation, InstanceId, RequestId};
 use crate::outcome::{ErrorKind, Outcome};
@@ -48,6 +48,12 @@
         }
     }
 
+    /// What became of a request under whatever binding; see
+    /// [`RunTable::ran`](super::RunTable::ran).
+    pub fn ran(&self, request: RequestId) -> Option<Fate<A>> {
+        ran(self.entries.get(&request))
+    }
+
     /// Records how a request that was running at the seal ended; see
     /// [`RunTable::finish`](super::RunTable::finish).
     pub fn finish(&mut self, request: RequestId, outcome: Outcome<A>, size: usize) -> bool {
--- a/core/tests/binding_once.rs
+++ b/core/tests/binding_once.rs
@@ -157,6 +157,19 @@
     assert_eq!(next.answer(at(60), absent, &b), LOST, "the table is dropped in the end");
 }
 
+#[test]
+fn a_run_under_a_later_binding_is_found_by_its_request_alone() {
+    let (mut a, old) = (table("a", 1), bind("gone", 1));
+    assert_eq!(a.ran(REQ), None);
+    let next = a.mint(at(0), Some(&old));
+    a.refuse(at(0), RequestId(8), &next, ErrorKind::Overload);
+    assert_eq!(admit(&mut a, 1, &next), RunVerdict::Run);
+    assert_eq!(admit(&mut a, 2, &old), RunVerdict::Known(LOST));
+    assert_eq!((a.ran(REQ), a.ran(RequestId(8))), (Some(Fate::Running), None));
+    finish(&mut a, 3, Outcome::Done("paid"));
+    assert_eq!(a.seal().ran(REQ), Some(Fate::Done("paid")));
+}
+
 #[test]
 fn a_call_is_bound_anew_only_on_word_about_its_own_binding() {
     let call = Unbound::new().bind("a".into(), Incarnation(1), 0);
--- a/node/src/once.rs
+++ b/node/src/once.rs
@@ -196,11 +196,23 @@
         fate: Fate<Answer>,
     ) -> Fate<Answer> {
         match fate {
-            Fate::Unknown(ErrorKind::BindingLost) => self.successor.answer(now, request, binding),
+            Fate::Unknown(ErrorKind::BindingLost) => {
+                let own = self.ran(request);
+                own.unwrap_or_else(|| self.successor.answer(now, request, binding))
+            }
             fate => fate,
         }
     }
 
+    /// What became of the request here under a later binding, if it came under one.
+    fn ran(&self, request: RequestId) -> Option<Fate<Answer>> {
+        match &self.table {
+            Table::Open(table) => table.ran(request),
+            Table::Sealed(table) => table.ran(request),
+            Table::HandedOver => None,
+        }
+    }
+
     fn known(&mut self, now: Moment, binding: &Binding, fate: Fate<Answer>) -> Copy {
         let refused = matches!(fate, Fate::NotRun(_));
         let offer = if refused { self.offer(now, Some(binding)) } else { None };
