Add golden sessions of the members of a service

Cause: "a leaving target receives no new work" had no session, as membership had not landed. Any member that sees a drainer as serving after 3 s makes the file fail.

--- a/filetests/src/lib.rs
+++ b/filetests/src/lib.rs
@@ -9,6 +9,7 @@
 mod answers;
 mod budget;
 mod contracts;
+mod members;
 mod once;
 mod sends;
 mod suspects;
@@ -70,6 +71,7 @@
         "answers" => Ok(Box::new(answers::Answers::default())),
         "budget" => Ok(Box::new(budget::Retries::default())),
         "contracts" => Ok(Box::new(contracts::Contracts::default())),
+        "members" => Ok(Box::new(members::Members::default())),
         "once" => Ok(Box::new(once::Once::default())),
         "sends" => Ok(Box::new(sends::Sends::default())),
         "suspects" => Ok(Box::new(suspects::Service::default())),
