Model a table that fills up

Cause: the rule that a full table closes its windows, so that refusals need no tombstones, was in tests only. Ruled out: replaying the step in the conformance test (the filling keys would stay and the two states part); a replay ends there instead. Conclusion: "not run" without a tombstone is covered by the search.

--- a/model/src/once/mod.rs
+++ b/model/src/once/mod.rs
@@ -68,10 +68,12 @@
     ChildForParent,
     /// A repeatable run makes a once-only call.
     OnceInRepeatable,
+    /// A full table refuses without closing its windows.
+    FullStaysOpen,
 }
 
 /// Mutations, by name.
-const RULES: [(Broken, Mutation); 10] = {
+const RULES: [(Broken, Mutation); 11] = {
     use Broken as B;
     const fn rule(broken: B, name: &'static str, text: &'static str) -> (B, Mutation) {
         (broken, Mutation { name, text })
@@ -87,6 +89,7 @@
         rule(B::HandoverWithoutRunning, "partial-handover", "the handover lacks what still runs"),
         rule(B::ChildForParent, "child-for-parent", "a child's not run is told as the parent's"),
         rule(B::OnceInRepeatable, "once-in-repeatable", "a repeatable run makes a once-only call"),
+        rule(B::FullStaysOpen, "full-stays-open", "a full table refuses and closes no window"),
     ]
 };
 
@@ -99,6 +102,8 @@
     Arrive(Party, usize, usize),
     /// The same, and the node's admission refuses it.
     Refuse(Party, usize, usize),
+    /// The same, and the node's table is full: it closes its windows.
+    Full(Party, usize, usize),
     /// A node hands a request that it admitted to its target.
     Start(usize, Key),
     /// A node drops a request that it admitted from its queue.
@@ -137,6 +142,9 @@
             Self::Refuse(party, serial, node) => {
                 write!(f, "copy of {party} under binding {serial} is refused at node {node}")
             }
+            Self::Full(party, serial, node) => {
+                write!(f, "copy of {party} under binding {serial} finds node {node} full")
+            }
             Self::Start(node, key) => write!(f, "node {node} hands the {key} to its target"),
             Self::Drop(node, key) => write!(f, "node {node} drops the {key} from its queue"),
             Self::Finish(node, key) => write!(f, "the {key} ends at node {node}"),
@@ -251,15 +259,23 @@
     }
 }
 
-const LEAF_MUTATIONS: [Mutation; 8] = [
-    RULES[0].1, RULES[1].1, RULES[2].1, RULES[3].1, RULES[4].1, RULES[5].1, RULES[6].1, RULES[7].1,
+const LEAF_MUTATIONS: [Mutation; 9] = [
+    RULES[10].1,
+    RULES[0].1,
+    RULES[1].1,
+    RULES[2].1,
+    RULES[3].1,
+    RULES[4].1,
+    RULES[5].1,
+    RULES[6].1,
+    RULES[7].1,
 ];
 
 /// Check of one request under every fault.
 pub(crate) const LEAF: Check = Check {
     name: "once",
-    bounds: "1 request, 2 instances, 1 kill, 1 graceful stop, 2 bindings, 3 new windows; messages \
-             lost, repeated and delayed without bound",
+    bounds: "1 request, 2 instances, 1 kill, 1 graceful stop, 2 bindings, 3 new windows by time or \
+             for lack of room; messages lost, repeated and delayed without bound",
     assumes: &["an instance never uses an incarnation number twice"],
     mutations: &LEAF_MUTATIONS,
     run: |name| run(Once::LEAF, name),
--- a/model/src/once/rules.rs
+++ b/model/src/once/rules.rs
@@ -37,6 +37,7 @@
                 for serial in 0..SERIALS {
                     events.push(Event::Arrive(party, serial, node));
                     events.push(Event::Refuse(party, serial, node));
+                    events.push(Event::Full(party, serial, node));
                 }
             }
         }
@@ -72,6 +73,7 @@
             Event::Mint(party, node) => self.mint(&mut next, party, node),
             Event::Arrive(party, serial, node) => self.arrive(&mut next, party, serial, node),
             Event::Refuse(party, serial, node) => self.refuse(&mut next, party, serial, node),
+            Event::Full(party, serial, node) => self.full(&mut next, party, serial, node),
             Event::Start(node, key) => start(&mut next, node, key),
             Event::Drop(node, key) => next.nodes[node].turn(key, Fate::Queued, Fate::Refused),
             Event::Finish(node, key) => next.nodes[node].turn(key, Fate::Running, Fate::Done),
@@ -143,6 +145,25 @@
         true
     }
 
+    /// There is no room for the key: all windows are closed, so that it needs no tombstone.
+    fn full(&self, state: &mut State, party: Party, serial: usize, node: usize) -> bool {
+        let Some(binding) = state.flow(party).sent[serial] else { return false };
+        let copy = Sent { party, serial, binding };
+        let admits = matches!(self.judge(&state.nodes[node], node, copy), Verdict::Admit);
+        if !admits || state.ticks == 0 {
+            return false;
+        }
+        state.ticks -= 1;
+        let place = &mut state.nodes[node];
+        place.window += 1;
+        if !self.is(Broken::FullStaysOpen) {
+            place.open = place.window;
+        }
+        place.settle();
+        state.flows[party.index()].replies[serial].add(Reply::NotRun);
+        true
+    }
+
     fn judge(&self, node: &Node, index: usize, copy: Sent) -> Verdict {
         let Sent { party, serial, binding } = copy;
         let own = binding.node == index && binding.incarnation == node.incarnation;
@@ -159,7 +180,7 @@
             None => {}
         }
         let sealed = node.sealed && !self.is(Broken::AdmitAfterSeal);
-        let closed = binding.window < node.open() && !self.is(Broken::ClosedWindow);
+        let closed = binding.window < node.open && !self.is(Broken::ClosedWindow);
         if sealed || (closed && binding.window >= node.floor) {
             return Verdict::Reply(Reply::NotRun);
         }
@@ -244,8 +265,10 @@
     let may = state.ticks > 0 && !state.nodes[node].sealed;
     if may {
         state.ticks -= 1;
-        state.nodes[node].window += 1;
-        state.nodes[node].settle();
+        let place = &mut state.nodes[node];
+        place.open = place.open.max(place.window);
+        place.window += 1;
+        place.settle();
     }
     may
 }
@@ -309,7 +332,7 @@
         if self.sealed {
             return;
         }
-        let open = self.open();
+        let open = self.open;
         let busy = |entry: &&Entry| matches!(entry.fate, Fate::Queued | Fate::Running);
         let oldest = self.table.iter().flatten().filter(busy).map(|entry| entry.window).min();
         let due = self.window.saturating_sub(2);
--- a/model/src/once/state.rs
+++ b/model/src/once/state.rs
@@ -183,6 +183,8 @@
     pub sealed: bool,
     /// Window in which bindings are minted.
     pub window: u8,
+    /// Windows that admit keys are this one and the later ones.
+    pub open: u8,
     /// Windows whose keys are held are this one and the later ones.
     pub floor: u8,
     /// Requests recorded.
@@ -196,12 +198,8 @@
 impl Node {
     pub(crate) const fn new(incarnation: u8) -> Self {
         let table = [None; 2];
-        Self { incarnation, sealed: false, window: 0, floor: 0, table, heir: None, hosts: false }
-    }
-
-    /// Windows that admit keys are this one and the later ones.
-    pub const fn open(&self) -> u8 {
-        self.window.saturating_sub(1)
+        let (sealed, hosts, heir) = (false, false, None);
+        Self { incarnation, sealed, window: 0, open: 0, floor: 0, table, heir, hosts }
     }
 }
 
--- a/model/tests/once_conformance.rs
+++ b/model/tests/once_conformance.rs
@@ -170,6 +170,8 @@
             Event::Tick(node) => self.tick(node),
             Event::Seal(node) => self.seal(node),
             Event::Handover(node) => return self.hand_over(node),
+            // The real table has room for all; `binding_once` has the full one.
+            Event::Full(..) => return false,
             Event::Kill(node) => {
                 let Node { name, incarnation, now, .. } = &self.nodes[node];
                 let (name, now) = (name.0.clone(), *now);
