--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -192,7 +192,15 @@
         first: bool,
     ) -> Result<Outbound, ErrorKind> {
         let ask = BindingRequest { service, request, first };
-        let answer = self.keeper.binding(&ask).await.ok_or(ErrorKind::NoTarget)?;
+        let answer = match self.keeper.binding(ask.clone()).await {
+            Some(answer) => answer,
+            // No other binding can be out for an id that was never sent.
+            None if first => {
+                let fresh = self.route.offer(&ask.service).await;
+                BinderAnswer::Bound(fresh.ok_or(ErrorKind::NoTarget)?)
+            }
+            None => return Err(ErrorKind::NoTarget),
+        };
         Ok(match answer {
             BinderAnswer::Bound(binding) => {
                 let refused = refuse(ErrorKind::BindingNeeded, false);
@@ -228,7 +236,7 @@
             first: false,
             deadline: delivery.meta.left,
         };
-        let run = match self.keeper.open(&service, &ask).await {
+        let run = match self.keeper.open(&service, ask).await {
             Some(Opening::Run(run)) => run,
             Some(Opening::Running) => return Ok(refuse(ErrorKind::Connection, true)),
             Some(Opening::Spent { ran }) => return Ok(refuse(ErrorKind::RetriesSpent, ran)),
