Compare only runs that both started and ended beside few, or beside many

The test's load was wrong as well: batches that start and end at one instant never run beside anything. It now keeps 6 calls, or as many as may run, in flight; the bound is unchanged. Before: the test fails with a limit of 40. After: all of core passes.

--- a/core/src/admission/concurrency.rs
+++ b/core/src/admission/concurrency.rs
@@ -25,6 +25,13 @@
 /// Part of the slots that one comparison gives back.
 const STEP: u32 = 20;
 
+/// Calls in flight, the run itself included, when a run started and when it ended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Crowd {
+    pub(crate) start: u32,
+    pub(crate) end: u32,
+}
+
 /// Sum of latencies of one kind of run.
 #[derive(Debug, Default)]
 struct Sample {
@@ -54,16 +61,18 @@
         self.limit
     }
 
-    /// Takes in a run that started as the `beside`-th in flight.
-    pub(crate) fn finished(&mut self, now: Moment, beside: u32, latency: Duration) {
+    /// Takes in a run.
+    ///
+    /// A run that started beside few and ended beside many, or the other way round, says nothing.
+    pub(crate) fn finished(&mut self, now: Moment, crowd: Crowd, latency: Duration) {
         if self.cold {
             self.limit = self.limits.slots.min(self.limit + 1);
             self.cold = self.limit < self.limits.slots;
         }
-        let share = f64::from(beside) / f64::from(self.limit.max(1));
-        if share <= FEW {
+        let limit = f64::from(self.limit.max(1));
+        if f64::from(crowd.start.max(crowd.end)) <= FEW * limit {
             self.few.add(latency);
-        } else if share >= MANY {
+        } else if f64::from(crowd.start.min(crowd.end)) >= MANY * limit {
             self.many.add(latency);
         }
         if now.since(self.opened) >= EPOCH {
--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -19,7 +19,7 @@
 use crate::outcome::ErrorKind;
 use crate::time::Moment;
 
-use concurrency::Concurrency;
+use concurrency::{Concurrency, Crowd};
 pub use level::{Level, Rank};
 pub use map::LevelMap;
 use pressure::{Load, Pressure};
@@ -131,8 +131,9 @@
 
     /// Ends a run that took `latency` and starts what may start now.
     pub fn finish(&mut self, now: Moment, ticket: Ticket, latency: Duration) -> Release {
-        if let Some(beside) = self.running.remove(&ticket) {
-            self.concurrency.finished(now, beside, latency);
+        if let Some(start) = self.running.remove(&ticket) {
+            let crowd = Crowd { start, end: self.running.len() as u32 + 1 };
+            self.concurrency.finished(now, crowd, latency);
             self.pressure.finished(latency);
         }
         self.release(now)
--- a/core/tests/limit.rs
+++ b/core/tests/limit.rs
@@ -1,5 +1,6 @@
 //! Limits derived from announcement and observation.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use poplar_core::{
@@ -14,25 +15,38 @@
     Admission::new(Moment::default(), TargetLimits::derive(SLOTS, 400), scale)
 }
 
-/// Runs batches of ten and of as many as may run for a minute; gives back the limit.
+fn call(ticket: u64) -> Arrival {
+    let rank = Rank::at(Importance(1), 0);
+    let (age, left, rest) = (Duration::ZERO, Duration::from_secs(1), Duration::ZERO);
+    Arrival { ticket: Ticket(ticket), rank, age, left, rest, paid: false }
+}
+
+/// Keeps six calls in flight and as many as may run, in turns, for a minute; gives the limit.
+///
+/// Each turn first brings the calls in flight to its number, then replaces each one twice.
 fn settled(admission: &mut Admission, latency: impl Fn(u32) -> Duration) -> u32 {
-    for step in 0..1_200 {
-        let now = Moment::from_millis(step * 50);
-        let batch = if step % 2 == 0 { 10 } else { admission.limit() };
-        let tickets = (0..batch).map(|n| Ticket(step * 100 + u64::from(n)));
-        let tickets: Vec<_> = tickets.collect();
-        for ticket in &tickets {
-            let rank = Rank::at(Importance(1), 0);
-            let (age, left) = (Duration::ZERO, Duration::from_secs(1));
-            let rest = Duration::ZERO;
-            let call = Arrival { ticket: *ticket, rank, age, left, rest, paid: false };
-            admission.arrive(now, call);
+    let mut flying = VecDeque::new();
+    let mut next = 0;
+    for turn in 0..600 {
+        let now = Moment::from_millis(turn * 100);
+        let goal = if turn % 2 == 0 { 6 } else { admission.limit() };
+        while flying.len() > goal as usize {
+            flying.pop_front().map(|ticket| admission.cancel(now, ticket));
         }
-        for ticket in tickets {
-            admission.finish(now, ticket, latency(batch));
+        for _ in 0..3 * goal {
+            if flying.len() == goal as usize {
+                let took = latency(admission.in_flight() as u32);
+                flying.pop_front().map(|ticket| admission.finish(now, ticket, took));
+            }
+            admission.arrive(now, call(next));
+            flying.push_back(Ticket(next));
+            next += 1;
         }
         assert_eq!(admission.verify(), Ok(()));
     }
+    flying.into_iter().for_each(|ticket| {
+        admission.cancel(Moment::from_millis(60_000), ticket);
+    });
     admission.limit()
 }
 
@@ -55,10 +69,7 @@
 fn a_cold_target_starts_with_a_quarter_of_its_slots_and_gains_one_per_answer() {
     let mut admission = admission();
     assert_eq!(admission.limit(), SLOTS / 4);
-    let rank = Rank::at(Importance(1), 0);
-    let (age, left, rest) = (Duration::ZERO, Duration::from_secs(1), Duration::ZERO);
-    let call = Arrival { ticket: Ticket(1), rank, age, left, rest, paid: false };
-    admission.arrive(Moment::default(), call);
+    admission.arrive(Moment::default(), call(1));
     admission.finish(Moment::default(), Ticket(1), Duration::from_millis(10));
     assert_eq!(admission.limit(), SLOTS / 4 + 1);
 }
