Ask the service for a member that the entry has not heard of

Ruled out: waiting for the next sample (2 s), longer than some deadlines. Conclusion: a bound call finds its member through the service itself.

--- a/node/src/ends/peer.rs
+++ b/node/src/ends/peer.rs
@@ -11,7 +11,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use poplar_core::SuspectReport;
+use poplar_core::{InstanceId, Name, SuspectReport};
 use poplar_wire::{
     AskReply, BindRequest, CallRequest, CodecError, HANDOVER_LIMIT_BYTES, MESSAGE_LIMIT_BYTES,
     MemberRecord, decode, encode,
@@ -23,7 +23,7 @@
 use crate::follow::{CONTRACTS_PATH, MEMBERS_PATH};
 use crate::handover::SUCCEED_PATH;
 use crate::keeper::{BINDING_PATH, CLOSE_PATH, Keeper, OPEN_PATH};
-use crate::members::{MEMBER_PATH, Members, SAMPLE_PATH};
+use crate::members::{FIND_PATH, MEMBER_PATH, Members, SAMPLE_PATH};
 use crate::route::{ASK_PATH, BIND_PATH, CALL_PATH};
 use crate::suspects::{SUSPECTS_PATH, Suspects};
 use crate::work::Work;
@@ -115,6 +115,10 @@
             members.receive(decode(body)?);
             encode(&())
         }
+        FIND_PATH => {
+            let (service, instance): (Name, InstanceId) = decode(body)?;
+            encode(&directory.member(&service, &instance))
+        }
         SAMPLE_PATH => encode(&members.sample(&decode(body)?)),
         SUSPECTS_PATH => {
             suspects.merge(&decode::<Vec<SuspectReport>>(body)?);
--- a/node/src/members.rs
+++ b/node/src/members.rs
@@ -22,6 +22,8 @@
 pub(crate) const MEMBER_PATH: &str = "/member";
 /// Path of questions for a sample of a service's members.
 pub(crate) const SAMPLE_PATH: &str = "/sample";
+/// Path of questions for one member of the own service.
+pub(crate) const FIND_PATH: &str = "/member/find";
 /// Most services that are followed at once.
 const FOLLOWED: usize = 256;
 /// Time for which one message may be on its way.
--- a/node/src/route.rs
+++ b/node/src/route.rs
@@ -26,6 +26,7 @@
 use crate::directory::Directory;
 use crate::levels::Levels;
 use crate::links::{LinkError, Links};
+use crate::members::FIND_PATH;
 use crate::metrics::Metrics;
 use crate::work::{Work, outcome_of};
 
@@ -48,6 +49,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Questions about one send without an answer before its outcome counts as unknown.
 const ASK_TRIES: u32 = 3;
+/// Time within which a member answers for another one.
+const FIND_TIMEOUT: Duration = Duration::from_millis(500);
 /// Instances whose offered bindings are remembered.
 const OFFERS: usize = 1_024;
 /// Time for which an offered binding is used; shorter than the window it was minted in.
@@ -165,13 +168,41 @@
     }
 
     /// Member that answers for `binding`: the bound one, or its successor once it left.
-    fn bound_member(&self, service: &Name, binding: &Binding) -> Option<MemberRecord> {
-        let member = self.directory.member(service, &binding.instance)?;
-        if member.incarnation != binding.incarnation || member.state == MemberState::Left {
-            let successor = member.successor.as_ref()?;
-            return self.directory.member(service, successor);
+    ///
+    /// A member that this node has not heard of yet is asked for at another one of the service.
+    async fn bound_member(&self, service: &Name, binding: &Binding) -> Option<MemberRecord> {
+        let known = |directory: &Directory| {
+            let member = directory.member(service, &binding.instance)?;
+            (member.incarnation >= binding.incarnation).then_some(member)
+        };
+        let member = match known(&self.directory) {
+            Some(member) => member,
+            None => {
+                self.find(service, &binding.instance).await;
+                known(&self.directory)?
+            }
+        };
+        if member.incarnation == binding.incarnation && member.state != MemberState::Left {
+            return Some(member);
+        }
+        let successor = member.successor.as_ref()?;
+        self.directory.member(service, successor)
+    }
+
+    /// Asks a member of `service` for another one.
+    async fn find(&self, service: &Name, instance: &InstanceId) {
+        let rank = Rank::at(Importance(u8::MAX), u16::MAX);
+        let asked = self.targets.choose(&self.directory, service, rank, &[]);
+        let Some(peer) = asked.and_then(|chosen| chosen.member.address.parse().ok()) else {
+            return;
+        };
+        let question = (service, instance);
+        let exchange = self.links.exchange(peer, FIND_PATH, &question);
+        let found: Result<Result<Option<MemberRecord>, _>, _> =
+            tokio::time::timeout(FIND_TIMEOUT, exchange).await;
+        if let Ok(Ok(Some(record))) = found {
+            self.directory.learn(record);
         }
-        Some(member)
     }
 
     /// Binding that a member offers when asked.
--- a/node/src/route/trip.rs
+++ b/node/src/route/trip.rs
@@ -111,8 +111,8 @@
                 None => return self.choose(),
                 Some(target) => self.route.directory.member(service, target),
             },
-            Ties::Bound(bound) => self.route.bound_member(service, bound.binding()),
-            Ties::Given(binding) => self.route.bound_member(service, binding),
+            Ties::Bound(bound) => self.route.bound_member(service, bound.binding()).await,
+            Ties::Given(binding) => self.route.bound_member(service, binding).await,
         };
         named.map(Chosen::bound)
     }
