--- a/node/src/route.rs
+++ b/node/src/route.rs
@@ -49,6 +49,10 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Questions about one send without an answer before its outcome counts as unknown.
 const ASK_TRIES: u32 = 3;
+/// Questions for a member that nobody seems to know.
+const FIND_TRIES: u32 = 4;
+/// Pause before the second question; it grows with each.
+const FIND_PAUSE: Duration = Duration::from_millis(100);
 /// Time within which a member answers for another one.
 const FIND_TIMEOUT: Duration = Duration::from_millis(500);
 /// Instances whose offered bindings are remembered.
@@ -175,13 +179,16 @@
             let member = directory.member(service, &binding.instance)?;
             (member.incarnation >= binding.incarnation).then_some(member)
         };
-        let member = match known(&self.directory) {
-            Some(member) => member,
-            None => {
-                self.find(service, &binding.instance).await;
-                known(&self.directory)?
-            }
-        };
+        let mut found = known(&self.directory);
+        let mut tries = 0;
+        while found.is_none() && tries < FIND_TRIES {
+            // A member that has just joined is known to some others before it is known to all.
+            tokio::time::sleep(FIND_PAUSE * tries).await;
+            self.find(service, &binding.instance).await;
+            found = known(&self.directory);
+            tries += 1;
+        }
+        let member = found?;
         if member.incarnation == binding.incarnation && member.state != MemberState::Left {
             return Some(member);
         }
