--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,6 +4,7 @@
 //! `membership` lets the members of one service exchange their real messages.
 //! Each measure prints a table, then one last line of `key=value` pairs.
 
+mod cost;
 mod deployment;
 mod faults;
 mod group;
@@ -25,11 +26,15 @@
     /// Time to notice, false suspicions and traffic of membership, on a fake clock.
     #[bpaf(command)]
     Membership(#[bpaf(external(membership::options))] membership::Options),
+    /// Time and memory of one decision, and their slopes.
+    #[bpaf(command)]
+    Cost(#[bpaf(external(cost::options))] cost::Options),
 }
 
 fn main() {
     match measure().run() {
         Measure::Overload(options) => overload::run(&options),
+        Measure::Cost(options) => cost::run(&options),
         Measure::Faults(options) => faults::run(&options),
         Measure::Membership(options) => membership::run(&options),
     }
--- a/bench/src/overload/deployment.rs
+++ b/bench/src/overload/deployment.rs
@@ -137,6 +137,11 @@
         all
     }
 
+    /// Whether calls of the class reach the service that slows down.
+    pub(crate) fn is_deep(&self, class: ClassIdx) -> bool {
+        self.closure(class).iter().any(|part| self.class(*part).service == self.deep)
+    }
+
     /// Seconds for which one request of the class holds a slot of its service without queueing,
     /// the further calls and their mean way included.
     fn hold(&self, class: ClassIdx, slowdown: f64) -> f64 {
--- a/bench/src/overload/mod.rs
+++ b/bench/src/overload/mod.rs
@@ -86,10 +86,11 @@
         let tally = World::new(deployment, policy, shape).run();
         let figures = tally.figures(deployment);
         println!(
-            "  {:<13} goodput {:.3}  wasted {:.3}  recovery {:.2} s  most re-sends {}  \
+            "  {:<13} goodput {:.3} (through the slow service {:.3})  wasted {:.3}  recovery {:.2} s  most re-sends {}  \
              lesser spared {}  refused with room {}",
             policy.name(),
             figures.goodput_share,
+            figures.deep_share,
             figures.wasted_share,
             figures.recovery_s,
             tally.resends,
--- a/bench/src/overload/tally.rs
+++ b/bench/src/overload/tally.rs
@@ -45,6 +45,8 @@
     pub(crate) whole: Vec<f64>,
     pub(crate) best: Vec<f64>,
     pub(crate) goodput_share: f64,
+    /// The same over the classes alone whose calls reach the slow service.
+    pub(crate) deep_share: f64,
     pub(crate) wasted_share: f64,
     pub(crate) recovery_s: f64,
 }
@@ -115,9 +117,14 @@
         let offered: Vec<_> = self.pressed.iter().map(|count| rate(count.offered)).collect();
         let whole: Vec<_> = self.pressed.iter().map(|count| rate(count.whole)).collect();
         let best = deployment.best(&offered, self.shape.slowdown);
-        let reached: f64 = whole.iter().zip(&best).map(|(whole, best)| whole.min(*best)).sum();
+        let share = |chosen: &dyn Fn(ClassIdx) -> bool| {
+            let chosen: Vec<_> = deployment.class_indices().filter(|idx| chosen(*idx)).collect();
+            let reached: f64 = chosen.iter().map(|idx| whole[idx.0].min(best[idx.0])).sum();
+            reached / chosen.iter().map(|idx| best[idx.0]).sum::<f64>()
+        };
         Figures {
-            goodput_share: reached / best.iter().sum::<f64>(),
+            goodput_share: share(&|_| true),
+            deep_share: share(&|idx| deployment.is_deep(idx)),
             wasted_share: self.wasted as f64 / (self.used + self.wasted).max(1) as f64,
             recovery_s: self.recovery().as_secs_f64(),
             offered,
