--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -136,9 +136,15 @@
         }
         let (contract, terms) = self.terms(&call)?;
         let class = terms.class;
-        let once = !class.repeatable;
+        // A binding counts whatever this node's contract says of the class: another entry may
+        // have sent a copy under it.
+        let once = !class.repeatable || call.binding.is_some();
+        if once && call.request.is_none() {
+            // Two sends could not be told to be the same request.
+            return Err(ErrorKind::BadRequest);
+        }
         let request = call.request.unwrap_or_else(|| RequestId(fastrand::u128(..)));
-        let binding = call.binding.filter(|_| once);
+        let binding = call.binding;
         if binding.is_none() {
             let rank = Rank::of(class.importance, request);
             if self.levels.is_doomed(&contract, &call.class, rank) {
@@ -146,8 +152,7 @@
             }
         }
         if once && binding.is_none() {
-            let first = call.first == Some(true) || call.request.is_none();
-            return self.offer(class.service, request, first).await;
+            return self.offer(class.service, request, call.first == Some(true)).await;
         }
         let meta = CallMeta {
             customer: contract.contract.customer.clone(),
@@ -187,7 +192,15 @@
         first: bool,
     ) -> Result<Outbound, ErrorKind> {
         let ask = BindingRequest { service, request, first };
-        let answer = self.keeper.binding(&ask).await.ok_or(ErrorKind::NoTarget)?;
+        let answer = match self.keeper.binding(ask.clone()).await {
+            Some(answer) => answer,
+            // No other binding can be out for an id that was never sent.
+            None if first => {
+                let fresh = self.route.offer(&ask.service).await;
+                BinderAnswer::Bound(fresh.ok_or(ErrorKind::NoTarget)?)
+            }
+            None => return Err(ErrorKind::NoTarget),
+        };
         Ok(match answer {
             BinderAnswer::Bound(binding) => {
                 let refused = refuse(ErrorKind::BindingNeeded, false);
@@ -223,7 +236,7 @@
             first: false,
             deadline: delivery.meta.left,
         };
-        let run = match self.keeper.open(&service, &ask).await {
+        let run = match self.keeper.open(&service, ask).await {
             Some(Opening::Run(run)) => run,
             Some(Opening::Running) => return Ok(refuse(ErrorKind::Connection, true)),
             Some(Opening::Spent { ran }) => return Ok(refuse(ErrorKind::RetriesSpent, ran)),
--- a/node/src/route.rs
+++ b/node/src/route.rs
@@ -26,6 +26,7 @@
 use crate::directory::Directory;
 use crate::levels::Levels;
 use crate::links::{LinkError, Links};
+use crate::members::FIND_PATH;
 use crate::metrics::Metrics;
 use crate::work::{Work, outcome_of};
 
@@ -42,8 +43,14 @@
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Pause before a question that found no connection is asked again.
 const ASK_PAUSE: Duration = Duration::from_millis(50);
-/// Questions about one send before its outcome counts as unknown.
+/// Time for which the other node holds a question while the call runs.
+const ASK_WAIT: Duration = Duration::from_millis(300);
+/// Time beyond that within which it must answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Questions about one send without an answer before its outcome counts as unknown.
 const ASK_TRIES: u32 = 3;
+/// Time within which a member answers for another one.
+const FIND_TIMEOUT: Duration = Duration::from_millis(500);
 /// Instances whose offered bindings are remembered.
 const OFFERS: usize = 1_024;
 /// Time for which an offered binding is used; shorter than the window it was minted in.
@@ -85,8 +92,10 @@
     Whole(CallReply),
     /// The other node saw nothing of it.
     Unseen,
-    /// No whole reply came; this is what the other node said when asked, if it could be asked.
+    /// No whole reply came; this is what the other node said when asked.
     Asked(Fate<Answer>),
+    /// No whole reply came, and the other node could not be asked.
+    Lost,
 }
 
 /// Binding that an instance offered last.
@@ -159,13 +168,41 @@
     }
 
     /// Member that answers for `binding`: the bound one, or its successor once it left.
-    fn bound_member(&self, service: &Name, binding: &Binding) -> Option<MemberRecord> {
-        let member = self.directory.member(service, &binding.instance)?;
-        if member.incarnation != binding.incarnation || member.state == MemberState::Left {
-            let successor = member.successor.as_ref()?;
-            return self.directory.member(service, successor);
+    ///
+    /// A member that this node has not heard of yet is asked for at another one of the service.
+    async fn bound_member(&self, service: &Name, binding: &Binding) -> Option<MemberRecord> {
+        let known = |directory: &Directory| {
+            let member = directory.member(service, &binding.instance)?;
+            (member.incarnation >= binding.incarnation).then_some(member)
+        };
+        let member = match known(&self.directory) {
+            Some(member) => member,
+            None => {
+                self.find(service, &binding.instance).await;
+                known(&self.directory)?
+            }
+        };
+        if member.incarnation == binding.incarnation && member.state != MemberState::Left {
+            return Some(member);
+        }
+        let successor = member.successor.as_ref()?;
+        self.directory.member(service, successor)
+    }
+
+    /// Asks a member of `service` for another one.
+    async fn find(&self, service: &Name, instance: &InstanceId) {
+        let rank = Rank::at(Importance(u8::MAX), u16::MAX);
+        let asked = self.targets.choose(&self.directory, service, rank, &[]);
+        let Some(peer) = asked.and_then(|chosen| chosen.member.address.parse().ok()) else {
+            return;
+        };
+        let question = (service, instance);
+        let exchange = self.links.exchange(peer, FIND_PATH, &question);
+        let found: Result<Result<Option<MemberRecord>, _>, _> =
+            tokio::time::timeout(FIND_TIMEOUT, exchange).await;
+        if let Ok(Ok(Some(record))) = found {
+            self.directory.learn(record);
         }
-        Some(member)
     }
 
     /// Binding that a member offers when asked.
@@ -230,32 +267,50 @@
                 Reply::Whole(reply)
             }
             Ok(Ok(_)) => Reply::Asked(Fate::Unknown(ErrorKind::BadAnswer)),
-            Ok(Err(error)) => {
+            Ok(Err(error)) if error.unseen() => {
                 chosen.observe(Observed::Unreachable);
-                match error.unseen() {
-                    true => Reply::Unseen,
-                    false => Reply::Asked(self.ask(&member, ask, deadline).await),
-                }
+                Reply::Unseen
             }
+            Ok(Err(_)) => match self.ask(&member, ask, deadline).await {
+                Some(fate) => Reply::Asked(fate),
+                None => {
+                    chosen.observe(Observed::Unreachable);
+                    Reply::Lost
+                }
+            },
             Err(_) => Reply::Asked(Fate::Unknown(ErrorKind::Deadline)),
         }
     }
 
     /// Asks on a new connection what became of a send whose connection failed.
-    async fn ask(&self, member: &MemberRecord, ask: AskRequest, deadline: Moment) -> Fate<Answer> {
-        let unknown = Fate::Unknown(ErrorKind::Connection);
-        let Ok(peer) = member.address.parse() else { return unknown };
-        for _ in 0..ASK_TRIES {
-            let left = deadline.since(self.clock.now());
+    ///
+    /// `None` if the node can't be asked.
+    async fn ask(
+        &self,
+        member: &MemberRecord,
+        ask: AskRequest,
+        deadline: Moment,
+    ) -> Option<Fate<Answer>> {
+        let peer = member.address.parse().ok()?;
+        let mut tries = 0;
+        while tries < ASK_TRIES {
+            let left = deadline.since(self.clock.now()).min(ASK_WAIT);
+            if left.is_zero() {
+                return Some(Fate::Unknown(ErrorKind::Deadline));
+            }
             let ask = AskRequest { left, ..ask.clone() };
             let exchange = self.links.exchange(peer, ASK_PATH, &ask);
-            match tokio::time::timeout(left, exchange).await {
-                Ok(Ok(AskReply { fate })) => return fate,
-                Ok(Err(_)) => tokio::time::sleep(ASK_PAUSE).await,
-                Err(_) => return Fate::Unknown(ErrorKind::Deadline),
+            match tokio::time::timeout(left + ASK_TIMEOUT, exchange).await {
+                Ok(Ok(AskReply { fate: Fate::Running })) => tries = 0,
+                Ok(Ok(AskReply { fate })) => return Some(fate),
+                Ok(Err(_)) => {
+                    tries += 1;
+                    tokio::time::sleep(ASK_PAUSE).await;
+                }
+                Err(_) => return None,
             }
         }
-        unknown
+        None
     }
 
     async fn exchange(
