Bound what bad input can cost a node, and call its refusals not run

Cause: 400 bodies of which half a megabyte came in were all held; a body over the limit got 413 without an outcome, so that its caller had to take it for unknown; an announcement whose body never came held its connection for good; and connections were not bounded. Ruled out: a bound per connection only; what counts is the sum. A share for each body from its first byte; large bodies held up half-way would then shut small calls out. Conclusion: bodies of calls in flight take at most 32 MiB and 16 KiB each, an end holds 4,096 connections.

--- a/node/src/ends/admin.rs
+++ b/node/src/ends/admin.rs
@@ -1,13 +1,15 @@
 //! Admin end: the target's announcements, the state dump and the metrics.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use poem::http::StatusCode;
+use poem::http::header::CONTENT_LENGTH;
 use poem::web::{Data, Json, Path};
-use poem::{EndpointExt, IntoResponse, Route, get, handler, post};
+use poem::{Body, EndpointExt, IntoResponse, Request, Route, get, handler, post};
 use poplar_core::Name;
 use poplar_kernel::{Clock, Registry};
-use poplar_wire::{Announcement, MemberState};
+use poplar_wire::MemberState;
 use serde_json::{Value, json};
 
 use crate::announce::Announcer;
@@ -15,6 +17,13 @@
 use crate::metrics::Metrics;
 use crate::target::Stage;
 
+/// Largest announcement, in bytes.
+const BODY_LIMIT_BYTES: usize = 16 << 10;
+/// Time within which an announcement must have come in.
+const BODY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which a connection without traffic is closed.
+pub(crate) const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// What the handlers need.
 #[derive(Clone)]
 pub(crate) struct Admin {
@@ -60,10 +69,23 @@
 }
 
 #[handler]
-fn announce(admin: Data<&Admin>, announcement: Json<Announcement>) -> Json<Value> {
-    admin.announcer.announce(announcement.0);
-    let lease_ms = crate::target::LEASE.as_millis() as u64;
-    Json(json!({ "lease_ms": lease_ms }))
+async fn announce(admin: Data<&Admin>, req: &Request, body: Body) -> poem::Response {
+    let length = req.header(CONTENT_LENGTH).and_then(|text| text.parse().ok());
+    if length.is_none_or(|length: usize| length > BODY_LIMIT_BYTES) {
+        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    }
+    let read = tokio::time::timeout(BODY_TIMEOUT, body.into_bytes_limit(BODY_LIMIT_BYTES));
+    let Ok(read) = read.await else {
+        return StatusCode::REQUEST_TIMEOUT.into_response();
+    };
+    match read.ok().and_then(|body| serde_json::from_slice(&body).ok()) {
+        Some(announcement) => {
+            admin.announcer.announce(announcement);
+            let lease_ms = crate::target::LEASE.as_millis() as u64;
+            Json(json!({ "lease_ms": lease_ms })).into_response()
+        }
+        None => StatusCode::BAD_REQUEST.into_response(),
+    }
 }
 
 #[handler]
--- a/node/src/ends/caller.rs
+++ b/node/src/ends/caller.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -15,26 +15,27 @@
 use poplar_wire::{binding_text, header, parse_binding};
 use tokio::net::TcpStream;
 
+use crate::ends::intake::{Intake, IntakeError};
 use crate::entry::{Entry, Inbound, Outbound};
 
-/// Largest body of a call, in bytes.
-const BODY_LIMIT_BYTES: usize = 1 << 20;
 /// Largest head of a call, in bytes.
 const HEAD_LIMIT_BYTES: usize = 16 << 10;
 /// Time within which the head of a call must have come in.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time within which the body of a call must have come in.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time after which a caller that found no room for its body may come back.
+const ROOM_PAUSE: Duration = Duration::from_millis(500);
 
 /// Serves one connection.
 pub(crate) fn connection(
     socket: TcpStream,
     graceful: &GracefulShutdown,
     entry: Arc<Entry>,
+    intake: Intake,
 ) -> impl Future<Output = ()> + Send + use<> {
     let service = service_fn(move |req| {
-        let entry = entry.clone();
-        async move { Ok::<_, std::convert::Infallible>(answer(&entry, req).await) }
+        let (entry, intake) = (entry.clone(), intake.clone());
+        async move { Ok::<_, std::convert::Infallible>(answer(&entry, &intake, req).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -48,29 +49,47 @@
     }
 }
 
-async fn answer(entry: &Entry, req: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn answer(entry: &Entry, intake: &Intake, req: Request<Incoming>) -> Response<Full<Bytes>> {
     if req.method() != Method::POST || req.uri().path() != "/call" {
         return plain(StatusCode::NOT_FOUND, "calls go to POST /call\n");
     }
     let (head, body) = req.into_parts();
-    let body = Limited::new(body, BODY_LIMIT_BYTES).collect();
-    let body = match tokio::time::timeout(BODY_TIMEOUT, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is not whole\n"),
-        Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in\n"),
+    let taken = match intake.read(body).await {
+        Ok(taken) => taken,
+        Err(error) => return refused(error),
     };
-    match inbound(&head.headers, body) {
+    match inbound(&head.headers, taken.body.clone()) {
         Ok(call) => outbound(entry.serve(call).await),
         Err(name) => {
-            let mut resp =
-                plain(StatusCode::BAD_REQUEST, &format!("header {name} is not usable\n"));
-            label(&mut resp, header::OUTCOME, "not-run");
-            label(&mut resp, header::ERROR, ErrorKind::BadRequest.label());
-            resp
+            let text = format!("header {name} is not usable\n");
+            not_run(StatusCode::BAD_REQUEST, ErrorKind::BadRequest, &text)
         }
     }
 }
 
+/// Answer to a call whose body was not taken in, so that no target saw it.
+fn refused(error: IntakeError) -> Response<Full<Bytes>> {
+    let text = format!("{error}\n");
+    let (status, kind) = match error {
+        IntakeError::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, ErrorKind::BadRequest),
+        IntakeError::Slow => (StatusCode::REQUEST_TIMEOUT, ErrorKind::BadRequest),
+        IntakeError::Broken => (StatusCode::BAD_REQUEST, ErrorKind::BadRequest),
+        IntakeError::Full => (StatusCode::SERVICE_UNAVAILABLE, ErrorKind::Overload),
+    };
+    let mut resp = not_run(status, kind, &text);
+    if kind.reply().retryable {
+        come_back(&mut resp, ROOM_PAUSE);
+    }
+    resp
+}
+
+fn not_run(status: StatusCode, kind: ErrorKind, text: &str) -> Response<Full<Bytes>> {
+    let mut resp = plain(status, text);
+    label(&mut resp, header::OUTCOME, "not-run");
+    label(&mut resp, header::ERROR, kind.label());
+    resp
+}
+
 /// Call that the headers speak of, or the name of the header that is missing or malformed.
 fn inbound(headers: &HeaderMap, body: Bytes) -> Result<Inbound, &'static str> {
     Ok(Inbound {
--- /dev/null
+++ b/node/src/ends/intake.rs
@@ -0,0 +1,96 @@
+//! Reads the bodies of calls within a bound of memory that all connections share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Largest body of a call, in bytes.
+const BODY_LIMIT_BYTES: usize = 1 << 20;
+/// Time within which the body of a call must have come in.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Part of a body that is read without a share of the room, in bytes, so that small calls come
+/// in however many large ones are held up half-way.
+const FREE_BYTES: usize = 16 << 10;
+/// Room that the bodies of calls in flight share beyond their free parts, in bytes.
+const ROOM_BYTES: usize = 32 << 20;
+
+/// Reader of bodies; the bodies of calls in flight take at most 32 MiB and 16 KiB each.
+#[derive(Debug, Clone)]
+pub(crate) struct Intake {
+    room: Arc<Semaphore>,
+}
+
+/// Body that came in whole, with its share of the room until the call has ended.
+#[derive(Debug)]
+pub(crate) struct TakenIn {
+    pub(crate) body: Bytes,
+    _shares: Vec<OwnedSemaphorePermit>,
+}
+
+/// Why a body was not taken in; the call was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum IntakeError {
+    /// The body is larger than a call's may be.
+    #[error("the body is larger than {BODY_LIMIT_BYTES} bytes")]
+    TooLarge,
+    /// The body did not come in in time.
+    #[error("the body did not come in")]
+    Slow,
+    /// The body ended early.
+    #[error("the body is not whole")]
+    Broken,
+    /// Other bodies take all the room.
+    #[error("too many large bodies are coming in")]
+    Full,
+}
+
+impl Intake {
+    pub(crate) fn new() -> Self {
+        Self { room: Arc::new(Semaphore::new(ROOM_BYTES)) }
+    }
+
+    /// Reads a whole body.
+    pub(crate) async fn read<B>(&self, body: B) -> Result<TakenIn, IntakeError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        if body.size_hint().lower() > BODY_LIMIT_BYTES as u64 {
+            return Err(IntakeError::TooLarge);
+        }
+        let collected = tokio::time::timeout(BODY_TIMEOUT, self.collect(body)).await;
+        collected.unwrap_or(Err(IntakeError::Slow))
+    }
+
+    async fn collect<B>(&self, mut body: B) -> Result<TakenIn, IntakeError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let mut whole = BytesMut::new();
+        let mut shares = Vec::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|_| IntakeError::Broken)?;
+            let Ok(data) = frame.into_data() else { continue };
+            if whole.len() + data.len() > BODY_LIMIT_BYTES {
+                return Err(IntakeError::TooLarge);
+            }
+            shares.extend(self.share(whole.len(), data.len())?);
+            whole.extend_from_slice(&data);
+        }
+        Ok(TakenIn { body: whole.freeze(), _shares: shares })
+    }
+
+    /// Share of the room for `more` bytes after the first `held`; the free part needs none.
+    fn share(&self, held: usize, more: usize) -> Result<Option<OwnedSemaphorePermit>, IntakeError> {
+        let needed = (held + more).saturating_sub(FREE_BYTES.max(held));
+        if needed == 0 {
+            return Ok(None);
+        }
+        let count = u32::try_from(needed).map_err(|_| IntakeError::TooLarge)?;
+        let share = self.room.clone().try_acquire_many_owned(count);
+        share.map(Some).map_err(|_| IntakeError::Full)
+    }
+}
--- a/node/src/ends/listener.rs
+++ b/node/src/ends/listener.rs
@@ -1,15 +1,19 @@
 //! Accept loop that the hyper ends share.
 
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 /// Pause after a failed accept, so that an exhausted process does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Connections that one end holds at once; further ones wait in the system's backlog.
+const CONNECTIONS: usize = 4_096;
+
 /// Accepts connections until the process stops, then lets the open ones finish their answers.
 pub(crate) async fn accept<F, C>(
     listener: TcpListener,
@@ -20,15 +24,20 @@
     C: Future<Output = ()> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
+    let room = Arc::new(Semaphore::new(CONNECTIONS));
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = accept_one(&listener, &room) => accepted,
             _ = stage.wait_for(|stage| *stage == "stopped") => break,
         };
         match accepted {
-            Ok((socket, _)) => {
+            Ok((socket, place)) => {
                 if socket.set_nodelay(true).is_ok() {
-                    tokio::spawn(serve(socket, &graceful));
+                    let served = serve(socket, &graceful);
+                    tokio::spawn(async move {
+                        served.await;
+                        drop(place);
+                    });
                 }
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
@@ -36,3 +45,13 @@
     }
     graceful.shutdown().await;
 }
+
+/// Next connection, with its place among those that the end holds.
+async fn accept_one(
+    listener: &TcpListener,
+    room: &Arc<Semaphore>,
+) -> std::io::Result<(TcpStream, OwnedSemaphorePermit)> {
+    let place = room.clone().acquire_owned().await.map_err(std::io::Error::other)?;
+    let (socket, _) = listener.accept().await?;
+    Ok((socket, place))
+}
--- a/node/src/ends/mod.rs
+++ b/node/src/ends/mod.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod admin;
 pub(crate) mod caller;
+pub(crate) mod intake;
 pub(crate) mod listener;
 pub(crate) mod peer;
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -16,6 +16,7 @@
 use crate::announce::{Announcer, Identity};
 use crate::contracts::Contracts;
 use crate::directory::Directory;
+use crate::ends::intake::Intake;
 use crate::ends::{admin, caller, listener, peer};
 use crate::entry::Entry;
 use crate::follow::Follower;
@@ -203,8 +204,9 @@
     customer: Name,
 ) -> Result<Vec<tokio::task::JoinHandle<()>>, StartError> {
     let entry = services.entry.clone();
+    let intake = Intake::new();
     let callers = listener::accept(sockets.caller, life.watch(), move |socket, graceful| {
-        caller::connection(socket, graceful, entry.clone())
+        caller::connection(socket, graceful, entry.clone(), intake.clone())
     });
     let served = Arc::new(peer::Peers {
         work: services.work.clone(),
@@ -230,7 +232,10 @@
     let admin = async move {
         if let Ok(acceptor) = poem::listener::TcpAcceptor::from_tokio(sockets.admin) {
             // The admin end lives as long as the process; its error ends nothing else.
-            let _ = poem::Server::new_with_acceptor(acceptor).run(routes).await;
+            let _ = poem::Server::new_with_acceptor(acceptor)
+                .idle_timeout(admin::IDLE_TIMEOUT)
+                .run(routes)
+                .await;
         }
     };
     tokio::spawn(admin);
