--- a/node/src/ends/peer.rs
+++ b/node/src/ends/peer.rs
@@ -18,11 +18,11 @@
 };
 use tokio::net::TcpStream;
 
-use crate::budgets::{Budgets, CLOSE_PATH, OPEN_PATH};
 use crate::contracts::Contracts;
 use crate::directory::Directory;
 use crate::follow::{CONTRACTS_PATH, MEMBERS_PATH};
 use crate::handover::SUCCEED_PATH;
+use crate::keeper::{BINDING_PATH, CLOSE_PATH, Keeper, OPEN_PATH};
 use crate::members::{MEMBER_PATH, Members, SAMPLE_PATH};
 use crate::route::{ASK_PATH, BIND_PATH, CALL_PATH};
 use crate::suspects::{SUSPECTS_PATH, Suspects};
@@ -42,7 +42,7 @@
     pub(crate) directory: Arc<Directory>,
     pub(crate) members: Arc<Members>,
     pub(crate) suspects: Arc<Suspects>,
-    pub(crate) budgets: Arc<Budgets>,
+    pub(crate) keeper: Arc<Keeper>,
 }
 
 /// Why a message got no answer.
@@ -92,7 +92,7 @@
 
 /// Answers one message; the path says which one it is.
 async fn dispatch(peers: &Peers, path: &str, body: &[u8]) -> Result<Bytes, MessageError> {
-    let Peers { work, contracts, directory, members, suspects, budgets } = peers;
+    let Peers { work, contracts, directory, members, suspects, keeper } = peers;
     let answer = match path {
         CALL_PATH => {
             let call: CallRequest = decode(body)?;
@@ -120,11 +120,15 @@
             suspects.merge(&decode::<Vec<SuspectReport>>(body)?);
             encode(&())
         }
-        OPEN_PATH => encode(&budgets.answer(&decode(body)?)),
+        OPEN_PATH => {
+            let (service, ask) = decode(body)?;
+            encode(&keeper.serve_open(&service, &ask))
+        }
         CLOSE_PATH => {
-            budgets.take_back(decode(body)?);
+            keeper.serve_close(decode(body)?);
             encode(&())
         }
+        BINDING_PATH => encode(&keeper.serve_binding(&decode(body)?).await),
         _ => return Err(MessageError::UnknownPath),
     };
     Ok(answer?)
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -14,7 +14,6 @@
 use tokio::sync::mpsc;
 
 use crate::announce::{Announcer, Identity};
-use crate::budgets::Budgets;
 use crate::contracts::Contracts;
 use crate::directory::Directory;
 use crate::ends::{admin, caller, listener, peer};
@@ -22,6 +21,7 @@
 use crate::follow::Follower;
 use crate::gate::Gate;
 use crate::handover::Leaver;
+use crate::keeper::Keeper;
 use crate::levels::Levels;
 use crate::links::Links;
 use crate::members::Members;
@@ -128,7 +128,8 @@
 ) -> Result<(Services, mpsc::Receiver<String>), StartError> {
     let incarnation = first_incarnation();
     let instance = settings.instance.clone();
-    let peer_address = sockets.peer.local_addr()?;
+    let bound_address = sockets.peer.local_addr()?;
+    let peer_address = settings.advertised.unwrap_or(bound_address);
     let own = Sender { instance: instance.clone(), incarnation, address: peer_address.to_string() };
     let zone = settings.zone.clone();
     let identity =
@@ -136,12 +137,12 @@
     let retention = Duration::from_secs(settings.log_retention_s);
     let (contracts, hints) = Contracts::new(clock, instance.clone(), retention);
     let registry = Arc::new(Registry::default());
+    registry.register(settings.values.clone());
     registry.register(Arc::new(contracts));
     registry.register(Arc::new(Directory::default()));
     registry.register(Arc::new(Levels::new(clock)));
     registry.register(Arc::new(Links::default()));
     let peer = Peer { instance: instance.clone(), address: own.address.clone() };
-    registry.register(Arc::new(Budgets::new(clock, peer.clone(), &registry)?));
     registry.register(Arc::new(Members::new(clock, peer, zone.clone(), &registry)?));
     registry.register(Arc::new(Runs::default()));
     registry.register(Arc::new(Target::new()));
@@ -152,7 +153,8 @@
     let work = Arc::new(Work::new(clock, &registry)?);
     registry.register(work.clone());
     registry.register(Arc::new(Metrics::new(&registry)?));
-    registry.register(Arc::new(Route::new(clock, own, &registry)?));
+    registry.register(Arc::new(Route::new(clock, own, zone.clone(), &registry)?));
+    registry.register(Arc::new(Keeper::new(clock, instance.clone(), &registry)?));
     let entry = Arc::new(Entry::new(clock, settings.customer.clone(), &registry)?);
     registry.register(entry.clone());
     let announcer = Arc::new(Announcer::new(clock, identity, &registry, records)?);
@@ -210,7 +212,7 @@
         directory: services.registry.find("directory")?,
         members: services.registry.find("members")?,
         suspects: services.registry.find("suspects")?,
-        budgets: services.registry.find("budgets")?,
+        keeper: services.registry.find("keeper")?,
     });
     tokio::spawn(served.members.clone().run());
     let peers = listener::accept(sockets.peer, life.watch(), move |socket, graceful| {
--- a/node/src/route/trip.rs
+++ b/node/src/route/trip.rs
@@ -4,10 +4,12 @@
 
 use poplar_core::{
     Binding, Bound, Budget, Call, CallRule, CallTerms, ErrorKind, Evidence, Fate, InstanceId,
-    Lineage, Loan, Moment, Next, Outcome, Resend, RetriesSpent, Unbound, bound_resend, next_step,
+    Lineage, Loan, Moment, Next, Observed, Outcome, Rank, Resend, RetriesSpent, Unbound,
+    bound_resend, next_step,
 };
 use poplar_wire::{Answer, CallMeta, MemberRecord};
 
+use super::targets::Chosen;
 use super::{Delivered, Delivery, Reply, Route, not_run, outcome_of};
 
 /// Binding that the next send is to carry.
@@ -28,6 +30,8 @@
     call: Delivery,
     budget: &'a Mutex<Budget>,
     sends: Call,
+    /// Sends made before this trip.
+    sent: u32,
     ties: Ties,
     tried: Vec<InstanceId>,
     /// Whether a send under the present binding ended unknown.
@@ -41,19 +45,25 @@
 }
 
 impl<'a> Trip<'a> {
-    /// Call that was not sent yet.
-    pub(super) fn new(route: &'a Route, call: Delivery, budget: &'a Mutex<Budget>) -> Self {
+    /// Call with the sends that were made for it before.
+    pub(super) fn new(
+        route: &'a Route,
+        call: Delivery,
+        budget: &'a Mutex<Budget>,
+        sends: Call,
+    ) -> Self {
         let ties = match (&call.rule, &call.meta.binding) {
             (CallRule::Free, _) => Ties::Free,
             (_, Some(binding)) => Ties::Given(binding.clone()),
             (_, None) => Ties::Unbound(Unbound::new()),
         };
         let deadline = route.clock.now() + call.meta.left;
-        let (sends, tried) = (Call::new(), Vec::new());
+        let tried = Vec::new();
         Self {
             route,
             call,
             budget,
+            sent: sends.sends(),
             sends,
             ties,
             tried,
@@ -69,17 +79,17 @@
     pub(super) async fn run(mut self) -> Delivered {
         let mut last = None;
         loop {
-            let Some(member) = self.next_member().await else {
+            let Some(mut chosen) = self.next_member().await else {
                 let outcome = last.unwrap_or_else(|| self.nobody());
                 return self.end(outcome);
             };
             let Ok(loan) = self.lend() else {
-                let outcome = last.unwrap_or_else(|| not_run(ErrorKind::RetriesSpent));
+                let outcome = last.unwrap_or_else(|| self.spent());
                 return self.end(outcome);
             };
             let meta = self.meta(&loan);
-            self.tried.push(member.instance.clone());
-            let reply = self.route.send(&member, meta, self.call.body.clone()).await;
+            self.tried.push(chosen.member.instance.clone());
+            let reply = self.route.send(&mut chosen, meta, self.call.body.clone()).await;
             let outcome = self.settle(loan, reply);
             if !self.may_send_again(&outcome) {
                 return self.end(outcome);
@@ -89,30 +99,41 @@
     }
 
     /// Member for the next send; a once-only call is bound to it first.
-    async fn next_member(&mut self) -> Option<MemberRecord> {
+    async fn next_member(&mut self) -> Option<Chosen<'a>> {
         let service = &self.call.service;
-        match &self.ties {
+        let named = match &self.ties {
+            Ties::Unbound(_) => return self.bind().await,
             Ties::Free => match &self.isolation {
+                None => return self.choose(),
                 Some(target) => self.route.directory.member(service, target),
-                None => self.route.choose(service, &self.tried),
             },
             Ties::Bound(bound) => self.route.bound_member(service, bound.binding()),
             Ties::Given(binding) => self.route.bound_member(service, binding),
-            Ties::Unbound(_) => self.bind().await,
-        }
+        };
+        named.map(Chosen::bound)
+    }
+
+    /// Member that is to get the next send, none of those that were tried.
+    fn choose(&self) -> Option<Chosen<'a>> {
+        let meta = &self.call.meta;
+        let rank = Rank::of(meta.importance, meta.root);
+        let route = self.route;
+        route.targets.choose(&route.directory, &self.call.service, rank, &self.tried)
     }
 
     /// Mints the binding for the next send.
-    async fn bind(&mut self) -> Option<MemberRecord> {
+    async fn bind(&mut self) -> Option<Chosen<'a>> {
         loop {
-            let member = self.route.choose(&self.call.service, &self.tried)?;
-            if self.try_bind(&member) {
-                return Some(member);
+            let mut chosen = self.choose()?;
+            if self.try_bind(&chosen.member) {
+                return Some(chosen);
             }
-            if self.route.ask_binding(&member).await.is_some() && self.try_bind(&member) {
-                return Some(member);
+            let asked = self.route.ask_binding(&chosen.member).await;
+            if asked.is_some() && self.try_bind(&chosen.member) {
+                return Some(chosen);
             }
-            self.tried.push(member.instance);
+            chosen.observe(Observed::Unreachable);
+            self.tried.push(chosen.member.instance.clone());
         }
     }
 
@@ -253,6 +274,12 @@
         released
     }
 
+    /// Outcome when nothing is left to pay for a send.
+    fn spent(&self) -> Outcome<Answer> {
+        let kind = ErrorKind::RetriesSpent;
+        if self.sends.may_have_run() { Outcome::Unknown { kind } } else { not_run(kind) }
+    }
+
     fn nobody(&self) -> Outcome<Answer> {
         match self.ties {
             Ties::Bound(_) | Ties::Given(_) => Outcome::Unknown { kind: ErrorKind::BindingLost },
@@ -262,8 +289,8 @@
 
     /// Whether a target that was not tried may take the call.
     fn elsewhere(&self) -> bool {
-        let members = self.route.directory.serving(&self.call.service);
-        members.iter().any(|member| !self.tried.contains(&member.instance))
+        let route = self.route;
+        route.targets.has_other(&route.directory, &self.call.service, &self.tried)
     }
 
     fn binding(&self) -> Option<&Binding> {
@@ -280,13 +307,15 @@
 
     /// Ends the trip; an offer goes back only with the not run that it belongs to.
     fn end(self, outcome: Outcome<Answer>) -> Delivered {
-        self.route.metrics.resent(u64::from(self.sends.sends().saturating_sub(1)));
+        self.route.metrics.resent(u64::from(self.sends.sends().saturating_sub(self.sent.max(1))));
         let given = matches!(self.ties, Ties::Given(_));
         let refused = matches!(outcome, Outcome::NotRun { .. });
         let offer = self.offer.clone().filter(|_| given && refused);
         match self.final_step(outcome.clone()) {
-            Next::Final { outcome, retry_after } => Delivered { outcome, retry_after, offer },
-            Next::Resend => Delivered { outcome, retry_after: None, offer },
+            Next::Final { outcome, retry_after } => {
+                Delivered { outcome, retry_after, offer, sends: self.sends }
+            }
+            Next::Resend => Delivered { outcome, retry_after: None, offer, sends: self.sends },
         }
     }
 }
