--- a/node/src/work.rs
+++ b/node/src/work.rs
@@ -104,10 +104,8 @@
         let (request, attempt) = (call.meta.request, call.meta.attempt);
         let (customer, class) = (call.meta.customer.clone(), call.meta.class.clone());
         let ready = self.ready(&call.meta);
-        let bound = match &ready {
-            Ok(ready) => !ready.terms.class.repeatable,
-            Err(_) => call.meta.binding.is_some(),
-        };
+        let once = ready.as_ref().is_ok_and(|ready| !ready.terms.class.repeatable);
+        let bound = once || call.meta.binding.is_some();
         let served = match bound {
             true => self.serve_bound(call, ready).await,
             false => self.serve_free(call, ready).await,
@@ -125,9 +123,8 @@
         contract.map_or(own, |contract| self.levels.joined(&contract, class, own))
     }
 
-    /// Tells what became of a send whose connection failed, once that is certain.
+    /// Tells what became of a send whose connection failed; `Running` if it has not ended in time.
     pub(crate) async fn ask(&self, ask: AskRequest) -> Fate<Answer> {
-        let lost = Fate::Unknown(ErrorKind::Deadline);
         let fate = async {
             match &ask.binding {
                 None => self.sends.ask(&ask).await,
@@ -137,7 +134,7 @@
                 },
             }
         };
-        tokio::time::timeout(ask.left, fate).await.unwrap_or(lost)
+        tokio::time::timeout(ask.left, fate).await.unwrap_or(Fate::Running)
     }
 
     /// Binding to the target beside this node, ahead of a once-only call.
