--- a/node/src/route.rs
+++ b/node/src/route.rs
@@ -26,6 +26,7 @@
 use crate::directory::Directory;
 use crate::levels::Levels;
 use crate::links::{LinkError, Links};
+use crate::members::FIND_PATH;
 use crate::metrics::Metrics;
 use crate::work::{Work, outcome_of};
 
@@ -48,6 +49,12 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Questions about one send without an answer before its outcome counts as unknown.
 const ASK_TRIES: u32 = 3;
+/// Questions for a member that nobody seems to know.
+const FIND_TRIES: u32 = 4;
+/// Pause before the second question; it grows with each.
+const FIND_PAUSE: Duration = Duration::from_millis(100);
+/// Time within which a member answers for another one.
+const FIND_TIMEOUT: Duration = Duration::from_millis(500);
 /// Instances whose offered bindings are remembered.
 const OFFERS: usize = 1_024;
 /// Time for which an offered binding is used; shorter than the window it was minted in.
@@ -165,13 +172,44 @@
     }
 
     /// Member that answers for `binding`: the bound one, or its successor once it left.
-    fn bound_member(&self, service: &Name, binding: &Binding) -> Option<MemberRecord> {
-        let member = self.directory.member(service, &binding.instance)?;
-        if member.incarnation != binding.incarnation || member.state == MemberState::Left {
-            let successor = member.successor.as_ref()?;
-            return self.directory.member(service, successor);
+    ///
+    /// A member that this node has not heard of yet is asked for at another one of the service.
+    async fn bound_member(&self, service: &Name, binding: &Binding) -> Option<MemberRecord> {
+        let known = |directory: &Directory| {
+            let member = directory.member(service, &binding.instance)?;
+            (member.incarnation >= binding.incarnation).then_some(member)
+        };
+        let mut found = known(&self.directory);
+        let mut tries = 0;
+        while found.is_none() && tries < FIND_TRIES {
+            // A member that has just joined is known to some others before it is known to all.
+            tokio::time::sleep(FIND_PAUSE * tries).await;
+            self.find(service, &binding.instance).await;
+            found = known(&self.directory);
+            tries += 1;
+        }
+        let member = found?;
+        if member.incarnation == binding.incarnation && member.state != MemberState::Left {
+            return Some(member);
+        }
+        let successor = member.successor.as_ref()?;
+        self.directory.member(service, successor)
+    }
+
+    /// Asks a member of `service` for another one.
+    async fn find(&self, service: &Name, instance: &InstanceId) {
+        let rank = Rank::at(Importance(u8::MAX), u16::MAX);
+        let asked = self.targets.choose(&self.directory, service, rank, &[]);
+        let Some(peer) = asked.and_then(|chosen| chosen.member.address.parse().ok()) else {
+            return;
+        };
+        let question = (service, instance);
+        let exchange = self.links.exchange(peer, FIND_PATH, &question);
+        let found: Result<Result<Option<MemberRecord>, _>, _> =
+            tokio::time::timeout(FIND_TIMEOUT, exchange).await;
+        if let Ok(Ok(Some(record))) = found {
+            self.directory.learn(record);
         }
-        Some(member)
     }
 
     /// Binding that a member offers when asked.
