--- a/bench/src/overload/mod.rs
+++ b/bench/src/overload/mod.rs
@@ -18,6 +18,13 @@
 use tally::Figures;
 use world::{Shape, World};
 
+/// What a factor on the command line has to be.
+const FACTOR: &str = "must lie between 0.1 and 20";
+
+fn is_factor(factor: &f64) -> bool {
+    (0.1..=20.0).contains(factor)
+}
+
 /// Settings of the measure.
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct Options {
@@ -25,16 +32,16 @@
     #[bpaf(argument("N"), fallback(1), display_fallback)]
     seed: u64,
     /// Load under pressure, in multiples of the capacity at full speed
-    #[bpaf(argument("X"), fallback(3.0), display_fallback)]
+    #[bpaf(argument("X"), guard(is_factor, FACTOR), fallback(3.0), display_fallback)]
     surge: f64,
     /// Load in calm, in multiples of the same capacity
-    #[bpaf(argument("X"), fallback(0.6), display_fallback)]
+    #[bpaf(argument("X"), guard(is_factor, FACTOR), fallback(0.6), display_fallback)]
     calm: f64,
     /// Factor on the service time of the deep service under pressure
-    #[bpaf(argument("X"), fallback(2.0), display_fallback)]
+    #[bpaf(argument("X"), guard(is_factor, FACTOR), fallback(2.0), display_fallback)]
     slowdown: f64,
     /// Factor by which the deep service's targets announce more slots than they have
-    #[bpaf(argument("X"), fallback(1.0), display_fallback)]
+    #[bpaf(argument("X"), guard(is_factor, FACTOR), fallback(1.0), display_fallback)]
     overstated: f64,
     /// Deployment to run: armor or vatuvale; both without it
     #[bpaf(argument("NAME"))]
--- a/bench/src/overload/tally.rs
+++ b/bench/src/overload/tally.rs
@@ -103,7 +103,7 @@
     }
 
     /// A call was refused although a slot was free or, if `yields`, a less important call waited.
-    pub(crate) fn refused_with_room(&mut self, _now: Moment, yields: bool) {
+    pub(crate) fn refused_with_room(&mut self, yields: bool) {
         if yields {
             self.violations += 1;
         } else {
--- a/bench/src/overload/world.rs
+++ b/bench/src/overload/world/mod.rs
@@ -3,19 +3,23 @@
 //! A call holds a slot of its target from its start until its further calls are answered. A
 //! target is a number of slots and a random service time; nothing else of a cluster is simulated.
 
+mod callers;
+mod state;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use poplar_core::{
     AdmissionVerdict, Arrival, Chooser, ErrorKind, ImportanceScale, InstanceId, Level, LevelMap,
-    Moment, Name, Observed, Rank, Refusal, Release, RequestId, RunTimes, TargetInfo, TargetLimits,
-    Ticket,
+    Moment, Name, Observed, Refusal, Release, RunTimes, TargetInfo, TargetLimits,
 };
 
-use super::clock::{Agenda, Rng};
-use super::deployment::{ClassIdx, Deployment, LOCAL_MICROS, ServiceIdx, ZONE_MICROS};
-use super::gate::{Gate, Policy};
-use super::tally::Tally;
+use state::{Answer, Call, CallIdx, Event, Node, NodeIdx, Root, RootIdx, Sender, State};
+
+use crate::overload::clock::{Agenda, Rng};
+use crate::overload::deployment::{ClassIdx, Deployment, LOCAL_MICROS, ServiceIdx, ZONE_MICROS};
+use crate::overload::gate::{Gate, Policy};
+use crate::overload::tally::Tally;
 
 /// Re-sends of each caller and, without poplarbridge, of each hop.
 const RESENDS: u32 = 3;
@@ -58,111 +62,6 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct NodeIdx(usize);
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct RootIdx(pub(crate) usize);
-
-/// Place of a call; the count tells a reused place from the call that had it before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct CallIdx {
-    place: u32,
-    count: u32,
-}
-
-impl CallIdx {
-    fn ticket(self) -> Ticket {
-        Ticket(u64::from(self.count) << 32 | u64::from(self.place))
-    }
-
-    fn from_ticket(ticket: Ticket) -> Self {
-        Self { place: ticket.0 as u32, count: (ticket.0 >> 32) as u32 }
-    }
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Sender {
-    Entry,
-    Run(CallIdx),
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum State {
-    OnWay,
-    Waiting,
-    Running(Moment),
-    Ended,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Answer {
-    Done,
-    NotRun,
-    Failed,
-}
-
-#[derive(Debug)]
-struct Call {
-    count: u32,
-    root: RootIdx,
-    class: ClassIdx,
-    sender: Sender,
-    from: NodeIdx,
-    node: NodeIdx,
-    state: State,
-    sent: Moment,
-    /// Sends of the same call before this one.
-    tries: u32,
-    /// Whether somebody still waits for the answer.
-    awaited: bool,
-    /// Further call that is under way.
-    child: Option<CallIdx>,
-    /// Further calls answered.
-    step: usize,
-    /// Slot time of this call and of what it used, in microseconds.
-    spent: u64,
-}
-
-#[derive(Debug)]
-struct Root {
-    rank: Rank,
-    class: ClassIdx,
-    entry: NodeIdx,
-    born: Moment,
-    sends: u32,
-    resends: u32,
-    /// Calls sent beyond the first of each.
-    extra: u32,
-    call: Option<CallIdx>,
-    over: bool,
-}
-
-#[derive(Debug)]
-struct Node {
-    zone: usize,
-    instance: InstanceId,
-    gate: Gate,
-    levels: LevelMap,
-    times: RunTimes,
-    /// Targets of each service as this node sees them.
-    choosers: Vec<Chooser>,
-}
-
-#[derive(Debug)]
-enum Event {
-    Offer,
-    Enter(RootIdx),
-    Send { root: RootIdx, class: ClassIdx, sender: Sender, tries: u32 },
-    Reach(CallIdx),
-    Worked(CallIdx),
-    Reply { call: CallIdx, answer: Answer, level: Level },
-    Timeout(CallIdx),
-    Told { root: RootIdx, whole: bool },
-    Expire(RootIdx),
-    Tick,
-}
-
 /// One run.
 pub(crate) struct World<'a> {
     deployment: &'a Deployment,
@@ -255,76 +154,6 @@
         }
     }
 
-    /// A caller makes a request, and the next caller is scheduled.
-    fn offer(&mut self) {
-        let now = self.agenda.now();
-        let load = if self.shape.is_surging(now) { self.shape.surge } else { self.shape.calm };
-        let gap = self.rng.exponential(1.0 / (load * self.deployment.capacity()));
-        self.agenda.schedule(Duration::from_secs_f64(gap), Event::Offer);
-        let class = self.draw_class();
-        let id = RequestId(u128::from(self.rng.next()) << 64 | u128::from(self.rng.next()));
-        let spec = self.deployment.class(class);
-        let root = RootIdx(self.roots.len());
-        self.roots.push(Root {
-            rank: Rank::of(spec.importance, id),
-            class,
-            entry: NodeIdx(self.rng.below(self.nodes.len())),
-            born: now,
-            sends: 0,
-            resends: 0,
-            extra: 0,
-            call: None,
-            over: false,
-        });
-        self.tally.offered(now, class);
-        let deadline = Duration::from_millis(spec.deadline_ms);
-        self.agenda.schedule(deadline, Event::Expire(root));
-        self.agenda.schedule(self.client_way(), Event::Enter(root));
-    }
-
-    fn draw_class(&mut self) -> ClassIdx {
-        let mut lot = self.rng.below(100) as u32;
-        for class in self.deployment.class_indices() {
-            let share = self.deployment.class(class).share;
-            if lot < share {
-                return class;
-            }
-            lot -= share;
-        }
-        ClassIdx(0)
-    }
-
-    /// A request, or a caller's re-send of it, comes to its entry.
-    fn enter(&mut self, idx: RootIdx) {
-        let now = self.agenda.now();
-        let root = &mut self.roots[idx.0];
-        if root.over {
-            return;
-        }
-        let again = root.sends > 0;
-        root.sends += 1;
-        let (class, entry) = (root.class, root.entry);
-        if again && !self.may_resend(idx) {
-            return self.tell(idx, false);
-        }
-        if self.policy == Policy::Bridge && self.is_doomed(now, entry, class, idx) {
-            self.check_refusal(idx, class);
-            return self.tell(idx, false);
-        }
-        self.send(idx, class, Sender::Entry, 0);
-    }
-
-    /// Takes one unit of the request's budget; without poplarbridge there is none to respect.
-    fn may_resend(&mut self, idx: RootIdx) -> bool {
-        let root = &mut self.roots[idx.0];
-        if self.policy == Policy::Bridge && root.extra >= BUDGET {
-            return false;
-        }
-        root.extra += 1;
-        self.tally.resent(root.extra);
-        true
-    }
-
     fn is_doomed(&mut self, now: Moment, node: NodeIdx, class: ClassIdx, root: RootIdx) -> bool {
         let names = self.closures[class.0].iter().map(|class| &self.names[class.0]);
         self.nodes[node.0].levels.is_doomed(now, self.roots[root.0].rank, names)
@@ -342,7 +171,7 @@
         let spared = members.clone().all(|all| all.iter().any(|n| could_yield(n) || has_room(n)));
         let yields = members.any(|all| all.iter().any(could_yield));
         if spared {
-            self.tally.refused_with_room(self.agenda.now(), yields);
+            self.tally.refused_with_room(yields);
         }
     }
 
@@ -449,7 +278,7 @@
             let importance = self.roots[self.calls[call.place as usize].root.0].rank.importance();
             let lowest = self.nodes[node.0].gate.lowest_queued();
             if refusal.kind == ErrorKind::Overload && lowest.is_some_and(|l| l < importance) {
-                self.tally.refused_with_room(self.agenda.now(), true);
+                self.tally.refused_with_room(true);
             }
             self.end(call, Answer::NotRun);
         }
@@ -597,37 +426,6 @@
         self.send_again(root, class, sender, tries, Answer::Failed);
     }
 
-    fn tell(&mut self, root: RootIdx, whole: bool) {
-        self.agenda.schedule(self.client_way(), Event::Told { root, whole });
-    }
-
-    /// The caller has an answer: it is content, or sends again at once if it still can.
-    fn told(&mut self, idx: RootIdx, whole: bool) {
-        let pause = Duration::from_micros((self.rng.unit() * RESEND_PAUSE) as u64);
-        let way = self.client_way();
-        let root = &mut self.roots[idx.0];
-        if root.over {
-            return;
-        }
-        if whole {
-            root.over = true;
-            self.tally.completed(root.born, root.class);
-        } else if root.resends < RESENDS {
-            root.resends += 1;
-            self.agenda.schedule(pause + way, Event::Enter(idx));
-        }
-    }
-
-    /// The answer is of no use any more; with poplarbridge the whole chain is cancelled.
-    fn expire(&mut self, idx: RootIdx) {
-        let root = &mut self.roots[idx.0];
-        root.over = true;
-        let Some(call) = root.call else { return };
-        if self.policy == Policy::Bridge {
-            self.cancel(call);
-        }
-    }
-
     fn cancel(&mut self, call: CallIdx) {
         let Some(at) = self.live(call) else { return };
         let child = at.child;
@@ -685,23 +483,3 @@
         }
     }
 }
-
-impl Call {
-    fn vacant() -> Self {
-        Self {
-            count: 0,
-            root: RootIdx(0),
-            class: ClassIdx(0),
-            sender: Sender::Entry,
-            from: NodeIdx(0),
-            node: NodeIdx(0),
-            state: State::Ended,
-            sent: Moment::default(),
-            tries: 0,
-            awaited: false,
-            child: None,
-            step: 0,
-            spent: 0,
-        }
-    }
-}
