--- a/client/src/client.rs
+++ b/client/src/client.rs
@@ -104,10 +104,9 @@
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Received, SendError> {
         let expected = request.headers().get(header::REQUEST).cloned();
         let response = self.http.request(request).await.map_err(SendError::from)?;
-        let foreign =
-            response.headers().get(header::REQUEST).is_some_and(|id| Some(id) != expected.as_ref());
+        let own = response.headers().get(header::REQUEST) == expected.as_ref();
         let received = read(response).await?;
-        Ok(if foreign { unknown(ErrorKind::BadAnswer) } else { received })
+        Ok(if own { received } else { unknown(ErrorKind::BadAnswer) })
     }
 }
 
--- a/ctl/src/publish.rs
+++ b/ctl/src/publish.rs
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Word of all nodes together: accepted only if each of them says so.
+    /// Word of all nodes together; none as long as they do not say the same of the act.
     async fn ask(&mut self, customer: &Name, id: PublishId) -> Option<Word> {
         let mut together = None::<Word>;
         for node in &self.nodes {
@@ -103,9 +103,12 @@
                     return None;
                 }
             };
-            word.accepted?;
-            let newest = together.map_or(word.current, |known| known.current.max(word.current));
-            together = Some(Word { current: newest, accepted: word.accepted });
+            let known = together.unwrap_or(word);
+            if known.accepted != word.accepted {
+                return None;
+            }
+            // The node that is furthest behind speaks for all.
+            together = Some(Word { current: known.current.min(word.current), ..word });
         }
         together
     }
@@ -116,6 +119,6 @@
         let Self { customer, revision, current, nodes } = self;
         let (revision, current) = (*revision, *current);
         let result = PublishResult::Accepted { revision, current };
-        write!(f, "customer {customer}: {result} by the word of {} nodes", nodes.len())
+        write!(f, "customer {customer}: {result}; nodes asked: {}", nodes.len())
     }
 }
--- a/ctl/src/show.rs
+++ b/ctl/src/show.rs
@@ -109,7 +109,9 @@
         write!(f, "{:<10}{:<34}{:<6}verdict", "offset", "publish id", "base")?;
         for line in &self.0 {
             let Line { offset, publish_id, base, verdict } = line;
+            // The newtypes' own text ignores a width.
             let (offset, base) = (offset.to_string(), base.to_string());
+            let publish_id = publish_id.to_string();
             write!(f, "\n{offset:<10}{publish_id:<34}{base:<6}{verdict}")?;
         }
         Ok(())
--- a/ctl/tests/commands.rs
+++ b/ctl/tests/commands.rs
@@ -24,11 +24,11 @@
     (output.status.code(), String::from_utf8_lossy(&output.stderr).into_owned())
 }
 
-/// Node that says of each publication that it accepted it as revision `accepted`.
-async fn fake_node(accepted: Option<u64>) -> String {
+/// Node at revision `current` that says of each publication that it accepted it as `accepted`.
+async fn fake_node(current: u64, accepted: Option<u64>) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address").to_string();
-    let word = json!({ "current": accepted.unwrap_or(0), "accepted": accepted }).to_string();
+    let word = json!({ "current": current, "accepted": accepted }).to_string();
     tokio::spawn(async move {
         while let Ok((mut socket, _)) = listener.accept().await {
             let mut head = [0; 4096];
@@ -57,7 +57,7 @@
 #[tokio::test]
 async fn a_publication_is_accepted_shown_and_found_in_the_history() {
     let log = LogServer::start("127.0.0.1:0", 100).await.unwrap();
-    let node = fake_node(Some(1)).await;
+    let node = fake_node(1, Some(1)).await;
     let output = publish(&log, &node, &["--format", "json"]).await;
     assert_eq!(code_and_error(&output), (Some(0), String::new()));
     let accepted: Value = serde_json::from_slice(&output.stdout).unwrap();
@@ -82,7 +82,7 @@
 #[tokio::test]
 async fn the_same_command_again_is_the_same_publication() {
     let log = LogServer::start("127.0.0.1:0", 100).await.unwrap();
-    let node = fake_node(Some(1)).await;
+    let node = fake_node(1, Some(1)).await;
     publish(&log, &node, &[]).await;
     assert_eq!(publish(&log, &node, &[]).await.status.code(), Some(0));
     assert_eq!(appended(&log).await, 1);
@@ -91,7 +91,7 @@
 #[tokio::test]
 async fn a_lost_acknowledgement_does_not_publish_twice() {
     let log = LogServer::start("127.0.0.1:0", 100).await.unwrap();
-    let node = fake_node(Some(1)).await;
+    let node = fake_node(1, Some(1)).await;
     let faults = LogFaults { lose_acks: Some(LoseAcks::All(true)), ..LogFaults::default() };
     HttpClient::default().post(&log.address.to_string(), "/control", &faults).await.unwrap();
     assert_eq!(publish(&log, &node, &[]).await.status.code(), Some(0));
@@ -106,7 +106,7 @@
 #[tokio::test]
 async fn a_revision_that_was_not_looked_at_is_not_replaced() {
     let log = LogServer::start("127.0.0.1:0", 100).await.unwrap();
-    let node = fake_node(Some(1)).await;
+    let node = fake_node(1, Some(1)).await;
     publish(&log, &node, &[]).await;
     let dir = std::env::temp_dir().join(format!("poplarctl-commands-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
@@ -114,12 +114,13 @@
     let given = std::fs::read_to_string(example("armor.yaml")).unwrap();
     std::fs::write(&file, given.replacen("importance: 90", "importance: 95", 1)).unwrap();
     let (address, path) = (log.address.to_string(), file.to_str().unwrap());
+    let node = fake_node(1, None).await;
     let args = ["publish", path, "--log", &address, "--node", &node];
     let refused = poplarctl(&args).await;
     assert_eq!(refused.status.code(), Some(3), "{:?}", code_and_error(&refused));
     assert_eq!(appended(&log).await, 1);
 
-    let node = fake_node(Some(2)).await;
+    let node = fake_node(2, Some(2)).await;
     let args = ["publish", path, "--log", &address, "--node", &node, "--base", "1"];
     let accepted = poplarctl(&args).await;
     std::fs::remove_dir_all(&dir).unwrap();
@@ -129,7 +130,7 @@
 #[tokio::test]
 async fn accepted_is_not_said_without_a_nodes_word() {
     let log = LogServer::start("127.0.0.1:0", 100).await.unwrap();
-    let node = fake_node(None).await;
+    let node = fake_node(0, None).await;
     let output = publish(&log, &node, &["--timeout", "1"]).await;
     assert_eq!(output.status.code(), Some(5));
     assert!(output.stdout.is_empty());
@@ -138,7 +139,7 @@
 #[tokio::test]
 async fn a_log_out_of_reach_publishes_nothing_and_says_so() {
     let log = LogServer::start("127.0.0.1:0", 100).await.unwrap();
-    let node = fake_node(Some(1)).await;
+    let node = fake_node(1, Some(1)).await;
     let outage = LogFaults { outage: Some(true), ..LogFaults::default() };
     HttpClient::default().post(&log.address.to_string(), "/control", &outage).await.unwrap();
     let (code, error) = code_and_error(&publish(&log, &node, &["--timeout", "1"]).await);
--- a/node/src/ends/caller.rs
+++ b/node/src/ends/caller.rs
@@ -49,7 +49,17 @@
     }
 }
 
+/// Answers a call and names the request, so that the caller can tell the answer for its own.
 async fn answer(entry: &Entry, intake: &Intake, req: Request<Incoming>) -> Response<Full<Bytes>> {
+    let request = req.headers().get(header::REQUEST).cloned();
+    let mut resp = serve(entry, intake, req).await;
+    if let Some(request) = request {
+        resp.headers_mut().insert(header::REQUEST, request);
+    }
+    resp
+}
+
+async fn serve(entry: &Entry, intake: &Intake, req: Request<Incoming>) -> Response<Full<Bytes>> {
     if req.method() != Method::POST || req.uri().path() != "/call" {
         return plain(StatusCode::NOT_FOUND, "calls go to POST /call\n");
     }
