Say not run only for sends that this node can speak for

Cause: an entry refused a send that its caller marks as a later one with not-run (no keeper, doomed, draining), although an earlier send through another entry may have run; a handshake without a kept binding was told not-run although the request may have run under that binding. Ruled out: refusing such sends without a word on the binding, since the binding is what settles them. Before: client/tests/attempts.rs, 7 passed 1 failed (a_binding_that_another_send_may_have_used...). After: all passed. The budget window is 60 s (it was 600 s, which starves young nodes); incarnations carry drawn low bits. Conclusion: later sends are answered unknown by an entry's own refusals, with the binding to ask with.

--- a/client/src/attempts.rs
+++ b/client/src/attempts.rs
@@ -30,8 +30,8 @@
 /// Sends of one call: what was learned and what may still be spent.
 ///
 /// Sending again is safe whatever the class: a node runs a once-only request only with a binding,
-/// and the binding's holder runs it once. A send is marked as the first one as long as no earlier send can have run, so that a node
-/// that cannot vouch for the past may still run it.
+/// and the binding's holder runs it once. A send is marked as the first one as long as no earlier
+/// send can have run, so that a node that cannot vouch for the past may still run it.
 #[derive(Debug)]
 pub struct Attempts {
     /// Moment after which the answer is of no use.
@@ -92,6 +92,13 @@
             }
             Outcome::Unknown { kind } => {
                 self.first = false;
+                if kind == ErrorKind::BindingNeeded && self.binding.is_none() {
+                    // A send may have run under this very binding, so it is the one to ask with.
+                    self.binding = received.binding;
+                    if self.may_shake_hands() {
+                        return Step::Send(Duration::ZERO);
+                    }
+                }
                 if kind.reply().retryable && self.may_send(now, Duration::ZERO) {
                     return Step::Send(Duration::ZERO);
                 }
--- a/client/tests/attempts.rs
+++ b/client/tests/attempts.rs
@@ -97,3 +97,15 @@
     attempts.receive(NOW, other);
     assert_eq!(attempts.binding(), Some("a/1/0/0"));
 }
+
+#[test]
+fn a_binding_that_another_send_may_have_used_is_taken_and_says_nothing_of_the_past() {
+    let mut attempts = attempts();
+    attempts.receive(Moment::default(), unknown(ErrorKind::Connection));
+    let offered =
+        Received { binding: needs("b/1/0/0").binding, ..unknown(ErrorKind::BindingNeeded) };
+    let step = attempts.receive(Moment::default(), offered);
+    assert_eq!(step, Step::Send(Duration::ZERO));
+    assert_eq!(attempts.binding(), Some("b/1/0/0"));
+    assert!(!attempts.is_first());
+}
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -105,12 +105,13 @@
     pub(crate) async fn serve(&self, call: Inbound) -> Outbound {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
         let _taken = Taken(&self.in_flight);
-        let (bound, class) = (call.binding.is_some(), call.class.clone());
+        let sent_before = call.binding.is_some() || call.first == Some(false);
+        let class = call.class.clone();
         let served = match call.parent {
             Some(token) => self.serve_child(call, token).await,
             None => self.serve_root(call).await,
         };
-        let out = served.unwrap_or_else(|kind| refuse(kind, bound));
+        let out = served.unwrap_or_else(|kind| refuse(kind, sent_before));
         self.count(class, &out);
         out
     }
@@ -203,7 +204,8 @@
         };
         Ok(match answer {
             BinderAnswer::Bound(binding) => {
-                let refused = refuse(ErrorKind::BindingNeeded, false);
+                // An earlier send may have run under the same binding.
+                let refused = refuse(ErrorKind::BindingNeeded, !first);
                 Outbound { binding: Some(binding), ..refused }
             }
             BinderAnswer::NotRun(kind) => refuse(kind, false),
@@ -244,7 +246,7 @@
             None => return Err(ErrorKind::NoTarget),
         };
         let Run { number, budget, call } = run;
-        let sends = if unmarked || call.sends() > 0 { call } else { sent_before() };
+        let sends = if unmarked || call.sends() > 0 { call } else { resent_call() };
         let budget = Mutex::new(budget);
         let done = self.route.deliver(delivery, &budget, sends).await;
         let budget = budget.into_inner().unwrap_or_else(PoisonError::into_inner);
@@ -292,7 +294,7 @@
 }
 
 /// Sends of a request whose first send went through another entry, and may have run.
-fn sent_before() -> Call {
+fn resent_call() -> Call {
     let mut call = Call::new();
     if let Ok(loan) = call.send(&mut Budget::grant(0), 0) {
         call.lost(loan);
@@ -308,12 +310,12 @@
 
 /// Refusal by this node itself.
 ///
-/// A request that came with a binding may have run before through another entry, so this node
-/// cannot say that it did not.
-fn refuse(kind: ErrorKind, bound: bool) -> Outbound {
+/// A request that was sent before may have run through another entry, so this node cannot say that
+/// it did not.
+fn refuse(kind: ErrorKind, sent_before: bool) -> Outbound {
     let spread = come_back_after(RETRY_AFTER, fastrand::u64(..));
     let retry_after = kind.reply().retryable.then_some(spread);
-    let outcome = match bound {
+    let outcome = match sent_before {
         true => Outcome::Unknown { kind },
         false => Outcome::NotRun { kind, retry_after: spread },
     };
--- a/node/src/keeper.rs
+++ b/node/src/keeper.rs
@@ -27,8 +27,10 @@
 pub(crate) const CLOSE_PATH: &str = "/budget/close";
 /// Path of questions for the binding of a request.
 pub(crate) const BINDING_PATH: &str = "/binding";
-/// Time for which a request id is remembered after its last use.
-const WINDOW: Duration = Duration::from_secs(600);
+/// Time for which the budget of a request id is remembered after its last use.
+const BUDGET_WINDOW: Duration = Duration::from_secs(60);
+/// Time for which the binding of a request id is remembered after it was minted.
+const BINDING_WINDOW: Duration = Duration::from_secs(600);
 /// Most request ids whose budgets are kept.
 const BUDGETS: usize = 16_384;
 /// Most request ids whose bindings are kept.
@@ -100,9 +102,9 @@
         registry: &Registry,
     ) -> Result<Self, RegistryError> {
         let now = clock.now();
-        let limits = BinderLimits { keys: BINDINGS, departed: DEPARTED, hold: WINDOW };
+        let limits = BinderLimits { keys: BINDINGS, departed: DEPARTED, hold: BINDING_WINDOW };
         let state = State {
-            ledger: Ledger::new(now, WINDOW, BUDGETS),
+            ledger: Ledger::new(now, BUDGET_WINDOW, BUDGETS),
             binder: Binder::new(now, own.clone(), limits),
             members: BTreeSet::new(),
         };
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -165,9 +165,12 @@
 }
 
 /// Incarnation of a new process: an instance keeps nothing, so the wall clock stands in.
+///
+/// The low bits are drawn, so that a clock that was set back does not give a number twice.
 fn first_incarnation() -> Incarnation {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Incarnation(since.as_micros() as u64)
+    let drawn = u64::from(fastrand::u8(..));
+    Incarnation((since.as_micros() as u64) << u8::BITS | drawn)
 }
 
 fn spawn_followers(
