--- a/bench/src/overload/mod.rs
+++ b/bench/src/overload/mod.rs
@@ -7,6 +7,8 @@
 mod deployment;
 mod gate;
 mod tally;
+#[cfg(test)]
+mod tests;
 mod world;
 
 use std::time::Duration;
--- /dev/null
+++ b/core/tests/admission_levels.rs
@@ -0,0 +1,107 @@
+//! Levels between a target and its callers.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use poplar_core::{
+    Admission, AdmissionVerdict, Arrival, ErrorKind, Importance, ImportanceScale, InstanceId,
+    Level, LevelMap, Moment, Name, Rank, TargetLimits, Ticket,
+};
+
+const LOW: Rank = Rank::at(Importance(1), 60_000);
+const HIGH: Rank = Rank::at(Importance(9), 100);
+
+fn scale() -> ImportanceScale {
+    ImportanceScale::new([1, 9].map(Importance))
+}
+
+#[test]
+fn a_class_that_is_refused_altogether_lets_one_call_through_in_a_while() {
+    let (class, instance) = (Name::new("guide"), InstanceId::from("a"));
+    let mut map = LevelMap::new(scale());
+    map.learn(Moment::from_millis(1_000), &class, &instance, Level::at(HIGH));
+    let doomed =
+        |map: &mut LevelMap, millis| map.is_doomed(Moment::from_millis(millis), LOW, [&class]);
+    assert!(doomed(&mut map, 1_040));
+    assert!(!doomed(&mut map, 1_060));
+    assert!(doomed(&mut map, 1_061));
+    map.learn(Moment::from_millis(1_070), &class, &instance, Level::OPEN);
+    assert!(!doomed(&mut map, 1_071));
+}
+
+#[test]
+fn no_important_call_is_refused_while_one_instance_takes_lesser_ones() {
+    let class = Name::new("correct");
+    let now = Moment::from_millis(1_000);
+    let instances = ["a", "b", "c"].map(InstanceId::from);
+    let level = Level::at(Rank::at(Importance(9), 5_000));
+    let mut map = LevelMap::new(scale());
+    map.meet(&class, &instances[2]);
+    instances[..2].iter().for_each(|instance| map.learn(now, &class, instance, level));
+    assert!(!map.is_doomed(now, HIGH, [&class]));
+    assert!(map.is_doomed(now, LOW, [&class]));
+    map.learn(now, &class, &instances[2], level);
+    assert!(map.is_doomed(now, HIGH, [&class]));
+}
+
+fn arrival(ticket: u64, rank: Rank) -> Arrival {
+    let (age, rest) = (Duration::ZERO, Duration::from_millis(10));
+    let left = Duration::from_secs(10);
+    Arrival { ticket: Ticket(ticket), rank, age, left, rest, paid: false }
+}
+
+/// Offers one important call a millisecond, four times as many as the target completes, for half
+/// a second. The call 1000 runs when this begins.
+fn press(admission: &mut Admission) -> Moment {
+    let mut now = Moment::from_millis(1_000);
+    let mut running = VecDeque::from([Ticket(1_000)]);
+    for step in 0..500 {
+        now = now + Duration::from_millis(1);
+        let lot = (step * 7_919 % 65_536) as u16;
+        let call = arrival(step, Rank::at(Importance(9), lot));
+        if admission.arrive(now, call) == AdmissionVerdict::Admit {
+            running.push_back(call.ticket);
+        }
+        if step % 4 == 0
+            && let Some(ticket) = running.pop_front()
+        {
+            running.extend(admission.finish(now, ticket, Duration::from_millis(16)).start);
+        }
+        running.extend(admission.tick(now).start);
+        assert_eq!(admission.verify(), Ok(()));
+    }
+    now
+}
+
+#[test]
+fn once_important_calls_are_refused_no_lesser_one_waits() {
+    let limits = TargetLimits::derive(4, 100);
+    let mut admission = Admission::new(Moment::default(), limits, scale());
+    let mut refused = 0;
+    for ticket in 1_000..1_010 {
+        admission.arrive(Moment::from_millis(1_000), arrival(ticket, LOW));
+    }
+    let now = press(&mut admission);
+    assert!(admission.level(now) > Level::at(Rank::at(Importance(9), 0)), "no level");
+    assert_eq!(admission.lowest_queued(), Some(Importance(9)));
+    for ticket in 2_000..2_010 {
+        admission.arrive(now, Arrival { paid: true, ..arrival(ticket, LOW) });
+        refused += u32::from(admission.lowest_queued() == Some(Importance(9)));
+    }
+    assert_eq!(refused, 10);
+}
+
+#[test]
+fn calls_refused_for_others_are_told_so() {
+    let mut admission = Admission::new(Moment::default(), TargetLimits::derive(1, 100), scale());
+    let now = Moment::from_millis(1);
+    for ticket in 0..9 {
+        admission.arrive(now, arrival(ticket, LOW));
+    }
+    let verdict = admission.arrive(now, arrival(9, HIGH));
+    let AdmissionVerdict::Queue { evicted: Some(refusal) } = verdict else {
+        panic!("{verdict:?}");
+    };
+    assert_eq!(refusal.kind, ErrorKind::Overload);
+    assert!(refusal.retry_after >= Duration::from_millis(50));
+}
