--- a/core/src/budget/ledger.rs
+++ b/core/src/budget/ledger.rs
@@ -9,9 +9,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Budget, Call, RetriesSpent, Units};
+use super::{Budget, Call, Units};
 use crate::ids::{InstanceId, RequestId, rendezvous_owner, rendezvous_weight};
-use crate::outcome::Outcome;
 use crate::time::Moment;
 
 /// Units kept back while a run is out, so that one re-send remains if its entry is lost.
@@ -55,24 +54,6 @@
     pub call: Call,
 }
 
-impl Run {
-    /// Pays for the run's first send, for a holder that counts the run's sends from nothing.
-    pub fn prepay(&mut self) -> Result<(), RetriesSpent> {
-        if self.call.may_have_run() {
-            // The send itself is charged then, and so are those of the calls below it.
-            self.budget.rerun = true;
-            return if self.budget.left() > 0 { Ok(()) } else { Err(RetriesSpent) };
-        }
-        if self.call.sends() > 0 { self.budget.spend() } else { Ok(()) }
-    }
-
-    /// Notes that the run sent the request and how it ended; the counterpart of [`Self::prepay`].
-    pub fn ended<A>(&mut self, outcome: &Outcome<A>) {
-        self.call.sends = self.call.sends.saturating_add(1);
-        self.call.ran |= !matches!(outcome, Outcome::NotRun { .. });
-    }
-}
-
 /// Answer of the keeper.
 #[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Opening {
