Measure the latency that two nodes add, and refuse doomed calls at each hop

Cause: the admission's owner found that skipping the check at paid hops wastes target time (docs/design/overload.md); the node checked at the entry only. Nothing measured the added latency. Ruled out: checking at the callee alone, which costs the hop. Before: checked once.

--- /dev/null
+++ b/bench/src/latency.rs
@@ -0,0 +1,140 @@
+//! Time that two nodes add to a call, against the target called directly in the same run.
+
+use std::time::{Duration, Instant};
+
+use bpaf::Bpaf;
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::Request;
+use http_body_util::Full;
+use poplar_standins::HttpClient;
+use poplar_wire::header;
+use tokio::task::JoinSet;
+
+use crate::deployment::{Deployment, DeploymentError, Plan, Sizes};
+
+/// Service that is called; its two targets complete 3,200 calls a second.
+const CALLED: Sizes =
+    Sizes { service: "archives", targets: 2, slots: 8, connections: 64, service_ms: 5 };
+/// Service whose nodes take the calls in, so that each call passes two nodes.
+const ENTRY: Sizes =
+    Sizes { service: "reminders", targets: 1, slots: 8, connections: 64, service_ms: 5 };
+/// Small deployment of Armor's contract.
+const PLAN: Plan =
+    Plan { customer: "armor", zones: &["rennes"], mix: "", services: &[CALLED, ENTRY] };
+/// Longest latency that the histograms hold, in microseconds.
+const LONGEST_MICROS: u64 = 60_000_000;
+/// Calls before the measured ones.
+const WARM_UP: u64 = 400;
+
+/// Options of the measure.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct Options {
+    /// Calls a second; half of them direct, half through the nodes
+    #[bpaf(argument("RATE"), fallback(1600.0), display_fallback)]
+    rate: f64,
+    /// Measured calls
+    #[bpaf(argument("CALLS"), fallback(16_000), display_fallback)]
+    calls: u64,
+}
+
+/// How a call goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    Direct,
+    Through,
+}
+
+/// One measured call.
+struct Sample {
+    way: Way,
+    took: Duration,
+    whole: bool,
+}
+
+/// Runs the measure and prints the table.
+pub(crate) fn run(options: &Options) {
+    let Ok(runtime) = tokio::runtime::Runtime::new() else { return eprintln!("no runtime") };
+    if let Err(error) = runtime.block_on(measure(options)) {
+        eprintln!("latency: {error}");
+        std::process::exit(1);
+    }
+}
+
+async fn measure(options: &Options) -> Result<(), DeploymentError> {
+    let deployment = Deployment::start(PLAN, false).await?;
+    let targets: Vec<String> = deployment
+        .instances
+        .iter()
+        .filter(|instance| instance.service == CALLED.service)
+        .map(|instance| instance.target.field("address"))
+        .collect();
+    let entry = deployment.instances.iter().find(|i| i.service == ENTRY.service);
+    let entry = entry.map(|instance| instance.node.field("caller")).unwrap_or_default();
+    let http = HttpClient::default();
+    let begun = Instant::now();
+    let mut calls = JoinSet::new();
+    let mut samples = Vec::new();
+    for number in 0..WARM_UP + options.calls {
+        let due = begun + Duration::from_secs_f64(number as f64 / options.rate);
+        tokio::time::sleep_until(due.into()).await;
+        let way = if number % 2 == 0 { Way::Direct } else { Way::Through };
+        let address = match way {
+            Way::Direct => targets[number as usize / 2 % targets.len()].clone(),
+            Way::Through => entry.clone(),
+        };
+        let (http, warm) = (http.clone(), number < WARM_UP);
+        calls.spawn(async move { (call(&http, &address, way).await, warm) });
+        while let Some(done) = calls.try_join_next() {
+            samples.extend(done.ok().filter(|(_, warm)| !warm).map(|(sample, _)| sample));
+        }
+    }
+    while let Some(done) = calls.join_next().await {
+        samples.extend(done.ok().filter(|(_, warm)| !warm).map(|(sample, _)| sample));
+    }
+    print(&samples);
+    Ok(())
+}
+
+async fn call(http: &HttpClient, address: &str, way: Way) -> Sample {
+    let path = if way == Way::Direct { "/" } else { "/call" };
+    let request = Request::post(format!("http://{address}{path}"))
+        .header(header::CUSTOMER, PLAN.customer)
+        .header(header::CLASS, "read-archive")
+        .header(header::DEADLINE, "2000")
+        .body(Full::new(Bytes::from_static(b"{}")));
+    let begun = Instant::now();
+    let whole = match request {
+        Ok(request) => http.send(request).await.is_ok_and(|reply| reply.status == 200),
+        Err(_) => false,
+    };
+    Sample { way, took: begun.elapsed(), whole }
+}
+
+fn print(samples: &[Sample]) {
+    let direct = histogram(samples, Way::Direct);
+    let through = histogram(samples, Way::Through);
+    let (Some(direct), Some(through)) = (direct, through) else {
+        return eprintln!("latency: no samples");
+    };
+    let failed = samples.iter().filter(|sample| !sample.whole).count();
+    println!("latency: {} calls, {failed} not whole; times in ms", samples.len());
+    println!("{:<9} {:>8} {:>8} {:>8}", "way", "p50", "p99", "p99.9");
+    let millis = |histogram: &Histogram<u64>, quantile: f64| {
+        histogram.value_at_quantile(quantile) as f64 / 1_000.0
+    };
+    for (name, histogram) in [("direct", &direct), ("through", &through)] {
+        let [p50, p99, p999] = [0.5, 0.99, 0.999].map(|quantile| millis(histogram, quantile));
+        println!("{name:<9} {p50:>8.3} {p99:>8.3} {p999:>8.3}");
+    }
+    let added = |quantile| millis(&through, quantile) - millis(&direct, quantile);
+    println!("p50_ms={:.3} p99_ms={:.3} p999_ms={:.3}", added(0.5), added(0.99), added(0.999));
+}
+
+fn histogram(samples: &[Sample], way: Way) -> Option<Histogram<u64>> {
+    let mut histogram = Histogram::new_with_bounds(1, LONGEST_MICROS, 3).ok()?;
+    for sample in samples.iter().filter(|sample| sample.way == way && sample.whole) {
+        histogram.saturating_record(sample.took.as_micros() as u64);
+    }
+    (!histogram.is_empty()).then_some(histogram)
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod faults;
 mod group;
+mod latency;
 mod membership;
 mod overload;
 
@@ -23,6 +24,9 @@
     /// Faults against running processes while load runs.
     #[bpaf(command)]
     Faults(#[bpaf(external(faults::options))] faults::Options),
+    /// Time that two nodes add to a call, direct against through.
+    #[bpaf(command)]
+    Latency(#[bpaf(external(latency::options))] latency::Options),
     /// Time to notice, false suspicions and traffic of membership, on a fake clock.
     #[bpaf(command)]
     Membership(#[bpaf(external(membership::options))] membership::Options),
@@ -36,6 +40,7 @@
         Measure::Overload(options) => overload::run(&options),
         Measure::Cost(options) => cost::run(&options),
         Measure::Faults(options) => faults::run(&options),
+        Measure::Latency(options) => latency::run(&options),
         Measure::Membership(options) => membership::run(&options),
     }
 }
--- a/node/src/entry.rs
+++ b/node/src/entry.rs
@@ -260,8 +260,12 @@
         let run = self.runs.find(token).ok_or(ErrorKind::BadRequest)?;
         let parent = &run.meta;
         let call = Inbound { customer: Some(parent.customer.clone()), ..call };
-        let (_, terms) = self.terms(&call)?;
+        let (contract, terms) = self.terms(&call)?;
         let class = terms.class;
+        let rank = Rank::of(parent.importance, parent.root);
+        if self.levels.is_doomed(&contract, &call.class, rank) {
+            return Err(ErrorKind::Overload);
+        }
         let above = Lineage::from_once(parent.once);
         let rule = call_rule(above, class.repeatable, false)?;
         let within = above.below(class.repeatable);
