Measure two operators against a lossy, truncating log while nodes are killed

Cause: the fold was proved by model and tests, but not run with real processes. Ruled out: judging by the operators' words alone; every node's dump is compared.

--- a/bench/src/deployment.rs
+++ b/bench/src/deployment.rs
@@ -227,6 +227,16 @@
         self.instances.iter().map(|instance| instance.node.field("caller")).collect()
     }
 
+    /// Admin addresses of the nodes.
+    pub(crate) fn admins(&self) -> Vec<String> {
+        self.instances.iter().map(|instance| instance.node.field("admin")).collect()
+    }
+
+    /// Address of the log.
+    pub(crate) fn log_address(&self) -> String {
+        self.log.field("address")
+    }
+
     /// Addresses of the targets.
     pub(crate) fn targets(&self) -> Vec<String> {
         self.instances.iter().map(|instance| instance.target.field("address")).collect()
@@ -304,13 +314,13 @@
 }
 
 /// Program of this workspace that was built beside this one.
-fn binary(program: &str) -> Result<PathBuf, DeploymentError> {
+pub(crate) fn binary(program: &str) -> Result<PathBuf, DeploymentError> {
     let own = std::env::current_exe();
     let own = own.map_err(|source| DeploymentError::Io { what: program.to_owned(), source })?;
     Ok(own.with_file_name(program))
 }
 
-fn contract_path(plan: &Plan) -> PathBuf {
+pub(crate) fn contract_path(plan: &Plan) -> PathBuf {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
     root.join("examples").join(format!("{}.yaml", plan.customer))
 }
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -10,6 +10,7 @@
 mod group;
 mod latency;
 mod membership;
+mod operators;
 mod overload;
 
 use bpaf::Bpaf;
@@ -27,6 +28,9 @@
     /// Time that two nodes add to a call, direct against through.
     #[bpaf(command)]
     Latency(#[bpaf(external(latency::options))] latency::Options),
+    /// Two operators in a loop against a log that loses acknowledgements, while nodes are killed.
+    #[bpaf(command)]
+    Operators(#[bpaf(external(operators::options))] operators::Options),
     /// Time to notice, false suspicions and traffic of membership, on a fake clock.
     #[bpaf(command)]
     Membership(#[bpaf(external(membership::options))] membership::Options),
@@ -37,6 +41,7 @@
 
 fn main() {
     match measure().run() {
+        Measure::Operators(options) => operators::run(&options),
         Measure::Overload(options) => overload::run(&options),
         Measure::Cost(options) => cost::run(&options),
         Measure::Faults(options) => faults::run(&options),
