Test that a caller which lost its binding is told nothing false, and measure the footprint

Cause: the mend of the handshake had a test in the client only. Ruled out: asking before the nodes know each other; a new keeper rightly answers unknown without a binding. Conclusion: the node's word and the keeper's memory agree.

--- a/bench/src/deployment.rs
+++ b/bench/src/deployment.rs
@@ -137,6 +137,11 @@
         found.map(|(_, value)| value.to_owned()).unwrap_or_default()
     }
 
+    /// Process id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal by its name, as in `STOP`.
     pub(crate) fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
--- /dev/null
+++ b/bench/src/footprint.rs
@@ -0,0 +1,76 @@
+//! Processor time and memory of the nodes of a deployment that nobody calls: the cost of control.
+
+use std::time::Duration;
+
+use bpaf::Bpaf;
+
+use crate::deployment::{ARMOR, Deployment, DeploymentError, Plan, VATUVALE};
+
+/// Clock ticks a second in which the kernel counts processor time.
+const TICKS: f64 = 100.0;
+/// Time for which a new deployment settles before it is measured.
+const SETTLE: Duration = Duration::from_secs(5);
+
+/// Options of the measure.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct Options {
+    /// Deployment: armor or vatuvale
+    #[bpaf(argument("NAME"), fallback("armor".to_owned()), display_fallback)]
+    deployment: String,
+    /// Seconds for which the nodes are watched
+    #[bpaf(argument("SECONDS"), fallback(20), display_fallback)]
+    seconds: u64,
+}
+
+/// What the kernel says of one process.
+#[derive(Debug, Clone, Copy, Default)]
+struct Usage {
+    cpu_seconds: f64,
+    resident_kib: u64,
+}
+
+/// Runs the measure and prints its result.
+pub(crate) fn run(options: &Options) {
+    let plan = if options.deployment == "vatuvale" { VATUVALE } else { ARMOR };
+    let Ok(runtime) = tokio::runtime::Runtime::new() else { return eprintln!("no runtime") };
+    if let Err(error) = runtime.block_on(measure(plan, options.seconds)) {
+        eprintln!("footprint: {error}");
+        std::process::exit(1);
+    }
+}
+
+async fn measure(plan: Plan, seconds: u64) -> Result<(), DeploymentError> {
+    let deployment = Deployment::start(plan, false).await?;
+    tokio::time::sleep(SETTLE).await;
+    let before = usages(&deployment);
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+    let after = usages(&deployment);
+    let share = |(before, after): (&Usage, &Usage)| {
+        100.0 * (after.cpu_seconds - before.cpu_seconds) / seconds as f64
+    };
+    let shares: Vec<f64> = before.iter().zip(&after).map(share).collect();
+    let mean = shares.iter().sum::<f64>() / shares.len().max(1) as f64;
+    let largest = shares.iter().copied().fold(0.0, f64::max);
+    let resident = after.iter().map(|usage| usage.resident_kib).max().unwrap_or(0);
+    println!(
+        "nodes={} cpu_mean_percent={mean:.2} cpu_max_percent={largest:.2} resident_max_kib={resident}",
+        after.len()
+    );
+    Ok(())
+}
+
+fn usages(deployment: &Deployment) -> Vec<Usage> {
+    let pids = deployment.instances.iter().map(|instance| instance.node.id());
+    pids.map(|pid| usage(pid).unwrap_or_default()).collect()
+}
+
+fn usage(pid: u32) -> Option<Usage> {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // The name in brackets may hold spaces; the fields behind it do not.
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let resident_kib = line.split_whitespace().next()?.parse().ok()?;
+    Some(Usage { cpu_seconds: ticks / TICKS, resident_kib })
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,11 +2,13 @@
 //!
 //! `overload` drives the decisions of `poplar-core` on a fake clock against fake targets;
 //! `membership` lets the members of one service exchange their real messages.
+//! `faults`, `operators`, `latency` and `footprint` start the real programs on loopback.
 //! Each measure prints a table, then one last line of `key=value` pairs.
 
 mod cost;
 mod deployment;
 mod faults;
+mod footprint;
 mod group;
 mod latency;
 mod membership;
@@ -31,6 +33,9 @@
     /// Two operators in a loop against a log that loses acknowledgements, while nodes are killed.
     #[bpaf(command)]
     Operators(#[bpaf(external(operators::options))] operators::Options),
+    /// Processor time and memory of nodes that nobody calls.
+    #[bpaf(command)]
+    Footprint(#[bpaf(external(footprint::options))] footprint::Options),
     /// Time to notice, false suspicions and traffic of membership, on a fake clock.
     #[bpaf(command)]
     Membership(#[bpaf(external(membership::options))] membership::Options),
@@ -42,6 +47,7 @@
 fn main() {
     match measure().run() {
         Measure::Operators(options) => operators::run(&options),
+        Measure::Footprint(options) => footprint::run(&options),
         Measure::Overload(options) => overload::run(&options),
         Measure::Cost(options) => cost::run(&options),
         Measure::Faults(options) => faults::run(&options),
--- a/node/tests/at_most_once.rs
+++ b/node/tests/at_most_once.rs
@@ -162,6 +162,20 @@
         panic!("{} hands out no binding", at.name);
     }
 
+    /// Waits until the node knows `count` members that serve.
+    async fn await_members(&self, at: &Instance, count: usize) {
+        for _ in 0..200 {
+            let state = self.http.get(&at.admin, "/state").await.expect("the node answers");
+            let state: Value = state.json().expect("a dump");
+            let rows = state["directory"].as_array().expect("a list of members");
+            if rows.iter().filter(|row| row["state"] == "serving").count() >= count {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("{} does not know {count} members", at.name);
+    }
+
     async fn runs(&self, at: &Instance) -> u64 {
         let target = at.target.as_ref().expect("a target").address.to_string();
         let runs = self.http.get(&target, "/control/runs").await.expect("the target answers");
@@ -254,3 +268,22 @@
     }
     assert_eq!(deployment.runs(&a).await, before + 1);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_lost_its_binding_gets_the_same_one_and_no_word_that_it_did_not_run() {
+    let deployment = Deployment::start("forgetful").await;
+    let (a, b) = (deployment.instance("a").await, deployment.instance("b").await);
+    // The keeper of the id is the same for both only once they know each other.
+    deployment.await_members(&a, 2).await;
+    deployment.await_members(&b, 2).await;
+    let binding = deployment.binding(&a, REQUEST).await;
+    let headers = [(header::REQUEST, REQUEST), (header::BINDING, binding.as_str())];
+    assert_eq!(word(&deployment.send(&a, &headers).await, header::OUTCOME), "done");
+    for entry in [&a, &b] {
+        let again = [(header::REQUEST, REQUEST), (header::FIRST, "false")];
+        let reply = deployment.send(entry, &again).await;
+        assert_eq!(word(&reply, header::OUTCOME), "unknown");
+        assert_eq!(word(&reply, header::BINDING), binding);
+    }
+    assert_eq!(deployment.runs(&a).await + deployment.runs(&b).await, 1);
+}
