Take a crashed target out at once, and run the crashing request with processes

Cause: a node whose target was gone stayed a serving member and refused each call that came, which cost its callers a retry unit each; and the crashing request had been shown in core only. Ruled out: a record of loss on the log, since the members pass the node's own word on within a second.

--- a/bench/src/deployment.rs
+++ b/bench/src/deployment.rs
@@ -149,6 +149,11 @@
         let _ = Command::new("kill").arg(format!("-{name}")).arg(pid).status();
     }
 
+    /// Whether the process has ended.
+    pub(crate) fn is_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Waits for the end and gives the exit code.
     pub(crate) fn wait(&mut self) -> Option<i32> {
         self.child.wait().ok()?.code()
--- a/bench/src/faults.rs
+++ b/bench/src/faults.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
+use poplar_client::{Call, Client};
 use poplar_core::Name;
 use poplar_standins::{
     CallerSettings, ClassLoad, Graph, HttpClient, LogFaults, Report, Switches, parse_mix,
@@ -19,6 +20,13 @@
 /// Time for which a freeze lasts.
 const FREEZE: Duration = Duration::from_secs(3);
 
+/// Times that a crashing request is sent, each time under a new id.
+const CRASH_SENDS: u32 = 4;
+/// Pause between them.
+const CRASH_PAUSE: Duration = Duration::from_millis(500);
+/// Time within which an answer to it is of use.
+const CRASH_DEADLINE: Duration = Duration::from_secs(2);
+
 /// Options of the measure.
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct Options {
@@ -48,6 +56,7 @@
     LogOutage,
     Drain,
     SlowTarget,
+    Crash,
 }
 
 const SCENARIOS: &[(&str, Fault)] = &[
@@ -60,6 +69,7 @@
     ("log-outage", Fault::LogOutage),
     ("drain", Fault::Drain),
     ("slow-target", Fault::SlowTarget),
+    ("crash", Fault::Crash),
 ];
 
 /// Runs every scenario and prints the table.
@@ -181,6 +191,7 @@
         Fault::LogOutage => outage(deployment).await?,
         Fault::Drain => drain(deployment, &victims),
         Fault::SlowTarget => slow(deployment, &victims).await?,
+        Fault::Crash => crash(deployment).await,
     }
     Ok(())
 }
@@ -237,3 +248,22 @@
     }
     Ok(())
 }
+
+/// Sends one request that crashes each target that runs it, again and again.
+async fn crash(deployment: &mut Deployment) {
+    let (service, class) = match deployment.plan.customer {
+        "vatuvale" => ("parts-counter", "find-part"),
+        _ => ("listings", "read-listing"),
+    };
+    let client = Client::new(deployment.callers());
+    let body = serde_json::json!({ "nonce": 1, "crash": service }).to_string();
+    for _ in 0..CRASH_SENDS {
+        let call = Call::new(deployment.plan.customer, class, CRASH_DEADLINE);
+        let outcome = client.call(call.with_body(body.clone())).await;
+        println!("crash: told {outcome:?}");
+        tokio::time::sleep(CRASH_PAUSE).await;
+    }
+    let targets = deployment.instances.iter_mut().filter(|i| i.service == service);
+    let ended = targets.map(|i| i.target.is_ended()).filter(|ended| *ended).count();
+    println!("crash: {ended} targets of {service} crashed");
+}
--- a/node/src/announce.rs
+++ b/node/src/announce.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use poplar_core::{ImportanceScale, Incarnation, InstanceId, Moment, Name, TargetLimits};
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
@@ -15,6 +16,9 @@
 use crate::members::Members;
 use crate::target::{Stage, Target};
 
+/// Pause between looks at the target's lease.
+const LEASE_POLL: Duration = Duration::from_millis(100);
+
 /// Who this node is, as other nodes see it.
 #[derive(Debug, Clone)]
 pub(crate) struct Identity {
@@ -84,6 +88,19 @@
         known
     }
 
+    /// Tells the members when the target no longer renews its lease, as long as the process lives.
+    ///
+    /// Without it they would go on sending calls here, each of which costs them a retry unit. A
+    /// target that comes back announces itself, and is told of as serving again.
+    pub(crate) async fn watch_lease(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(LEASE_POLL).await;
+            if self.target.is_overdue(self.clock.now()) {
+                self.change(Stage::Left, MemberState::Draining);
+            }
+        }
+    }
+
     /// Service of the target, if one announced itself.
     pub(crate) fn service(&self) -> Option<Name> {
         self.target.announced().map(|announced| announced.service)
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -220,6 +220,7 @@
         keeper: services.registry.find("keeper")?,
     });
     tokio::spawn(served.members.clone().run());
+    tokio::spawn(services.announcer.clone().watch_lease());
     let peers = listener::accept(sockets.peer, life.watch(), move |socket, graceful| {
         peer::connection(socket, graceful, served.clone())
     });
--- a/node/src/target.rs
+++ b/node/src/target.rs
@@ -57,9 +57,15 @@
         *self.lease.lock().unwrap_or_else(PoisonError::into_inner) = Some(lease);
     }
 
-    /// Renews the lease; says whether there was one.
+    /// Renews the lease; says whether there was one that holds.
     pub(crate) fn renew(&self, now: Moment) -> bool {
-        self.change(|lease| lease.expires = now + LEASE)
+        let mut lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        // A target whose lease ran out has to announce itself anew, so that the members hear of it.
+        let Some(lease) = lease.as_mut().filter(|lease| lease.stage != Stage::Left) else {
+            return false;
+        };
+        lease.expires = now + LEASE;
+        true
     }
 
     /// Sets the stage; says whether a target had announced itself.
@@ -67,6 +73,17 @@
         self.change(|lease| lease.stage = stage)
     }
 
+    /// Ends the lease of a target that was found gone.
+    pub(crate) fn expire(&self, now: Moment) {
+        self.change(|lease| lease.expires = lease.expires.min(now));
+    }
+
+    /// Whether a target that took work has not renewed its lease in time.
+    pub(crate) fn is_overdue(&self, now: Moment) -> bool {
+        let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
+        lease.as_ref().is_some_and(|lease| lease.stage == Stage::Serving && lease.expires <= now)
+    }
+
     /// Announcement of a target that takes work at `now`.
     pub(crate) fn serving(&self, now: Moment) -> Option<Announcement> {
         let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
--- a/node/src/work.rs
+++ b/node/src/work.rs
@@ -262,7 +262,13 @@
                 watched.succeeded(service);
                 false
             }
-            TargetEnd::Broken => watched.broken(service, &ready.address).await,
+            TargetEnd::Broken => {
+                let crashed = watched.broken(service, &ready.address).await;
+                if crashed {
+                    self.target.expire(self.clock.now());
+                }
+                crashed
+            }
             _ => false,
         }
     }
