--- a/node/src/levels.rs
+++ b/node/src/levels.rs
@@ -124,6 +124,8 @@
 
     fn dump(&self, now: Moment) -> Value {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        json!({ "revision": state.revision, "known": format!("{:?}", state.map), "now": now })
+        let levels: BTreeMap<&Name, Level> =
+            state.met.keys().map(|class| (class, state.map.level(now, class))).collect();
+        json!({ "revision": state.revision, "classes": levels })
     }
 }
