--- a/client/src/lib.rs
+++ b/client/src/lib.rs
@@ -3,7 +3,7 @@
 //! It draws request ids, keeps the deadline, does the binding handshake of once-only requests,
 //! comes back when a node says when to, and hands on only whole answers. It holds no state of a
 //! deployment beyond a list of nodes; the nodes decide everything else. See
-//! [outcomes](../docs/design/outcomes.md).
+//! [outcomes](../../docs/design/outcomes.md).
 //!
 //! ```no_run
 //! use std::time::Duration;
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Every function that decides takes the present time, and where it needs chance a random
 //! number, as an argument. The daemons are thin shells around this crate; others embed it; the
-//! model checks and golden sessions replay it. See [the shape](../docs/design/shape.md).
+//! model checks and golden sessions replay it. See [the shape](../../docs/design/shape.md).
 
 mod admission;
 mod answer;
