State two things once in a call's trip, and decide at once on an answer

Cause: on a last read, the loan of a send that reached nobody was taken back in two places, and whether an earlier send may have run was worked out in two; every answered call also asked for other members and rolled dice before it was found to need no further send. Ruled out: one function for both kinds of next step, since the final one must not look for members. Conclusion: the common end of a call takes no lock on the targets.

--- a/node/src/route/trip.rs
+++ b/node/src/route/trip.rs
@@ -194,9 +194,8 @@
                 reply.outcome
             }
             Reply::Unseen => {
-                let units = loan.grant().units;
                 let outcome = self.unseen();
-                self.sends.answered(&mut budget, loan, units, &outcome);
+                return_loan(&mut self.sends, &mut budget, loan, &outcome);
                 outcome
             }
             Reply::Lost => {
@@ -206,8 +205,7 @@
             Reply::Asked(Fate::NotRun(kind)) => {
                 self.prefer = self.tried.pop();
                 let outcome = not_run(kind);
-                let units = loan.grant().units;
-                self.sends.answered(&mut budget, loan, units, &outcome);
+                return_loan(&mut self.sends, &mut budget, loan, &outcome);
                 outcome
             }
             Reply::Asked(fate) => {
@@ -232,6 +230,10 @@
 
     /// Decides whether another send follows one that ended with `outcome`.
     fn may_send_again(&mut self, outcome: &Outcome<Answer>) -> bool {
+        // Most sends end here, and nothing else has to be looked up for them.
+        if matches!(outcome, Outcome::Done(_)) {
+            return false;
+        }
         let worth = matches!(self.next_step(outcome.clone()), Next::Resend);
         if matches!(self.ties, Ties::Free) {
             return worth;
@@ -251,11 +253,9 @@
 
     /// What follows `outcome`, by the one decision that every holder of a call shares.
     fn next_step(&self, outcome: Outcome<Answer>) -> Next<Answer> {
-        let free = matches!(self.ties, Ties::Free);
         let terms = CallTerms {
             once: self.call.within == Lineage::Once,
-            // For a bound call a not run speaks for every send under the binding.
-            ran: free && self.sends.may_have_run(),
+            ran: self.ran(),
             suspect: self.suspect,
             elsewhere: self.elsewhere(),
             units: hold(self.budget).left(),
@@ -266,13 +266,18 @@
 
     /// Final answer for `outcome`, although another send might have been worth its unit.
     fn final_step(&self, outcome: Outcome<Answer>) -> Next<Answer> {
-        let free = matches!(self.ties, Ties::Free);
-        let ran = free && self.sends.may_have_run();
-        let left = self.left();
+        let (ran, left) = (self.ran(), self.left());
         let terms = CallTerms { once: true, ran, suspect: false, elsewhere: false, units: 0, left };
         next_step(outcome, &terms, fastrand::u64(..))
     }
 
+    /// Whether an earlier send than the one that a not run is about may have run.
+    ///
+    /// For a bound call a not run speaks for every send under the binding.
+    fn ran(&self) -> bool {
+        matches!(self.ties, Ties::Free) && self.sends.may_have_run()
+    }
+
     /// Gives the call free for the next binding, after the last one was told not run.
     fn release(&mut self) -> bool {
         let Ties::Bound(bound) = std::mem::replace(&mut self.ties, Ties::Free) else {
@@ -339,6 +344,12 @@
     budget.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Takes the whole loan back from a send that reached nobody.
+fn return_loan(sends: &mut Call, budget: &mut Budget, loan: Loan, outcome: &Outcome<Answer>) {
+    let units = loan.grant().units;
+    sends.answered(budget, loan, units, outcome);
+}
+
 fn fate_of(outcome: &Outcome<Answer>) -> Fate<()> {
     match outcome {
         Outcome::Done(_) => Fate::Done(()),
