--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -1,5 +1,6 @@
 //! Typed identifiers, so that no function can be called with two of them swapped.
 
+use std::borrow::Borrow;
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -24,6 +25,12 @@
     }
 }
 
+impl Borrow<str> for Name {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
 impl fmt::Display for Name {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,6 +17,8 @@
 mod membership;
 mod outcome;
 mod publish;
+mod roster;
+mod rules;
 mod suspects;
 mod time;
 
@@ -56,5 +58,7 @@
 };
 pub use outcome::{ErrorKind, Outcome, Reply, TargetEnd};
 pub use publish::{PublishAction, PublishPlan, PublishResult, Publisher, RESEND, publish_id};
+pub use roster::{Age, Roster, Stage, TargetRecord};
+pub use rules::{CallerLimits, Repeat, RouteIndex, RouteRule, RuleSet, ServiceRule, Share};
 pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
 pub use time::Moment;
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -21,6 +21,34 @@
 /// What a queued call is told when its wait is over.
 type Turn = Result<(), Refusal>;
 
+/// Call that asks to enter.
+#[derive(Debug, Clone)]
+pub(crate) struct Entrant {
+    /// Class whose run times tell how long the run takes.
+    pub(crate) class: Name,
+    /// Importance and lot of the root request.
+    pub(crate) rank: Rank,
+    /// Time since the entry took the root request in.
+    pub(crate) age: Duration,
+    /// Time left until the answer is of no use.
+    pub(crate) left: Duration,
+    /// Whether targets have already worked for the root request.
+    pub(crate) paid: bool,
+}
+
+impl Entrant {
+    /// Entrant for a call of the product's own protocol.
+    pub(crate) fn of(meta: &CallMeta) -> Self {
+        Self {
+            class: meta.class.clone(),
+            rank: Rank::of(meta.importance, meta.root),
+            age: meta.age,
+            left: meta.left,
+            paid: meta.depth > 0,
+        }
+    }
+}
+
 /// Service that admits calls to the target.
 #[derive(Debug)]
 pub(crate) struct Gate {
@@ -74,7 +102,11 @@
 
     /// Takes the limits of a target that has just announced itself.
     pub(crate) fn open(&self, limits: TargetLimits, scale: ImportanceScale) {
-        let now = self.clock.now();
+        self.open_at(self.clock.now(), limits, scale);
+    }
+
+    /// Takes the limits of a target that announced itself at `now`.
+    pub(crate) fn open_at(&self, now: Moment, limits: TargetLimits, scale: ImportanceScale) {
         let mut state = self.lock();
         state.admission = Some(Admission::new(now, limits, scale));
         state.revision = Revision::default();
@@ -93,13 +125,13 @@
     }
 
     /// Waits until the call may run.
-    pub(crate) async fn enter(self: &Arc<Self>, meta: &CallMeta) -> Result<Permit, Refusal> {
-        let (place, turn) = self.arrive(meta)?;
+    pub(crate) async fn enter(self: &Arc<Self>, entrant: Entrant) -> Result<Permit, Refusal> {
+        let (place, turn) = self.arrive(&entrant)?;
         if let Some(turn) = turn {
             // The sender is dropped only with the gate itself, at the end of the process.
             turn.await.unwrap_or_else(|_| Err(draining(place.ticket)))?;
         }
-        Ok(place.into_permit(self.clock.now(), meta.class.clone()))
+        Ok(place.into_permit(self.clock.now(), entrant.class))
     }
 
     /// Load as the metrics show it.
@@ -118,7 +150,7 @@
 
     fn arrive(
         self: &Arc<Self>,
-        meta: &CallMeta,
+        entrant: &Entrant,
     ) -> Result<(Place, Option<oneshot::Receiver<Turn>>), Refusal> {
         let now = self.clock.now();
         let mut state = self.lock();
@@ -126,11 +158,11 @@
         let ticket = Ticket(state.next);
         let arrival = Arrival {
             ticket,
-            rank: Rank::of(meta.importance, meta.root),
-            age: meta.age,
-            left: meta.left,
-            rest: state.times.expected(&meta.class),
-            paid: meta.depth > 0,
+            rank: entrant.rank,
+            age: entrant.age,
+            left: entrant.left,
+            rest: state.times.expected(&entrant.class),
+            paid: entrant.paid,
         };
         let Some(admission) = state.admission.as_mut() else { return Err(no_target(ticket)) };
         let place = Place { gate: self.clone(), ticket, kept: false };
--- /dev/null
+++ b/node/src/lib.rs
@@ -0,0 +1,32 @@
+//! The process beside each target: takes calls in, routes them, admits them, runs them there.
+//!
+//! [`process`] is the node with the product's own interface; [`proxy`] is the transparent data
+//! plane, which an adapter embeds to run on a platform. Both share admission.
+
+mod announce;
+mod contracts;
+mod directory;
+mod ends;
+mod entry;
+mod follow;
+mod gate;
+mod handover;
+mod keeper;
+mod levels;
+mod links;
+mod members;
+mod metrics;
+mod once;
+mod platform;
+mod process;
+pub mod proxy;
+mod route;
+mod runs;
+mod sends;
+mod settings;
+mod suspects;
+mod target;
+mod work;
+
+pub use process::{StartError, run};
+pub use settings::{Settings, TABLE};
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,36 +1,11 @@
-//! The process beside each target: takes calls in, routes them, admits them, runs them there.
-
-mod announce;
-mod contracts;
-mod directory;
-mod ends;
-mod entry;
-mod follow;
-mod gate;
-mod handover;
-mod keeper;
-mod levels;
-mod links;
-mod members;
-mod metrics;
-mod once;
-mod platform;
-mod process;
-mod route;
-mod runs;
-mod sends;
-mod settings;
-mod suspects;
-mod target;
-mod work;
+//! The node with the product's own interface.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
 use poplar_kernel::SettingsError;
-
-use crate::settings::Settings;
+use poplar_node::{Settings, TABLE};
 
 /// Exit code when the settings are refused.
 const EXIT_SETTINGS: u8 = 2;
@@ -68,14 +43,14 @@
             Err(error) => refuse(&error),
         },
         Options::PrintSettings => {
-            print!("{}", settings::TABLE.help());
+            print!("{}", TABLE.help());
             ExitCode::SUCCESS
         }
     }
 }
 
 fn run(settings: Settings) -> ExitCode {
-    match process::run(settings) {
+    match poplar_node::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("poplar-node: start: {error}");
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -49,11 +49,14 @@
 
 /// Why the process could not start.
 #[derive(Debug, thiserror::Error)]
-pub(crate) enum StartError {
+pub enum StartError {
+    /// A socket could not be had.
     #[error("{0}")]
     Io(#[from] std::io::Error),
+    /// A service does not find another.
     #[error("{0}")]
     Registry(#[from] RegistryError),
+    /// The log format is unknown.
     #[error("{0}")]
     Format(String),
 }
@@ -81,7 +84,11 @@
 }
 
 /// Runs the node until it is told to stop.
-pub(crate) fn run(settings: Settings) -> Result<(), StartError> {
+///
+/// # Errors
+///
+/// Any [`StartError`]; once the node serves, it ends without one.
+pub fn run(settings: Settings) -> Result<(), StartError> {
     let format: LogFormat = settings.log_format.parse().map_err(StartError::Format)?;
     let root = root_logger(format);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
--- /dev/null
+++ b/node/src/proxy/admin.rs
@@ -0,0 +1,38 @@
+//! Admin end of the data plane: the state dump and the metrics.
+
+use std::sync::Arc;
+
+use poem::web::{Data, Json};
+use poem::{EndpointExt, Route, get, handler};
+use poplar_kernel::{Clock, Registry};
+use serde_json::Value;
+use tokio::net::TcpListener;
+
+use super::metrics::Metrics;
+
+/// What the handlers need.
+#[derive(Clone)]
+pub(crate) struct Admin {
+    pub(crate) clock: Clock,
+    pub(crate) registry: Arc<Registry>,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+/// Serves the end for as long as the process lives.
+pub(crate) async fn serve(listener: TcpListener, admin: Admin) {
+    let routes = Route::new().at("/state", get(state)).at("/metrics", get(metrics)).data(admin);
+    if let Ok(acceptor) = poem::listener::TcpAcceptor::from_tokio(listener) {
+        // The admin end lives as long as the process; its error ends nothing else.
+        let _ = poem::Server::new_with_acceptor(acceptor).run(routes).await;
+    }
+}
+
+#[handler]
+fn state(admin: Data<&Admin>) -> Json<Value> {
+    Json(admin.registry.dump(admin.clock.now()))
+}
+
+#[handler]
+fn metrics(admin: Data<&Admin>) -> String {
+    admin.metrics.text()
+}
--- /dev/null
+++ b/node/src/proxy/exchange.rs
@@ -0,0 +1,219 @@
+//! HTTP/1.1 exchanges with the target beside this node, over connections that are kept.
+//!
+//! A connection serves one request at a time and is kept only after an answer that was whole, was
+//! framed, and named the request that it answers. Anything else closes it, so that a late or extra
+//! answer can never meet another request.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{self, HeaderValue};
+use http::{Method, Request, Response, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use poplar_core::{InstanceId, Moment, Name, TargetEnd};
+use poplar_kernel::Clock;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+use super::fields;
+use super::frame::{Call, WholeReply};
+use super::ports::Dialect;
+
+/// Time within which a connection to the target, on the same machine, must be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Idle time after which a connection is not used again when the target names no limit.
+const IDLE_DEFAULT: Duration = Duration::from_secs(2);
+/// Part of the target's own idle limit up to which a connection is used again, as a divisor: the
+/// target may count from an earlier moment than this node does.
+const IDLE_PART: u32 = 2;
+/// Largest answer that is held for a caller, in bytes.
+const REPLY_LIMIT_BYTES: usize = 64 << 20;
+
+/// Connection to the target; closed when it is dropped.
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Connection between two requests.
+struct Kept {
+    connection: Connection,
+    until: Moment,
+}
+
+/// Connections to one target.
+pub(crate) struct Exchange {
+    clock: Clock,
+    dialect: Arc<Dialect>,
+    address: Name,
+    kept: Mutex<Vec<Kept>>,
+}
+
+impl Exchange {
+    pub(crate) fn new(clock: Clock, dialect: Arc<Dialect>, address: Name) -> Self {
+        Self { clock, dialect, address, kept: Mutex::default() }
+    }
+
+    /// Has `instance` run the request of `call`, with `left` until the answer is of no use.
+    pub(crate) async fn run(
+        &self,
+        call: &Call,
+        instance: &InstanceId,
+        left: Duration,
+    ) -> TargetEnd<WholeReply> {
+        let Some(mut req) = self.request(call, instance, left) else {
+            return TargetEnd::NotConnected;
+        };
+        loop {
+            let kept = self.take_kept(self.clock.now());
+            let reused = kept.is_some();
+            let connection = match kept {
+                Some(connection) => connection,
+                None => match self.connect().await {
+                    Ok(connection) => connection,
+                    Err(_) => return TargetEnd::NotConnected,
+                },
+            };
+            match self.send(connection, req, &call.request).await {
+                Err(Unsent(returned)) if reused => req = *returned,
+                Err(Unsent(_)) => return TargetEnd::NotConnected,
+                Ok(end) => return end,
+            }
+        }
+    }
+
+    /// Closes every kept connection.
+    pub(crate) fn close_kept(&self) {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
+    async fn send(
+        &self,
+        mut connection: Connection,
+        req: Request<Full<Bytes>>,
+        id: &[u8],
+    ) -> Result<TargetEnd<WholeReply>, Unsent> {
+        let resp = match connection.sender.try_send_request(req).await {
+            Ok(resp) => resp,
+            Err(mut error) => {
+                return match error.take_message() {
+                    Some(req) => Err(Unsent(Box::new(req))),
+                    None => Ok(TargetEnd::Broken),
+                };
+            }
+        };
+        if resp.headers().get(&self.dialect.request).is_none_or(|echo| echo.as_bytes() != id) {
+            return Ok(TargetEnd::BadAnswer);
+        }
+        Ok(self.collect(connection, resp).await)
+    }
+
+    async fn collect(
+        &self,
+        connection: Connection,
+        resp: Response<Incoming>,
+    ) -> TargetEnd<WholeReply> {
+        let (head, body) = resp.into_parts();
+        let framed = body.is_end_stream() || body.size_hint().exact().is_some();
+        let body = match Limited::new(body, REPLY_LIMIT_BYTES).collect().await {
+            Ok(whole) => whole.to_bytes(),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                return TargetEnd::TooLarge;
+            }
+            Err(_) => return TargetEnd::BadAnswer,
+        };
+        let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+        if (framed || chunked) && !closes(&head.headers) {
+            self.keep(connection, idle_time(&head.headers));
+        }
+        let shed = head.headers.contains_key(&self.dialect.not_run)
+            || head.status == http::StatusCode::MISDIRECTED_REQUEST;
+        let fields = fields::travelling(&head.headers, &[&header::DATE]);
+        let answer = WholeReply { status: head.status.as_u16(), fields, body };
+        TargetEnd::Answer { answer, shed: shed.then(|| "not-run".to_owned()), calls: 0 }
+    }
+
+    fn request(
+        &self,
+        call: &Call,
+        instance: &InstanceId,
+        left: Duration,
+    ) -> Option<Request<Full<Bytes>>> {
+        let mut req = Request::new(Full::new(call.body.clone()));
+        *req.method_mut() = Method::from_bytes(call.method.as_bytes()).ok()?;
+        *req.uri_mut() = call.path.parse::<Uri>().ok()?;
+        let headers = req.headers_mut();
+        fields::append(&call.fields, headers);
+        headers.insert(
+            self.dialect.request.clone(),
+            HeaderValue::from_maybe_shared(call.request.clone()).ok()?,
+        );
+        headers.insert(self.dialect.deadline.clone(), (left.as_millis() as u64).into());
+        headers.insert(
+            self.dialect.instance.clone(),
+            HeaderValue::from_str(instance.0.as_str()).ok()?,
+        );
+        headers
+            .insert(self.dialect.caller.clone(), HeaderValue::from_str(call.caller.as_str()).ok()?);
+        Some(req)
+    }
+
+    fn take_kept(&self, now: Moment) -> Option<Connection> {
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        while let Some(last) = kept.pop() {
+            if last.until > now && last.connection.sender.is_ready() {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, connection: Connection, idle: Duration) {
+        let until = self.clock.now() + idle;
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner).push(Kept { connection, until });
+    }
+
+    async fn connect(&self) -> std::io::Result<Connection> {
+        let connecting = TcpStream::connect(self.address.as_str());
+        let socket = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+        socket.set_nodelay(true)?;
+        let (sender, driver) =
+            http1::handshake(TokioIo::new(socket)).await.map_err(std::io::Error::other)?;
+        let driver = tokio::spawn(async move {
+            // The error reaches the request through its sender.
+            let _ = driver.await;
+        });
+        Ok(Connection { sender, driver: driver.abort_handle() })
+    }
+}
+
+/// Request of which the target was handed nothing.
+struct Unsent(Box<Request<Full<Bytes>>>);
+
+fn closes(headers: &http::HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION);
+    let mut texts = values.iter().filter_map(|value| value.to_str().ok());
+    texts.any(|text| text.split(',').any(|part| part.trim().eq_ignore_ascii_case("close")))
+}
+
+/// Time for which a connection may be used again, by the target's own word.
+fn idle_time(headers: &http::HeaderMap) -> Duration {
+    let text = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let seconds = text.and_then(|text| {
+        let parts = text.split(',');
+        parts.filter_map(|part| part.trim().strip_prefix("timeout=")?.parse().ok()).next()
+    });
+    seconds.map_or(IDLE_DEFAULT, |seconds| Duration::from_secs(seconds) / IDLE_PART)
+}
--- /dev/null
+++ b/node/src/proxy/frame.rs
@@ -0,0 +1,159 @@
+//! Messages on a link between two nodes, and their frames.
+//!
+//! A frame is a length of four bytes, big-endian, and a message in MessagePack. See
+//! [platform](../../../docs/design/platform.md).
+
+use std::time::Duration;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use poplar_core::{ErrorKind, InstanceId, Level, Name, Rank, Revision, RuleSet, TargetRecord};
+use serde::{Deserialize, Serialize};
+
+/// Largest frame, in bytes: the largest body that rules allow so far, with room for its head.
+const FRAME_LIMIT_BYTES: usize = 72 << 20;
+/// Bytes of the length before each message.
+const LENGTH_BYTES: usize = 4;
+
+/// Number of one call on one link, chosen by the end that sends it.
+pub(crate) type CallNumber = u32;
+
+/// Message between two nodes.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) enum Message {
+    /// Run a request at the target beside the receiver.
+    Call(CallNumber, Box<Call>),
+    /// The caller is gone; stop the run.
+    Cancel(CallNumber),
+    /// What became of a call.
+    Answer(CallNumber, Box<CallAnswer>),
+    /// Asks for a sign of life and tells which rules the sender has.
+    Ping(Known),
+    /// Answers a ping.
+    Pong(Known),
+    /// Rules that the receiver lacks.
+    Rules(Box<RuleSet>),
+    /// Records of targets that the receiver may lack.
+    Targets(Vec<TargetRecord>),
+}
+
+/// What a node has of the shared state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Known {
+    /// Revision of its rules.
+    pub(crate) revision: Revision,
+    /// Checksum over its records of targets.
+    pub(crate) targets: u64,
+}
+
+/// Header field in transit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Field(pub(crate) Bytes, pub(crate) Bytes);
+
+/// Request on its way to the node beside its target.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Call {
+    /// Identifier that the caller gave.
+    pub(crate) request: Bytes,
+    /// Route that it matched.
+    pub(crate) route: Name,
+    /// Service on whose machine it began.
+    pub(crate) caller: Name,
+    /// Instance that the sender chose.
+    pub(crate) instance: InstanceId,
+    /// Method.
+    pub(crate) method: String,
+    /// Path and query.
+    pub(crate) path: String,
+    /// Header fields that travel from end to end.
+    pub(crate) fields: Vec<Field>,
+    /// Place in the order of survival.
+    pub(crate) rank: u32,
+    /// Time left until the answer is of no use.
+    pub(crate) left: Duration,
+    /// Whether it may run more than once.
+    pub(crate) idempotent: bool,
+    /// Body.
+    pub(crate) body: Bytes,
+}
+
+impl Call {
+    /// Rank as admission compares it.
+    pub(crate) fn rank(&self) -> Rank {
+        Rank::from(Level(self.rank))
+    }
+}
+
+/// Whole answer of a target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WholeReply {
+    /// Status code.
+    pub(crate) status: u16,
+    /// Header fields that travel from end to end.
+    pub(crate) fields: Vec<Field>,
+    /// Body.
+    pub(crate) body: Bytes,
+}
+
+/// What became of a call at the node beside the target.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct CallAnswer {
+    /// Outcome.
+    pub(crate) outcome: poplar_core::Outcome<WholeReply>,
+    /// Whether any of the request was handed to the target.
+    pub(crate) offered: bool,
+    /// Level of admission at the target.
+    pub(crate) level: Level,
+}
+
+impl CallAnswer {
+    /// Refusal of a call that the target has not seen.
+    pub(crate) fn refused(kind: ErrorKind, retry_after: Duration, level: Level) -> Self {
+        let outcome = poplar_core::Outcome::NotRun { kind, retry_after };
+        Self { outcome, offered: false, level }
+    }
+}
+
+/// Why the bytes of a link make no sense.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum FrameError {
+    #[error("a frame of {0} bytes is too long")]
+    TooLong(usize),
+    #[error("unreadable message: {0}")]
+    Message(#[from] rmp_serde::decode::Error),
+    #[error("unwritable message: {0}")]
+    Encode(#[from] rmp_serde::encode::Error),
+}
+
+/// Appends the frame of `message`.
+pub(crate) fn write(message: &Message, out: &mut BytesMut) -> Result<(), FrameError> {
+    let start = out.len();
+    out.put_u32(0);
+    let written = rmp_serde::encode::write(&mut (&mut *out).writer(), message);
+    let len = out.len() - start - LENGTH_BYTES;
+    if let Err(error) = written {
+        out.truncate(start);
+        return Err(error.into());
+    }
+    if len > FRAME_LIMIT_BYTES {
+        out.truncate(start);
+        return Err(FrameError::TooLong(len));
+    }
+    out[start..start + LENGTH_BYTES].copy_from_slice(&(len as u32).to_be_bytes());
+    Ok(())
+}
+
+/// Takes the first whole message off the buffer; none if more bytes are needed.
+pub(crate) fn read(buffer: &mut BytesMut) -> Result<Option<Message>, FrameError> {
+    let Some(length) = buffer.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
+    let len = u32::from_be_bytes(*length) as usize;
+    if len > FRAME_LIMIT_BYTES {
+        return Err(FrameError::TooLong(len));
+    }
+    if buffer.len() < LENGTH_BYTES + len {
+        buffer.reserve(LENGTH_BYTES + len - buffer.len());
+        return Ok(None);
+    }
+    buffer.advance(LENGTH_BYTES);
+    let frame = buffer.split_to(len);
+    Ok(Some(rmp_serde::from_slice(&frame)?))
+}
--- /dev/null
+++ b/node/src/proxy/link.rs
@@ -0,0 +1,240 @@
+//! One link to another node: an upgraded HTTP/1.1 connection that carries frames both ways.
+//!
+//! All calls between two nodes share a link, and what is pushed while a write is under way goes
+//! out in one write, because system calls dominate the cost of a hop. A link that stays silent
+//! while something is due is closed by [`Link::check`]; see
+//! [silent connections](../../../docs/design/silent-connections.md).
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use poplar_core::Moment;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::{Notify, oneshot};
+
+use super::frame::{self, Call, CallAnswer, CallNumber, FrameError, Known, Message};
+
+/// Time without a byte from the peer after which a waiting link is pinged.
+const QUIET_TIME: Duration = Duration::from_millis(400);
+/// Time within which a ping must be answered; several round trips between availability zones and
+/// a slow processor at the other end.
+const PONG_TIME: Duration = Duration::from_millis(900);
+/// Bytes that may wait for a peer that does not read, before the link is given up.
+const BACKLOG_BYTES: usize = 32 << 20;
+/// First size of the read buffer; holds several usual calls.
+const READ_BYTES: usize = 16 << 10;
+
+/// Why a call over a link has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum LinkError {
+    /// No link came about, so the other node has seen nothing.
+    #[error("the node is not reached")]
+    Unreached,
+    /// The link broke or went silent after the call was sent.
+    #[error("the link broke")]
+    Broken,
+}
+
+/// Sending side of a link.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    buffer: Mutex<BytesMut>,
+    filled: Notify,
+    closed: AtomicBool,
+    shut: Notify,
+}
+
+impl Outbox {
+    /// Queues a message; false if the link is closed.
+    pub(crate) fn push(&self, message: &Message) -> bool {
+        if self.closed.load(Ordering::Acquire) {
+            return false;
+        }
+        let mut buffer = lock(&self.buffer);
+        let written = frame::write(message, &mut buffer);
+        let full = buffer.len() > BACKLOG_BYTES;
+        drop(buffer);
+        if written.is_err() || full {
+            self.close();
+            return false;
+        }
+        self.filled.notify_one();
+        true
+    }
+
+    /// Ends the link.
+    pub(crate) fn close(&self) {
+        if !self.closed.swap(true, Ordering::AcqRel) {
+            self.shut.notify_one();
+            self.filled.notify_one();
+        }
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
+    async fn write_all(&self, mut socket: OwnedWriteHalf) {
+        while !self.is_closed() {
+            let pending = lock(&self.buffer).split();
+            if pending.is_empty() {
+                self.filled.notified().await;
+                continue;
+            }
+            if socket.write_all(&pending).await.is_err() {
+                self.close();
+            }
+        }
+    }
+}
+
+/// Moves frames between a socket and its owner until the link ends.
+///
+/// `unread` is what the upgrade had read beyond its own end.
+pub(crate) async fn drive(
+    socket: TcpStream,
+    unread: &[u8],
+    outbox: &Outbox,
+    mut take: impl FnMut(Message),
+) {
+    let (reader, writer) = socket.into_split();
+    tokio::select! {
+        () = outbox.write_all(writer) => {}
+        // The link is torn down for any fault alike; calls on it learn that it broke.
+        _ = read_all(reader, unread, &mut take) => {}
+        () = outbox.shut.notified() => {}
+    }
+    outbox.close();
+}
+
+async fn read_all(
+    mut socket: OwnedReadHalf,
+    unread: &[u8],
+    take: &mut impl FnMut(Message),
+) -> Result<(), FrameError> {
+    let mut buffer = BytesMut::with_capacity(READ_BYTES);
+    buffer.extend_from_slice(unread);
+    loop {
+        while let Some(message) = frame::read(&mut buffer)? {
+            take(message);
+        }
+        buffer.reserve(READ_BYTES);
+        match socket.read_buf(&mut buffer).await {
+            Ok(0) | Err(_) => return Ok(()),
+            Ok(_) => {}
+        }
+    }
+}
+
+/// Calling end of a link.
+#[derive(Debug, Default)]
+pub(crate) struct Link {
+    pub(crate) outbox: Outbox,
+    waiting: Mutex<HashMap<CallNumber, oneshot::Sender<CallAnswer>>>,
+    next: AtomicU32,
+    signs: Mutex<Signs>,
+}
+
+/// Signs of life of the other end.
+#[derive(Debug, Default, Clone, Copy)]
+struct Signs {
+    heard: Moment,
+    pinged: Option<Moment>,
+}
+
+/// Call that waits for its answer; cancelled at the other end if it is dropped before.
+pub(crate) struct Pending<'a> {
+    link: &'a Link,
+    number: CallNumber,
+    answer: oneshot::Receiver<CallAnswer>,
+}
+
+impl Link {
+    pub(crate) fn new(now: Moment) -> Self {
+        let link = Self::default();
+        lock(&link.signs).heard = now;
+        link
+    }
+
+    /// Sends a call.
+    pub(crate) fn send(&self, call: Call) -> Result<Pending<'_>, LinkError> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let (sender, answer) = oneshot::channel();
+        lock(&self.waiting).insert(number, sender);
+        let pending = Pending { link: self, number, answer };
+        if self.outbox.push(&Message::Call(number, Box::new(call))) {
+            return Ok(pending);
+        }
+        Err(LinkError::Unreached)
+    }
+
+    /// Takes an answer in.
+    pub(crate) fn answered(&self, number: CallNumber, answer: CallAnswer) {
+        if let Some(sender) = lock(&self.waiting).remove(&number) {
+            // A caller that left meanwhile needs no answer.
+            let _ = sender.send(answer);
+        }
+    }
+
+    /// Notes that bytes came from the other end.
+    pub(crate) fn heard(&self, now: Moment) {
+        let mut signs = lock(&self.signs);
+        signs.heard = now;
+        signs.pinged = None;
+    }
+
+    /// Pings a quiet link that calls wait on, and closes one that did not answer.
+    ///
+    /// `always` pings a quiet link that nothing waits on, too.
+    pub(crate) fn check(&self, now: Moment, known: Known, always: bool) {
+        let mut signs = lock(&self.signs);
+        if let Some(pinged) = signs.pinged {
+            if now.since(pinged) > PONG_TIME {
+                drop(signs);
+                self.outbox.close();
+            }
+            return;
+        }
+        let busy = !lock(&self.waiting).is_empty();
+        if always || (busy && now.since(signs.heard) > QUIET_TIME) {
+            signs.pinged = Some(now);
+            drop(signs);
+            self.outbox.push(&Message::Ping(known));
+        }
+    }
+
+    /// Tells all calls that wait that the link broke.
+    pub(crate) fn abandon(&self) {
+        self.outbox.close();
+        lock(&self.waiting).clear();
+    }
+
+    /// Calls without an answer yet.
+    pub(crate) fn waiting(&self) -> usize {
+        lock(&self.waiting).len()
+    }
+}
+
+impl Pending<'_> {
+    /// Waits for the answer.
+    pub(crate) async fn answer(mut self) -> Result<CallAnswer, LinkError> {
+        (&mut self.answer).await.map_err(|_| LinkError::Broken)
+    }
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        if lock(&self.link.waiting).remove(&self.number).is_some() {
+            self.link.outbox.push(&Message::Cancel(self.number));
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/node/src/proxy/metrics.rs
@@ -0,0 +1,127 @@
+//! Counters and histograms of the data plane, in the text format that scrapers read.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use poplar_core::{Moment, Name, Outcome};
+use poplar_kernel::Service;
+use prometheus_client::encoding::{EncodeLabelSet, text::encode};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+use serde_json::{Value, json};
+
+use crate::gate::Gate;
+
+use super::roster::Roster;
+use super::rules::Rules;
+
+/// Upper bounds of the latency histogram's buckets, in seconds; from one hop to the longest
+/// timeouts that operators set.
+const LATENCY_BOUNDS: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
+
+/// Labels of an answered request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Answered {
+    route: String,
+    outcome: &'static str,
+    error: &'static str,
+}
+
+/// Labels of a latency.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Route {
+    route: String,
+}
+
+/// Service that counts.
+pub(crate) struct Metrics {
+    registry: Mutex<Registry>,
+    answered: Family<Answered, Counter>,
+    latency: Family<Route, Histogram, fn() -> Histogram>,
+    gauges: Gauges,
+    gate: Arc<Gate>,
+    roster: Arc<Roster>,
+    rules: Arc<Rules>,
+}
+
+/// Gauges that are set when the metrics are read.
+#[derive(Default)]
+struct Gauges {
+    queued: Gauge,
+    limit: Gauge,
+    level: Gauge,
+    targets: Gauge,
+    revision: Gauge,
+}
+
+impl Metrics {
+    pub(crate) fn new(gate: Arc<Gate>, roster: Arc<Roster>, rules: Arc<Rules>) -> Self {
+        let mut registry = Registry::with_prefix("poplar");
+        let answered = Family::<Answered, Counter>::default();
+        let latency: Family<Route, Histogram, fn() -> Histogram> =
+            Family::new_with_constructor(histogram);
+        let gauges = Gauges::default();
+        registry.register("requests", "Requests answered here", answered.clone());
+        let help = "Time from the head of a request to its answer";
+        registry.register_with_unit("request", help, Unit::Seconds, latency.clone());
+        gauges.register(&mut registry);
+        let registry = Mutex::new(registry);
+        Self { registry, answered, latency, gauges, gate, roster, rules }
+    }
+
+    /// Counts the final answer to a request.
+    pub(crate) fn answered<A>(&self, route: &Name, outcome: &Outcome<A>, took: Duration) {
+        let (outcome, error) = match outcome {
+            Outcome::Done(_) => ("done", ""),
+            Outcome::NotRun { kind, .. } => ("not-run", kind.label()),
+            Outcome::Unknown { kind } => ("unknown", kind.label()),
+        };
+        let labels = Answered { route: route.to_string(), outcome, error };
+        self.answered.get_or_create(&labels).inc();
+        let labels = Route { route: route.to_string() };
+        self.latency.get_or_create(&labels).observe(took.as_secs_f64());
+    }
+
+    /// Text for scrapers.
+    pub(crate) fn text(&self) -> String {
+        let load = self.gate.load();
+        self.gauges.queued.set(load.queued as i64);
+        self.gauges.limit.set(i64::from(load.limit));
+        self.gauges.level.set(i64::from(load.level.0));
+        self.gauges.targets.set(self.roster.len() as i64);
+        self.gauges.revision.set(self.rules.revision().0 as i64);
+        let mut text = String::new();
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        // Writing into a string cannot fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
+
+impl Gauges {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("queued", "Calls that wait for the target", self.queued.clone());
+        registry.register("limit", "Calls that the target may run at once", self.limit.clone());
+        registry.register("level", "Rank below which calls are refused", self.level.clone());
+        registry.register("targets", "Targets known", self.targets.clone());
+        registry.register("revision", "Revision of the rules in force", self.revision.clone());
+    }
+}
+
+impl Service for Metrics {
+    fn name(&self) -> &'static str {
+        "metrics"
+    }
+
+    fn dump(&self, _now: Moment) -> Value {
+        json!({})
+    }
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(LATENCY_BOUNDS)
+}
--- /dev/null
+++ b/node/src/proxy/own.rs
@@ -0,0 +1,211 @@
+//! The target beside this node: what it says of itself, and the record that follows from it.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use poplar_core::{
+    Age, ImportanceScale, InstanceId, Moment, Name, Stage, TargetLimits, TargetRecord,
+};
+use poplar_kernel::{Clock, Service};
+use serde_json::{Value, json};
+use slog::{Logger, info, warn};
+use tokio::sync::Notify;
+
+use crate::gate::Gate;
+
+use super::exchange::Exchange;
+use super::ports::Site;
+use super::roster::Roster;
+use super::rules::Rules;
+
+/// Connections assumed while no rules are known.
+const CONNECTIONS_DEFAULT: u32 = 64;
+
+/// What a target says of itself, periodically.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Announcement {
+    /// Instance.
+    pub instance: InstanceId,
+    /// Service that it runs.
+    pub service: Name,
+    /// Address at which it listens.
+    pub address: Name,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Stage.
+    pub stage: Stage,
+    /// Time for which it stays slow after its start.
+    pub cold: Duration,
+    /// Place of this statement in the target's life.
+    pub age: Age,
+}
+
+/// What the node made of an announcement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Heard {
+    /// It is taken in; what it says is in force at this node.
+    Taken,
+    /// A later statement was already known.
+    Outdated,
+    /// It is not from the target beside this node.
+    Foreign,
+}
+
+/// Service that knows the target beside this node.
+pub struct Own {
+    clock: Clock,
+    site: Arc<Site>,
+    logger: Logger,
+    gate: Arc<Gate>,
+    exchange: Arc<Exchange>,
+    roster: Arc<Roster>,
+    rules: Arc<Rules>,
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    target: Option<Announcement>,
+    heard: Moment,
+}
+
+impl Own {
+    pub(crate) fn new(
+        clock: Clock,
+        site: Arc<Site>,
+        logger: Logger,
+        gate: Arc<Gate>,
+        exchange: Arc<Exchange>,
+        roster: Arc<Roster>,
+        rules: Arc<Rules>,
+    ) -> Self {
+        let (state, changed) = (Mutex::default(), Notify::new());
+        Self { clock, site, logger, gate, exchange, roster, rules, state, changed }
+    }
+
+    /// Takes a statement of a target in.
+    ///
+    /// Once a target has said that it leaves, nothing that it says later in the same life makes
+    /// it take work again.
+    pub fn hear(&self, said: Announcement) -> Heard {
+        if said.service != self.site.service || said.address != self.site.target {
+            warn!(self.logger, "target: announcement of another target ignored";
+                "instance" => %said.instance, "service" => %said.service, "address" => %said.address);
+            return Heard::Foreign;
+        }
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if state.target.as_ref().is_some_and(|known| known.age > said.age) {
+            return Heard::Outdated;
+        }
+        state.heard = now;
+        let known = state.target.as_ref();
+        let same_life = known.is_some_and(|known| {
+            known.age.born == said.age.born && known.instance == said.instance
+        });
+        let stage = known.filter(|_| same_life).map_or(said.stage, |k| k.stage.max(said.stage));
+        let same = same_life && known.is_some_and(|k| k.stage == stage && k.slots == said.slots);
+        let said = Announcement { stage, ..said };
+        state.target = Some(said.clone());
+        drop(state);
+        if !same_life {
+            self.admit(now, &said);
+        }
+        if !same {
+            info!(self.logger, "target: changed"; "instance" => %said.instance,
+                "stage" => ?said.stage, "slots" => said.slots, "born" => said.age.born,
+                "sequence" => said.age.sequence);
+            self.publish(&said);
+        }
+        Heard::Taken
+    }
+
+    /// Takes in that `instance` leaves; says whether it is the target beside this node.
+    pub fn leave(&self, instance: &InstanceId, born: Option<u64>) -> Heard {
+        let Some(known) = self.lock().target.clone() else { return Heard::Taken };
+        if known.instance != *instance || born.is_some_and(|born| born != known.age.born) {
+            return Heard::Outdated;
+        }
+        let age = Age { sequence: known.age.sequence + 1, ..known.age };
+        self.hear(Announcement { stage: Stage::Left, age, ..known })
+    }
+
+    /// Identity of the target and whether it takes work.
+    pub(crate) fn target(&self) -> Option<(InstanceId, Stage)> {
+        self.lock().target.as_ref().map(|target| (target.instance.clone(), target.stage))
+    }
+
+    /// Record of the target as the other nodes should hold it.
+    pub(crate) fn record(&self) -> Option<TargetRecord> {
+        let state = self.lock();
+        state.target.as_ref().map(|target| self.record_of(target))
+    }
+
+    /// Adopts a record that an earlier process of this node wrote, until the target speaks.
+    pub(crate) fn adopt(&self, record: &TargetRecord) {
+        if self.lock().target.is_some() || record.stage != Stage::Serving {
+            return;
+        }
+        self.hear(Announcement {
+            instance: record.instance.clone(),
+            service: record.service.clone(),
+            address: record.address.clone(),
+            slots: record.slots,
+            stage: record.stage,
+            cold: Duration::ZERO,
+            age: record.age,
+        });
+    }
+
+    /// Waits until the record has changed.
+    pub(crate) async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    fn publish(&self, target: &Announcement) {
+        self.roster.merge(self.record_of(target));
+        self.changed.notify_one();
+    }
+
+    fn record_of(&self, target: &Announcement) -> TargetRecord {
+        TargetRecord {
+            peer: Name::new(&self.site.peer.to_string()),
+            instance: target.instance.clone(),
+            service: target.service.clone(),
+            address: target.address.clone(),
+            zone: self.site.zone.clone(),
+            slots: target.slots,
+            stage: target.stage,
+            cold: target.cold,
+            age: target.age,
+        }
+    }
+
+    /// Opens admission for a target that has just started, and leaves its predecessor's
+    /// connections.
+    fn admit(&self, now: Moment, target: &Announcement) {
+        self.exchange.close_kept();
+        let held = self.rules.current();
+        let service = held.as_ref().and_then(|held| held.rules.services.get(&target.service));
+        let connections = service.map_or(CONNECTIONS_DEFAULT, |rule| rule.connections);
+        let limits = TargetLimits::derive(target.slots, connections);
+        let scale = held.as_ref().map_or_else(|| ImportanceScale::new([]), |held| held.scale());
+        self.gate.open_at(now, limits, scale);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Service for Own {
+    fn name(&self) -> &'static str {
+        "target"
+    }
+
+    fn dump(&self, now: Moment) -> Value {
+        let heard = self.lock().heard;
+        json!({ "record": self.record(), "heard_ms_ago": now.since(heard).as_millis() as u64 })
+    }
+}
--- /dev/null
+++ b/node/src/proxy/ports.rs
@@ -0,0 +1,137 @@
+//! What the data plane needs from the platform that it runs on.
+//!
+//! Everything here is in the product's own terms; an adapter translates. See
+//! [platform](../../../docs/design/platform.md).
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderName;
+use poplar_core::{Name, Offset, RuleSet};
+
+/// Names of the headers that callers, targets and nodes of one installation use.
+#[derive(Debug, Clone)]
+pub struct Dialect {
+    /// Identifier of a request; one for each attempt of a caller.
+    pub request: HeaderName,
+    /// Milliseconds until the answer is of no use.
+    pub deadline: HeaderName,
+    /// Instance that alone may run the request.
+    pub instance: HeaderName,
+    /// Service on whose machine the request began.
+    pub caller: HeaderName,
+    /// Set by a target that did not start the request.
+    pub not_run: HeaderName,
+}
+
+/// Stream of records in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stream {
+    /// Configurations that operators write.
+    Rules,
+    /// Records of targets that the nodes write.
+    Targets,
+}
+
+/// Record of a stream; of each key the newest one counts.
+#[derive(Debug, Clone)]
+pub struct StoreRecord {
+    /// Key.
+    pub key: Name,
+    /// Value; none if the key was dropped.
+    pub value: Option<Bytes>,
+}
+
+/// Records of a stream and where to read on.
+#[derive(Debug, Clone)]
+pub struct Page {
+    /// Records in the order of the stream.
+    pub records: Vec<StoreRecord>,
+    /// Offset after the last record that this page covers.
+    pub next: Offset,
+}
+
+/// Why a call to the store failed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum StoreError {
+    /// The records asked for are gone; read the newest of each key instead.
+    #[error("the records asked for are no longer kept")]
+    Truncated,
+    /// The store refused the call and did nothing.
+    #[error("the store refused the call with status {0}")]
+    Refused(u16),
+    /// No answer came; the call may have been done.
+    #[error("no answer from the store: {0}")]
+    Lost(String),
+    /// The answer could not be read.
+    #[error("unreadable answer from the store: {0}")]
+    Malformed(String),
+}
+
+/// The platform's store, and what the operator writes there.
+pub trait Platform: Send + Sync + 'static {
+    /// Newest record of each key of `stream`.
+    fn newest(&self, stream: Stream) -> impl Future<Output = Result<Page, StoreError>> + Send;
+
+    /// Records from `from` on; waits up to `wait` for the first.
+    fn read(
+        &self,
+        stream: Stream,
+        from: Offset,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Page, StoreError>> + Send;
+
+    /// Writes the record of this node's target; repeating it does no harm.
+    fn publish(
+        &self,
+        key: &Name,
+        value: Bytes,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Rules in a record of [`Stream::Rules`]; none if it holds something else.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the record, in one sentence.
+    fn rules(&self, record: &StoreRecord) -> Result<Option<RuleSet>, String>;
+}
+
+/// Bounds that the installation sets for the behaviour of the nodes.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Re-sends that a service may get, as a part of its requests.
+    pub resend_ratio: f64,
+    /// Re-sends beyond that part.
+    pub resend_base: f64,
+    /// Time over which re-sends are counted.
+    pub resend_window: Duration,
+    /// Time from a stop signal to the forced end.
+    pub grace: Duration,
+    /// Usual pause between the heartbeats of a target.
+    pub heartbeat: Duration,
+}
+
+/// Where one node stands and what it listens on.
+#[derive(Debug, Clone)]
+pub struct Site {
+    /// Name of the node in logs.
+    pub node: Name,
+    /// Availability zone.
+    pub zone: Name,
+    /// Service of the target beside the node.
+    pub service: Name,
+    /// Address of the target.
+    pub target: Name,
+    /// Address for callers and the target's own calls.
+    pub outbound: SocketAddr,
+    /// Address for messages of other nodes.
+    pub peer: SocketAddr,
+    /// Address for metrics and the state dump.
+    pub admin: SocketAddr,
+    /// Memory that the process may use, in bytes.
+    pub memory: u64,
+    /// Bounds of the installation.
+    pub bounds: Bounds,
+}
--- /dev/null
+++ b/node/src/proxy/process.rs
@@ -0,0 +1,228 @@
+//! The data plane as a whole: its services, its ends and its life cycle.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use poplar_core::{ErrorKind, Name};
+use poplar_kernel::{Clock, Life, Registry, Serving, part};
+use slog::{Logger, info, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::gate::Gate;
+
+use super::admin::{self, Admin};
+use super::exchange::Exchange;
+use super::follow::Follower;
+use super::metrics::Metrics;
+use super::own::Own;
+use super::peers::{CHECK_PAUSE, Peers};
+use super::ports::{Dialect, Platform, Site};
+use super::roster::Roster;
+use super::rules::Rules;
+use super::run::Runner;
+use super::serve::Callers;
+use super::trip::Trips;
+
+/// Time for which a stopping node goes on serving: callers take two missed readiness checks, one
+/// second apart, to turn away from it.
+const LINGER: Duration = Duration::from_millis(2_200);
+/// Part of the grace time after which a stopping node ends whatever is left, in tenths.
+const GRACE_TENTHS: u32 = 8;
+/// Pause between looks at the calls in flight while draining.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Pause after a failed accept, so that an exhausted process does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why the data plane could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address could not be listened on.
+    #[error("listen on {0}: {1}")]
+    Listen(std::net::SocketAddr, std::io::Error),
+}
+
+/// Data plane of one node.
+pub struct Proxy {
+    clock: Clock,
+    site: Arc<Site>,
+    logger: Logger,
+    life: Life<Serving>,
+    own: Arc<Own>,
+    rules: Arc<Rules>,
+    callers: Arc<Callers>,
+    runner: Arc<Runner>,
+    read: watch::Receiver<bool>,
+}
+
+impl Proxy {
+    /// Starts the data plane; must be called within a runtime.
+    ///
+    /// # Errors
+    ///
+    /// `Listen` if an address of `site` is taken.
+    pub async fn start<P: Platform>(
+        site: Site,
+        dialect: Dialect,
+        platform: P,
+        root: &Logger,
+    ) -> Result<Self, StartError> {
+        let clock = Clock::start();
+        let (site, dialect) = (Arc::new(site), Arc::new(dialect));
+        let life = Life::begin();
+        let (outbound, peer, scrapes) =
+            (listen(site.outbound).await?, listen(site.peer).await?, listen(site.admin).await?);
+        let registry = Arc::new(Registry::default());
+        let rules = Arc::new(Rules::new());
+        let gate = Arc::new(Gate::new(clock));
+        let roster = Arc::new(Roster::new(clock, site.zone.clone(), rules.clone()));
+        let target = part(root, "target");
+        let exchange = Exchange::new(clock, dialect.clone(), site.target.clone());
+        let exchange = Arc::new(exchange);
+        let own = Arc::new(Own::new(
+            clock,
+            site.clone(),
+            target,
+            gate.clone(),
+            exchange.clone(),
+            roster.clone(),
+            rules.clone(),
+        ));
+        let runner = Arc::new(Runner::new(clock, gate.clone(), own.clone(), exchange));
+        let key = Name::new(&site.peer.to_string());
+        let peers = Peers::new(clock, key, rules.clone(), roster.clone(), runner.clone());
+        let peers = Arc::new(peers);
+        let metrics = Arc::new(Metrics::new(gate.clone(), roster.clone(), rules.clone()));
+        let trips = Trips {
+            clock,
+            caller: site.service.clone(),
+            roster: roster.clone(),
+            peers: peers.clone(),
+        };
+        let callers = Arc::new(Callers {
+            clock,
+            dialect,
+            rules: rules.clone(),
+            trips,
+            metrics: metrics.clone(),
+            room: Callers::room(site.memory),
+            closing: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+        });
+        registry.register(rules.clone());
+        registry.register(gate.clone());
+        registry.register(roster.clone());
+        registry.register(own.clone());
+        registry.register(peers.clone());
+        registry.register(metrics.clone());
+        let (sender, read) = watch::channel(false);
+        follow(Follower {
+            clock,
+            platform: Arc::new(platform),
+            site: site.clone(),
+            rules: rules.clone(),
+            roster,
+            own: own.clone(),
+            logger: part(root, "store"),
+            read: sender,
+        });
+        tokio::spawn(revise(rules.clone(), gate));
+        tokio::spawn(check(peers.clone()));
+        tokio::spawn(accept(peer, peers, Peers::serve));
+        tokio::spawn(accept(outbound, callers.clone(), Callers::serve));
+        tokio::spawn(admin::serve(scrapes, Admin { clock, registry, metrics }));
+        let logger = part(root, "process");
+        info!(logger, "process: started"; "node" => %site.node, "service" => %site.service);
+        let life = life.serve();
+        Ok(Self { clock, site, logger, life, own, rules, callers, runner, read })
+    }
+
+    /// Target beside the node, for what it says of itself.
+    pub fn own(&self) -> Arc<Own> {
+        self.own.clone()
+    }
+
+    /// Whether callers should send their requests here, as a question to ask again and again.
+    pub fn readiness(&self) -> impl Fn() -> bool + Send + Sync + 'static {
+        let (rules, callers, read) = (self.rules.clone(), self.callers.clone(), self.read.clone());
+        move || {
+            let closing = callers.closing.load(Ordering::Acquire);
+            !closing && *read.borrow() && rules.current().is_some()
+        }
+    }
+
+    /// Serves what is under way, turns callers away, and returns when the process may end.
+    pub async fn stop(self) {
+        let began = self.clock.now();
+        info!(self.logger, "process: stopping"; "in_flight" => self.in_flight());
+        self.callers.closing.store(true, Ordering::Release);
+        let life = self.life.drain();
+        tokio::time::sleep(LINGER).await;
+        self.runner.seal(ErrorKind::Draining);
+        let limit = self.site.bounds.grace * GRACE_TENTHS / 10;
+        let in_flight = || self.callers.in_flight() + self.runner.in_flight();
+        while in_flight() > 0 && self.clock.now().since(began) < limit {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        if in_flight() > 0 {
+            warn!(self.logger, "process: calls cut off by the end of the grace time";
+                "calls" => in_flight());
+        }
+        life.stop();
+        info!(self.logger, "process: stopped");
+    }
+
+    fn in_flight(&self) -> usize {
+        self.callers.in_flight() + self.runner.in_flight()
+    }
+}
+
+/// Starts the tasks that follow the store.
+fn follow<P: Platform>(follower: Follower<P>) {
+    let follower = Arc::new(follower);
+    tokio::spawn(follower.clone().rules());
+    tokio::spawn(follower.clone().targets());
+    tokio::spawn(follower.publish());
+}
+
+/// Carries each revision of the rules over to admission.
+async fn revise(rules: Arc<Rules>, gate: Arc<Gate>) {
+    let mut watch = rules.watch();
+    while watch.changed().await.is_ok() {
+        if let Some(held) = rules.current() {
+            gate.revise(held.rules.revision, || held.scale());
+        }
+    }
+}
+
+async fn check(peers: Arc<Peers>) {
+    let mut round = 0;
+    loop {
+        tokio::time::sleep(CHECK_PAUSE).await;
+        peers.check(round).await;
+        round = round.wrapping_add(1);
+    }
+}
+
+async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|error| StartError::Listen(address, error))
+}
+
+/// Accepts connections for ever and serves each in a task of its own.
+async fn accept<S, F>(listener: TcpListener, server: Arc<S>, serve: fn(Arc<S>, TcpStream) -> F)
+where
+    S: Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                // Without this option answers are only slower.
+                let _ = socket.set_nodelay(true);
+                tokio::spawn(serve(server.clone(), socket));
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
--- /dev/null
+++ b/node/src/proxy/roster.rs
@@ -0,0 +1,180 @@
+//! Targets that this node knows, and the choice among those of one service.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use poplar_core::{
+    Chooser, InstanceId, Moment, Name, Observed, Rank, Roster as Records, Stage, TargetInfo,
+    TargetRecord,
+};
+use poplar_kernel::{Clock, Service};
+use serde_json::{Value, json};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::rules::Rules;
+
+/// Connections assumed of a target whose service the rules do not name.
+const CONNECTIONS_DEFAULT: u32 = 64;
+
+/// Target that was chosen for a call.
+#[derive(Debug, Clone)]
+pub(crate) struct Chosen {
+    pub(crate) instance: InstanceId,
+    /// Address of the node beside it.
+    pub(crate) peer: Name,
+}
+
+/// Service that holds the records of all targets.
+#[derive(Debug)]
+pub(crate) struct Roster {
+    clock: Clock,
+    zone: Name,
+    rules: Arc<Rules>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    records: Records,
+    choosers: HashMap<Name, Chooser>,
+    peers: HashMap<InstanceId, Name>,
+}
+
+impl Roster {
+    pub(crate) fn new(clock: Clock, zone: Name, rules: Arc<Rules>) -> Self {
+        Self { clock, zone, rules, state: Mutex::default() }
+    }
+
+    /// Takes a record in; says whether it was news.
+    pub(crate) fn merge(&self, record: TargetRecord) -> bool {
+        let mut state = self.lock();
+        let before = state.records.get(&record.peer).cloned();
+        if !state.records.merge(record.clone()) {
+            return false;
+        }
+        let connections = self.connections(&record.service);
+        state.replace(&self.zone, before, record, connections);
+        true
+    }
+
+    /// Drops the record of a node that is gone for good.
+    pub(crate) fn forget(&self, peer: &Name) -> bool {
+        let mut state = self.lock();
+        if let Some(record) = state.records.get(peer).cloned() {
+            state.leave(&record);
+        }
+        state.records.forget(peer)
+    }
+
+    /// Chooses a target of `service` and counts the call as in flight there.
+    pub(crate) fn choose(
+        &self,
+        service: &Name,
+        rank: Rank,
+        tried: &[InstanceId],
+    ) -> Option<Chosen> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let chooser = state.choosers.get_mut(service)?;
+        let choice = chooser.choose(now, rank, fastrand::u64(..), tried)?;
+        let peer = state.peers.get(&choice.instance)?.clone();
+        Some(Chosen { instance: choice.instance, peer })
+    }
+
+    /// Takes in what came of a call that [`Self::choose`] gave out.
+    pub(crate) fn observe(&self, service: &Name, instance: &InstanceId, observed: Observed) {
+        let now = self.clock.now();
+        if let Some(chooser) = self.lock().choosers.get_mut(service) {
+            chooser.observe(now, instance, observed);
+        }
+    }
+
+    /// Addresses of all nodes that a record names.
+    pub(crate) fn peers(&self) -> Vec<Name> {
+        self.lock().records.iter().map(|record| record.peer.clone()).collect()
+    }
+
+    /// Number of known nodes.
+    pub(crate) fn len(&self) -> usize {
+        self.lock().records.iter().count()
+    }
+
+    /// All records.
+    pub(crate) fn records(&self) -> Vec<TargetRecord> {
+        self.lock().records.iter().cloned().collect()
+    }
+
+    /// Checksum by which two nodes see whether they hold the same records.
+    pub(crate) fn checksum(&self) -> u64 {
+        let state = self.lock();
+        let entry = |record: &TargetRecord| {
+            let text =
+                format!("{}|{}|{:?}|{:?}", record.peer, record.instance, record.age, record.stage);
+            xxh3_64(text.as_bytes())
+        };
+        state.records.iter().map(entry).fold(0, u64::wrapping_add)
+    }
+
+    fn connections(&self, service: &Name) -> u32 {
+        let held = self.rules.current();
+        let known = held.as_ref().and_then(|held| held.rules.services.get(service));
+        known.map_or(CONNECTIONS_DEFAULT, |rule| rule.connections)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Carries a change of one record over to the choosers.
+    fn replace(
+        &mut self,
+        zone: &Name,
+        before: Option<TargetRecord>,
+        record: TargetRecord,
+        connections: u32,
+    ) {
+        let same = before.as_ref().is_some_and(|before| {
+            before.instance == record.instance
+                && before.age.born == record.age.born
+                && before.slots == record.slots
+        });
+        if let Some(before) = before.filter(|before| !same || before.stage != record.stage) {
+            self.leave(&before);
+        } else if same {
+            return;
+        }
+        if record.stage != Stage::Serving {
+            return;
+        }
+        let chooser = self
+            .choosers
+            .entry(record.service.clone())
+            .or_insert_with(|| Chooser::new(zone.clone()));
+        self.peers.insert(record.instance.clone(), record.peer);
+        chooser.join(TargetInfo {
+            instance: record.instance,
+            zone: record.zone,
+            slots: record.slots,
+            connections,
+        });
+    }
+
+    fn leave(&mut self, record: &TargetRecord) {
+        if let Some(chooser) = self.choosers.get_mut(&record.service) {
+            chooser.leave(&record.instance);
+        }
+        self.peers.remove(&record.instance);
+    }
+}
+
+impl Service for Roster {
+    fn name(&self) -> &'static str {
+        "roster"
+    }
+
+    fn dump(&self, _now: Moment) -> Value {
+        json!({ "targets": self.records() })
+    }
+}
--- /dev/null
+++ b/node/src/proxy/run.rs
@@ -0,0 +1,103 @@
+//! A call beside its target: checked, admitted, run, and its outcome told.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use poplar_core::{ErrorKind, InstanceId, Outcome, Stage, TargetEnd};
+use poplar_kernel::Clock;
+
+use crate::gate::{Entrant, Gate};
+
+use super::exchange::Exchange;
+use super::frame::{Call, CallAnswer};
+use super::own::Own;
+use super::serve::InFlight;
+
+/// Time to come back for a caller that met a target which is leaving: the others take its work.
+const LEAVING_RETRY: Duration = Duration::from_millis(100);
+/// Time to come back for a caller whose target turned the request away.
+const SHED_RETRY: Duration = Duration::from_millis(300);
+/// Time beyond the deadline for which the target's own word on it may still come.
+const LAST_WORD: Duration = Duration::from_millis(50);
+
+/// Runs calls at the target beside this node.
+pub(crate) struct Runner {
+    clock: Clock,
+    gate: Arc<Gate>,
+    own: Arc<Own>,
+    exchange: Arc<Exchange>,
+    /// Why no further call is taken, once the node stops.
+    sealed: OnceLock<ErrorKind>,
+    in_flight: AtomicUsize,
+}
+
+impl Runner {
+    pub(crate) fn new(
+        clock: Clock,
+        gate: Arc<Gate>,
+        own: Arc<Own>,
+        exchange: Arc<Exchange>,
+    ) -> Self {
+        let (sealed, in_flight) = (OnceLock::new(), AtomicUsize::new(0));
+        Self { clock, gate, own, exchange, sealed, in_flight }
+    }
+
+    /// Refuses all further calls.
+    pub(crate) fn seal(&self, kind: ErrorKind) {
+        self.sealed.get_or_init(|| kind);
+    }
+
+    /// Calls without an outcome yet.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Runs a call; dropping the future cancels the run.
+    pub(crate) async fn run(&self, call: Call) -> CallAnswer {
+        let began = self.clock.now();
+        let _in_flight = InFlight::begin(&self.in_flight);
+        if let Some(kind) = self.unfit(&call.instance) {
+            return CallAnswer::refused(kind, LEAVING_RETRY, self.gate.level());
+        }
+        let entrant = Entrant {
+            class: call.route.clone(),
+            rank: call.rank(),
+            age: Duration::ZERO,
+            left: call.left,
+            paid: false,
+        };
+        let permit = match self.gate.enter(entrant).await {
+            Ok(permit) => permit,
+            Err(refusal) => {
+                return CallAnswer::refused(refusal.kind, refusal.retry_after, self.gate.level());
+            }
+        };
+        // The target may have changed while the call waited.
+        if let Some(kind) = self.unfit(&call.instance) {
+            return CallAnswer::refused(kind, LEAVING_RETRY, self.gate.level());
+        }
+        let left = call.left.saturating_sub(self.clock.now().since(began));
+        let run = self.exchange.run(&call, &call.instance, left);
+        let end = tokio::time::timeout(left + LAST_WORD, run).await.unwrap_or(TargetEnd::Deadline);
+        let offered = !matches!(end, TargetEnd::NotConnected);
+        let outcome = end.outcome(SHED_RETRY);
+        if matches!(outcome, Outcome::Done(_)) {
+            permit.finish();
+        }
+        CallAnswer { outcome, offered, level: self.gate.level() }
+    }
+
+    /// Why the target beside this node cannot run a call that was meant for `instance`.
+    fn unfit(&self, instance: &InstanceId) -> Option<ErrorKind> {
+        if let Some(kind) = self.sealed.get() {
+            return Some(*kind);
+        }
+        match self.own.target() {
+            None => Some(ErrorKind::NoTarget),
+            Some((own, _)) if own != *instance => Some(ErrorKind::NoTarget),
+            Some((_, Stage::Serving)) => None,
+            Some(_) => Some(ErrorKind::Draining),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/proxy/trip.rs
@@ -0,0 +1,181 @@
+//! A request's trip from its entry to its answer: choice of a target, sends, and what follows
+//! from each.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use poplar_core::{
+    ErrorKind, InstanceId, Level, Moment, Name, Observed, Outcome, Rank, RequestId, RouteRule,
+};
+use poplar_kernel::Clock;
+use xxhash_rust::xxh3::xxh3_128;
+
+use super::frame::{Call, CallAnswer, Field, WholeReply};
+use super::link::LinkError;
+use super::peers::Peers;
+use super::roster::{Chosen, Roster};
+
+/// Time to come back for a caller whose service has no target: a start takes seconds.
+const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
+/// Nodes that may refuse a request before it is refused at the entry; a refusal costs a round
+/// trip, and three nodes that are all short of room say enough about the service.
+const REFUSALS_MAX: u32 = 3;
+
+/// Request as the entry took it in.
+#[derive(Debug)]
+pub(crate) struct Taken {
+    /// Identifier that the caller gave.
+    pub(crate) request: Bytes,
+    /// Method.
+    pub(crate) method: String,
+    /// Path and query.
+    pub(crate) path: String,
+    /// Header fields that travel on.
+    pub(crate) fields: Vec<Field>,
+    /// Body.
+    pub(crate) body: Bytes,
+    /// Moment at which the answer is of no use any more.
+    pub(crate) deadline: Moment,
+}
+
+/// Follows requests over their sends.
+pub(crate) struct Trips {
+    pub(crate) clock: Clock,
+    /// Service on whose machine the requests begin.
+    pub(crate) caller: Name,
+    pub(crate) roster: Arc<Roster>,
+    pub(crate) peers: Arc<Peers>,
+}
+
+/// What a trip has spent so far.
+#[derive(Debug, Default)]
+struct Spent {
+    /// Targets that may have been handed the request.
+    offers: u32,
+    /// Nodes that refused it.
+    refusals: u32,
+    tried: Vec<InstanceId>,
+}
+
+impl Trips {
+    /// Brings a request to a target and its answer back.
+    pub(crate) async fn travel(&self, route: &RouteRule, taken: &Taken) -> Outcome<WholeReply> {
+        let Some(service) = route.pick(fastrand::u32(..)) else {
+            return not_run(ErrorKind::NoTarget, NO_TARGET_RETRY);
+        };
+        let root = RequestId(xxh3_128(&taken.request));
+        let rank = Rank::of(route.importance, root);
+        let mut spent = Spent::default();
+        let mut last = not_run(ErrorKind::NoTarget, NO_TARGET_RETRY);
+        while let Some(chosen) = self.roster.choose(service, rank, &spent.tried) {
+            spent.tried.push(chosen.instance.clone());
+            let call = self.call(route, taken, &chosen, rank);
+            let answer = self.send(service, &chosen, call).await;
+            let offered = answer.as_ref().map_or(true, |answer| answer.offered);
+            spent.offers += u32::from(offered);
+            spent.refusals += u32::from(!offered);
+            last = match answer {
+                Ok(answer) => answer.outcome,
+                Err(kind) => Outcome::Unknown { kind },
+            };
+            if !self.sends_again(route, taken, &spent, &last) {
+                break;
+            }
+        }
+        last
+    }
+
+    /// Whether a further target should get the request.
+    fn sends_again(
+        &self,
+        route: &RouteRule,
+        taken: &Taken,
+        spent: &Spent,
+        last: &Outcome<WholeReply>,
+    ) -> bool {
+        let may_repeat = match last {
+            Outcome::Done(_) => false,
+            Outcome::NotRun { kind: ErrorKind::Deadline, .. } => false,
+            Outcome::NotRun { .. } => true,
+            Outcome::Unknown { kind: ErrorKind::Deadline | ErrorKind::Cancelled } => false,
+            Outcome::Unknown { .. } => route.is_idempotent(),
+        };
+        may_repeat
+            && spent.offers < route.attempts
+            && spent.refusals < REFUSALS_MAX
+            && self.clock.now() < taken.deadline
+    }
+
+    /// Sends a call to the node beside the chosen target; the error says why nothing is known.
+    async fn send(
+        &self,
+        service: &Name,
+        chosen: &Chosen,
+        call: Call,
+    ) -> Result<CallAnswer, ErrorKind> {
+        let watched = Watched { trips: self, service, instance: &chosen.instance, observed: None };
+        let sent = self.clock.now();
+        let answer = self.peers.call(&chosen.peer, call).await;
+        let took = self.clock.now().since(sent);
+        watched.ended(match &answer {
+            Ok(CallAnswer { outcome: Outcome::Done(_), level, .. }) => {
+                Observed::Done { latency: took, level: *level }
+            }
+            Ok(CallAnswer {
+                outcome: Outcome::NotRun { kind: ErrorKind::Connection, .. }, ..
+            }) => Observed::Unreachable,
+            Ok(answer) => Observed::Refused { level: answer.level },
+            Err(_) => Observed::Unreachable,
+        });
+        match answer {
+            Ok(answer) => Ok(answer),
+            Err(LinkError::Unreached) => {
+                let kind = ErrorKind::Connection;
+                Ok(CallAnswer::refused(kind, NO_TARGET_RETRY, Level::OPEN))
+            }
+            Err(LinkError::Broken) => Err(ErrorKind::Connection),
+        }
+    }
+
+    fn call(&self, route: &RouteRule, taken: &Taken, chosen: &Chosen, rank: Rank) -> Call {
+        Call {
+            request: taken.request.clone(),
+            route: route.name.clone(),
+            caller: self.caller.clone(),
+            instance: chosen.instance.clone(),
+            method: taken.method.clone(),
+            path: taken.path.clone(),
+            fields: taken.fields.clone(),
+            rank: Level::at(rank).0,
+            left: taken.deadline.since(self.clock.now()),
+            idempotent: route.is_idempotent(),
+            body: taken.body.clone(),
+        }
+    }
+}
+
+/// Send whose end is told to the roster, also when its caller leaves.
+struct Watched<'a> {
+    trips: &'a Trips,
+    service: &'a Name,
+    instance: &'a InstanceId,
+    observed: Option<Observed>,
+}
+
+impl Watched<'_> {
+    fn ended(mut self, observed: Observed) {
+        self.observed = Some(observed);
+    }
+}
+
+impl Drop for Watched<'_> {
+    fn drop(&mut self) {
+        let observed = self.observed.unwrap_or(Observed::GivenUp);
+        self.trips.roster.observe(self.service, self.instance, observed);
+    }
+}
+
+fn not_run(kind: ErrorKind, retry_after: Duration) -> Outcome<WholeReply> {
+    Outcome::NotRun { kind, retry_after }
+}
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -8,7 +8,7 @@
 use poplar_kernel::{Kind, Setting, SettingsError, SettingsTable};
 
 /// Every setting of the node.
-pub(crate) const TABLE: SettingsTable = SettingsTable::new(&[
+pub const TABLE: SettingsTable = SettingsTable::new(&[
     Setting {
         name: "instance",
         kind: Kind::Name,
@@ -79,7 +79,7 @@
 
 /// Settings of one node.
 #[derive(Debug, Clone)]
-pub(crate) struct Settings {
+pub struct Settings {
     pub(crate) instance: InstanceId,
     pub(crate) customer: Name,
     pub(crate) zone: Name,
@@ -97,7 +97,11 @@
 
 impl Settings {
     /// Reads the settings file; an unknown or malformed setting stops the start.
-    pub(crate) fn load(path: &Path) -> Result<Self, SettingsError> {
+    ///
+    /// # Errors
+    ///
+    /// The first fault of the file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let values = TABLE.load(path)?;
         Ok(Self {
             instance: InstanceId(values.name("instance")?),
--- a/node/src/work.rs
+++ b/node/src/work.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 
 use crate::contracts::{Contracts, Terms};
-use crate::gate::Gate;
+use crate::gate::{Entrant, Gate};
 use crate::levels::Levels;
 use crate::once::{Copy, Once};
 use crate::runs::{Run, Runs};
@@ -238,7 +238,7 @@
             Ok(watched) => watched,
             Err(denied) => return Served::denied(denied, units),
         };
-        let permit = match self.gate.enter(&meta).await {
+        let permit = match self.gate.enter(Entrant::of(&meta)).await {
             Ok(permit) => permit,
             Err(Refusal { kind, retry_after, .. }) => {
                 return Served::new(Outcome::NotRun { kind, retry_after }, units);
