--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,6 +1,6 @@
 //! The process beside each target: takes calls in, routes them, admits them, runs them there.
 //!
-//! [`process`] is the node with the product's own interface; [`proxy`] is the transparent data
+//! [`run`] starts the node with the product's own interface; [`proxy`] is the transparent data
 //! plane, which an adapter embeds to run on a platform. Both share admission.
 
 mod announce;
--- a/node/src/proxy/mod.rs
+++ b/node/src/proxy/mod.rs
@@ -1,8 +1,8 @@
 //! The transparent data plane: any HTTP/1.1 request, routed by host and longest path prefix.
 //!
-//! A request enters at the node on the caller's own instance ([`serve`]), is followed over its
-//! sends ([`trip`]), travels over a [`link`] to the node beside the chosen target, is admitted and
-//! run there ([`run`], [`exchange`]). What lasts lies in the platform's store, which [`follow`]
+//! A request enters at the node on the caller's own instance (`serve`), is followed over its
+//! sends (`trip`), travels over a link to the node beside the chosen target, is admitted and
+//! run there (`run`, `exchange`). What lasts lies in the platform's store, which `follow`
 //! reads and writes through the ports. See [platform](../../../docs/design/platform.md).
 
 mod admin;
