Refuse at the entries what deep services can't carry, and bound re-sends over all nodes

Change: a budget per node whose sum keeps the bound; levels of deep services go back along the calls, so that entries refuse by importance; calls of targets, told by their origin, go first; a stopping node takes no request after its linger.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,10 +15,13 @@
 mod ids;
 mod limit;
 mod membership;
+mod origin;
 mod outcome;
 mod publish;
+mod resend;
 mod roster;
 mod rules;
+mod surge;
 mod suspects;
 mod time;
 
@@ -56,9 +59,12 @@
     Ask, Change, Entry, Follower, MemberRecord, MemberState, Membership, Message, Outgoing, Peer,
     ProbeId, Sample, SampleRequest, TICK_TIME, Verdict as MemberVerdict, VerdictReport, ViewError,
 };
+pub use origin::Origins;
 pub use outcome::{ErrorKind, Outcome, Reply, TargetEnd};
 pub use publish::{PublishAction, PublishPlan, PublishResult, Publisher, RESEND, publish_id};
+pub use resend::{ResendBound, ResendBudget};
 pub use roster::{Age, Roster, Stage, TargetRecord};
 pub use rules::{CallerLimits, Repeat, RouteIndex, RouteRule, RuleSet, ServiceRule, Share};
+pub use surge::Surge;
 pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
 pub use time::Moment;
--- /dev/null
+++ b/core/src/resend.rs
@@ -0,0 +1,113 @@
+//! Budget for sending requests of one service once more, kept without talking to other nodes.
+//!
+//! An installation bounds the sends beyond the first that a service gets from all nodes together:
+//! a part of its requests, and a fixed base. Each node holds itself to that part of its *own*
+//! requests and to its share of the base; the sum over nodes then keeps the bound whatever the
+//! nodes know of each other. The pattern that this answers is the retry storm, in which a service
+//! that turns requests away gets more of them for it. See
+//! [platform](../../docs/design/platform.md).
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::ids::Name;
+use crate::time::Moment;
+
+/// Buckets in one window; a coarser count forgets too much at once.
+const BUCKETS: usize = 10;
+/// Part of the bound that one hop spends: a request that is sent again makes its calls again, so
+/// sends beyond the first add up along a chain of some four services.
+const HOP_PART: f64 = 0.25;
+
+/// Bound on sends beyond the first.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ResendBound {
+    /// Sends beyond the first, as a part of the requests.
+    pub ratio: f64,
+    /// Sends beyond that part, over all nodes.
+    pub base: f64,
+    /// Time over which both are counted.
+    pub window: Duration,
+}
+
+/// Counts of one service in one part of the window.
+#[derive(Debug, Clone, Copy, Default)]
+struct Bucket {
+    requests: u32,
+    resends: u32,
+}
+
+/// Counts of one service.
+#[derive(Debug, Default)]
+struct Row {
+    buckets: [Bucket; BUCKETS],
+    /// Number of the bucket that is being filled, counted from the clock's origin.
+    current: u64,
+}
+
+/// Budget of one node for all services.
+#[derive(Debug)]
+pub struct ResendBudget {
+    bound: ResendBound,
+    rows: HashMap<Name, Row>,
+}
+
+impl ResendBudget {
+    /// Budget within `bound`.
+    pub fn new(bound: ResendBound) -> Self {
+        Self { bound, rows: HashMap::new() }
+    }
+
+    /// Counts a request for `service` that is sent for the first time.
+    pub fn sent(&mut self, now: Moment, service: &Name) {
+        self.row(now, service).bucket().requests += 1;
+    }
+
+    /// Spends one send beyond the first, if the budget of one node among `nodes` allows it.
+    pub fn spend(&mut self, now: Moment, service: &Name, nodes: usize) -> bool {
+        let bound = self.bound;
+        let row = self.row(now, service);
+        let (requests, resends) = row.totals();
+        let base = bound.base / nodes.max(1) as f64;
+        let allowed = HOP_PART * (bound.ratio * f64::from(requests) + base);
+        if f64::from(resends) + 1.0 > allowed {
+            return false;
+        }
+        row.bucket().resends += 1;
+        true
+    }
+
+    /// Sends beyond the first in the window, and the requests that they are measured against.
+    pub fn totals(&mut self, now: Moment, service: &Name) -> (u32, u32) {
+        let (requests, resends) = self.row(now, service).totals();
+        (resends, requests)
+    }
+
+    fn row(&mut self, now: Moment, service: &Name) -> &mut Row {
+        let span = (self.bound.window / BUCKETS as u32).as_micros().max(1) as u64;
+        let current = now.as_micros() / span;
+        let row = self.rows.entry(service.clone()).or_default();
+        row.advance(current);
+        row
+    }
+}
+
+impl Row {
+    fn advance(&mut self, current: u64) {
+        let passed = current.saturating_sub(self.current).min(BUCKETS as u64);
+        for step in 1..=passed {
+            let idx = (current - passed + step) % BUCKETS as u64;
+            self.buckets[idx as usize] = Bucket::default();
+        }
+        self.current = self.current.max(current);
+    }
+
+    fn bucket(&mut self) -> &mut Bucket {
+        &mut self.buckets[(self.current % BUCKETS as u64) as usize]
+    }
+
+    fn totals(&self) -> (u32, u32) {
+        let sum = |count: fn(&Bucket) -> u32| self.buckets.iter().map(count).sum();
+        (sum(|bucket| bucket.requests), sum(|bucket| bucket.resends))
+    }
+}
--- /dev/null
+++ b/core/tests/heavy_load.rs
@@ -0,0 +1,144 @@
+//! Policies for the heaviest loads; each test names the pattern that it plays.
+
+use std::time::Duration;
+
+use poplar_core::{
+    Importance, ImportanceScale, Level, Moment, Name, Origins, Rank, RequestId, ResendBound,
+    ResendBudget, Surge,
+};
+
+const RATIO: f64 = 0.2;
+const BASE: f64 = 48.0;
+const NODES: usize = 17;
+
+/// Retry storm: every target turns most requests away, and each node wants to send each again.
+#[test]
+fn retry_storm_stays_within_the_shared_bound_without_talk() {
+    let window = Duration::from_secs(10);
+    let bound = ResendBound { ratio: RATIO, base: BASE, window };
+    let service = Name::new("deep");
+    let mut nodes: Vec<_> = (0..NODES).map(|_| ResendBudget::new(bound)).collect();
+    let mut sends: Vec<(u64, u32, u32)> = Vec::new();
+    for millis in (0..40_000).step_by(10) {
+        let now = Moment::from_millis(millis);
+        // The load falls to a tenth after 20 s, so that old requests stop paying for new sends.
+        let busy = millis < 20_000 || millis % 100 == 0;
+        let (mut requests, mut resends) = (0, 0);
+        for node in nodes.iter_mut().filter(|_| busy) {
+            node.sent(now, &service);
+            requests += 1;
+            resends += u32::from(node.spend(now, &service, NODES));
+            resends += u32::from(node.spend(now, &service, NODES));
+        }
+        sends.push((millis, requests, resends));
+    }
+    for (from, ..) in &sends {
+        let inside = |at: u64, start: u64| at >= start && at < start + 10_000;
+        let sum = |start: u64, of: fn(&(u64, u32, u32)) -> u32| -> u32 {
+            sends.iter().filter(|row| inside(row.0, start)).map(of).sum()
+        };
+        let earlier = from.saturating_sub(10_000);
+        let requests = sum(*from, |row| row.1).max(sum(earlier, |row| row.1));
+        let allowed = RATIO * f64::from(requests) + BASE;
+        assert!(f64::from(sum(*from, |row| row.2)) <= allowed, "window from {from} ms");
+    }
+}
+
+/// Requests, a deep service behind them, and the surge level between.
+struct Deep {
+    surge: Surge,
+    scale: ImportanceScale,
+    /// Work units that wait or run, in limits.
+    busy: f64,
+    /// Passed and offered requests of the low and of the high importance.
+    counts: [(u32, u32); 2],
+}
+
+const LOW: Importance = Importance(1);
+const HIGH: Importance = Importance(2);
+/// Time that a level takes to the entries and a request down the chain, in steps of 1 ms.
+const DELAY_STEPS: usize = 150;
+const LIMIT: u32 = 100;
+
+impl Deep {
+    fn new() -> Self {
+        let scale = ImportanceScale::new([LOW, HIGH]);
+        let surge = Surge::new(Moment::default(), &scale);
+        Self { surge, scale, busy: 0.0, counts: [(0, 0); 2] }
+    }
+
+    /// Plays `seconds` with the given demand, in limits of the deep service, for low and high.
+    fn play(&mut self, from: u64, seconds: u64, demand: [f64; 2]) -> u64 {
+        let mut levels = vec![self.surge.level(); DELAY_STEPS];
+        let end = from + seconds * 1_000;
+        for millis in from..end {
+            let level = levels[millis as usize % DELAY_STEPS];
+            for (idx, importance) in [LOW, HIGH].into_iter().enumerate() {
+                // Ten requests a millisecond, each with its share of the demand.
+                for number in 0..10_u64 {
+                    let id = RequestId(u128::from(millis * 10 + number) << idx);
+                    let passes = level.admits(Rank::of(importance, id));
+                    self.counts[idx].0 += u32::from(passes);
+                    self.counts[idx].1 += 1;
+                    // One limit's worth of work lasts 20 ms.
+                    self.busy += f64::from(u8::from(passes)) * demand[idx] / 10.0 / 20.0;
+                }
+            }
+            self.busy -= self.busy.min(1.0) / 20.0;
+            let calls = (self.busy * f64::from(LIMIT)) as usize;
+            self.surge.observe(Moment::from_millis(millis), calls, LIMIT);
+            levels[millis as usize % DELAY_STEPS] = self.surge.level();
+        }
+        assert!(self.scale == ImportanceScale::new([LOW, HIGH]));
+        end
+    }
+
+    fn passed(&mut self) -> [f64; 2] {
+        let part = |(passed, offered): (u32, u32)| f64::from(passed) / f64::from(offered);
+        let passed = self.counts.map(part);
+        self.counts = [(0, 0); 2];
+        passed
+    }
+}
+
+/// Burst on a deep service: 1.7 times what it can do, entering through other services.
+#[test]
+fn burst_on_a_deep_service_is_refused_at_the_entries_least_important_first() {
+    let mut deep = Deep::new();
+    let now = deep.play(0, 3, [0.9, 0.8]);
+    deep.passed();
+    deep.play(now, 10, [0.9, 0.8]);
+    let [low, high] = deep.passed();
+    assert!(high > 0.99, "the important ones pass: {high}");
+    // 0.15 to 0.2 limits of 0.9 are left for the rest.
+    assert!((0.08..0.30).contains(&low), "what is left goes to the others: {low}");
+    assert!(deep.busy < 2.0, "no more than one limit waits: {}", deep.busy);
+}
+
+/// Recovery after a burst: the level falls once the load does.
+#[test]
+fn service_recovers_within_two_seconds_of_a_burst() {
+    let mut deep = Deep::new();
+    let now = deep.play(0, 10, [0.9, 0.8]);
+    let now = deep.play(now, 2, [0.3, 0.3]);
+    deep.passed();
+    deep.play(now, 2, [0.3, 0.3]);
+    let [low, high] = deep.passed();
+    assert!(low > 0.99 && high > 0.99, "{low} {high}");
+    assert_eq!(deep.surge.level(), Level::OPEN);
+}
+
+/// Deep call graph: a route that one service calls is told from one that callers outside use.
+#[test]
+fn calls_of_targets_are_told_from_requests_of_callers() {
+    let mut origins = Origins::default();
+    let (inner, outer) = (Name::new("inner"), Name::new("outer"));
+    let services = ["a", "b", "c", "d"].map(Name::new);
+    for number in 0..40 {
+        origins.count(&inner, &services[2]);
+        origins.count(&outer, &services[number % services.len()]);
+    }
+    assert!(origins.is_internal(&inner));
+    assert!(!origins.is_internal(&outer));
+    assert!(!origins.is_internal(&Name::new("unseen")));
+}
--- a/kernel/src/logs.rs
+++ b/kernel/src/logs.rs
@@ -5,6 +5,10 @@
 
 use slog::{Drain, Level, Logger, o};
 
+/// Lines that may wait for a slow reader of the output; further ones are dropped and counted, so
+/// that no process ever waits for its log.
+const QUEUE_LINES: usize = 1_024;
+
 /// Shape of the log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LogFormat {
@@ -26,16 +30,16 @@
     }
 }
 
-/// Logger that writes to standard error in the given shape, from level `info` up.
+/// Logger that writes to standard output in the given shape, from level `info` up.
 pub fn root_logger(format: LogFormat) -> Logger {
     match format {
         LogFormat::Text => {
-            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let decorator = slog_term::PlainDecorator::new(std::io::stdout());
             let lines = slog_term::FullFormat::new(decorator).build();
             logger(Mutex::new(lines).fuse())
         }
         LogFormat::Json => {
-            let lines = slog_json::Json::default(std::io::stderr());
+            let lines = slog_json::Json::default(std::io::stdout());
             logger(Mutex::new(lines).fuse())
         }
     }
@@ -50,6 +54,10 @@
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    let queue = slog_async::Async::new(drain).build().fuse();
+    let queue = slog_async::Async::new(drain)
+        .chan_size(QUEUE_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .fuse();
     Logger::root(slog::LevelFilter::new(queue, Level::Info).fuse(), o!())
 }
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -6,7 +6,7 @@
 
 use poplar_core::{
     Admission, AdmissionVerdict, Arrival, ErrorKind, ImportanceScale, Level, Moment, Name, Rank,
-    Refusal, Release, Revision, RunTimes, TargetLimits, Ticket,
+    Refusal, Release, Revision, RunTimes, Surge, TargetLimits, Ticket,
 };
 use poplar_kernel::{Clock, Service};
 use poplar_wire::CallMeta;
@@ -59,6 +59,7 @@
 #[derive(Debug, Default)]
 struct State {
     admission: Option<Admission>,
+    surge: Option<Surge>,
     revision: Revision,
     times: RunTimes,
     waiting: HashMap<Ticket, oneshot::Sender<Turn>>,
@@ -108,6 +109,7 @@
     /// Takes the limits of a target that announced itself at `now`.
     pub(crate) fn open_at(&self, now: Moment, limits: TargetLimits, scale: ImportanceScale) {
         let mut state = self.lock();
+        state.surge = Some(Surge::new(now, &scale));
         state.admission = Some(Admission::new(now, limits, scale));
         state.revision = Revision::default();
     }
@@ -119,8 +121,12 @@
             return;
         }
         state.revision = revision;
+        let scale = scale();
+        if let Some(surge) = state.surge.as_mut() {
+            surge.revise(&scale);
+        }
         if let Some(admission) = state.admission.as_mut() {
-            admission.revise(scale());
+            admission.revise(scale);
         }
     }
 
@@ -148,6 +154,14 @@
         self.lock().admission.as_mut().map_or(Level::OPEN, |admission| admission.level(now))
     }
 
+    /// Level at which entries should refuse requests that lead here.
+    pub(crate) fn surge_level(&self) -> Level {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.observe(now);
+        state.surge.as_ref().map_or(Level::OPEN, Surge::level)
+    }
+
     fn arrive(
         self: &Arc<Self>,
         entrant: &Entrant,
@@ -177,6 +191,7 @@
                 state.waiting.insert(ticket, sender);
                 evicted.into_iter().for_each(|refusal| state.refuse(refusal));
                 self.start_ticking(&mut state);
+                state.observe(now);
                 Ok((place, Some(turn)))
             }
         }
@@ -188,6 +203,7 @@
         state.times.observe(class, took);
         let release = state.admission.as_mut().map(|a| a.finish(now, ticket, took));
         state.tell(release.unwrap_or_default());
+        state.observe(now);
     }
 
     fn cancel(&self, ticket: Ticket) {
@@ -227,6 +243,13 @@
 }
 
 impl State {
+    /// Lets the surge level follow the load.
+    fn observe(&mut self, now: Moment) {
+        if let (Some(surge), Some(admission)) = (self.surge.as_mut(), self.admission.as_ref()) {
+            surge.observe(now, admission.in_flight() + admission.queued(), admission.limit());
+        }
+    }
+
     fn tell(&mut self, release: Release) {
         for ticket in release.start {
             if let Some(sender) = self.waiting.remove(&ticket) {
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -101,15 +101,17 @@
     pub(crate) outcome: poplar_core::Outcome<WholeReply>,
     /// Whether any of the request was handed to the target.
     pub(crate) offered: bool,
-    /// Level of admission at the target.
+    /// Level below which entries should refuse requests that lead here.
     pub(crate) level: Level,
+    /// Whether the calls of this route come from targets, not from callers outside.
+    pub(crate) internal: bool,
 }
 
 impl CallAnswer {
     /// Refusal of a call that the target has not seen.
-    pub(crate) fn refused(kind: ErrorKind, retry_after: Duration, level: Level) -> Self {
+    pub(crate) fn refused(kind: ErrorKind, retry_after: Duration) -> Self {
         let outcome = poplar_core::Outcome::NotRun { kind, retry_after };
-        Self { outcome, offered: false, level }
+        Self { outcome, offered: false, level: Level::OPEN, internal: false }
     }
 }
 
--- /dev/null
+++ b/node/src/proxy/graph.rs
@@ -0,0 +1,113 @@
+//! What this node learns of the call graph from the calls that it sees and the answers to them.
+//!
+//! Beside a target it learns which routes other targets call; at an entry it learns the levels of
+//! the services, so that a request which would fail deeper down is refused before any work.
+
+use std::collections::{BTreeSet, HashSet};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use poplar_core::{ImportanceScale, InstanceId, Level, LevelMap, Moment, Name, Origins, Rank};
+use poplar_kernel::{Clock, Service};
+use serde_json::{Value, json};
+
+use super::frame::CallAnswer;
+
+/// Service that holds what was learnt.
+#[derive(Debug)]
+pub(crate) struct Graph {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    origins: Origins,
+    levels: LevelMap,
+    /// Routes that targets call, by the word of the nodes that run them.
+    internal: HashSet<Name>,
+    /// Services that the target beside this node calls.
+    callees: BTreeSet<Name>,
+}
+
+impl Graph {
+    pub(crate) fn new(clock: Clock) -> Self {
+        let state = State {
+            origins: Origins::default(),
+            levels: LevelMap::new(ImportanceScale::new([])),
+            internal: HashSet::new(),
+            callees: BTreeSet::new(),
+        };
+        Self { clock, state: Mutex::new(state) }
+    }
+
+    /// Takes over the importances of a new revision.
+    pub(crate) fn revise(&self, scale: ImportanceScale) {
+        self.lock().levels.revise(scale);
+    }
+
+    /// Counts a call that came to the target beside this node; says whether a target made it.
+    pub(crate) fn arrived(&self, route: &Name, caller: &Name) -> bool {
+        let mut state = self.lock();
+        state.origins.count(route, caller);
+        state.origins.is_internal(route)
+    }
+
+    /// Takes in what came with an answer of `instance` to a call of `route` to `service`.
+    pub(crate) fn learn(
+        &self,
+        service: &Name,
+        instance: &InstanceId,
+        route: &Name,
+        answer: &CallAnswer,
+    ) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.levels.learn(now, service, instance, answer.level);
+        if !answer.internal {
+            state.internal.remove(route);
+        } else if state.internal.insert(route.clone()) {
+            state.callees.insert(service.clone());
+        }
+    }
+
+    /// Whether a request should be refused here, because `service` or one that it calls is short
+    /// of room; a call of a target never is.
+    pub(crate) fn refuses(&self, service: &Name, route: &Name, rank: Rank) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        !state.internal.contains(route) && state.levels.is_doomed(now, rank, [service])
+    }
+
+    /// Level to send back with an answer: the target's own or that of a service which it calls.
+    pub(crate) fn joined(&self, own: Level) -> Level {
+        let now = self.clock.now();
+        let state = self.lock();
+        state.levels.joined(now, own, &state.callees)
+    }
+
+    /// Level of a service as this node knows it.
+    pub(crate) fn level(&self, service: &Name) -> Level {
+        let now = self.clock.now();
+        self.lock().levels.level(now, service)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Service for Graph {
+    fn name(&self) -> &'static str {
+        "call-graph"
+    }
+
+    fn dump(&self, now: Moment) -> Value {
+        let state = self.lock();
+        let levels: serde_json::Map<_, _> = state
+            .callees
+            .iter()
+            .map(|name| (name.to_string(), json!(state.levels.level(now, name))))
+            .collect();
+        json!({ "internal_routes": state.internal.iter().collect::<Vec<_>>(), "callees": levels })
+    }
+}
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -15,6 +15,7 @@
 
 use crate::gate::Gate;
 
+use super::decisions::Decisions;
 use super::roster::Roster;
 use super::rules::Rules;
 
@@ -59,7 +60,12 @@
 }
 
 impl Metrics {
-    pub(crate) fn new(gate: Arc<Gate>, roster: Arc<Roster>, rules: Arc<Rules>) -> Self {
+    pub(crate) fn new(
+        gate: Arc<Gate>,
+        roster: Arc<Roster>,
+        rules: Arc<Rules>,
+        decisions: &Decisions,
+    ) -> Self {
         let mut registry = Registry::with_prefix("poplar");
         let answered = Family::<Answered, Counter>::default();
         let latency: Family<Route, Histogram, fn() -> Histogram> =
@@ -68,6 +74,8 @@
         registry.register("requests", "Requests answered here", answered.clone());
         let help = "Time from the head of a request to its answer";
         registry.register_with_unit("request", help, Unit::Seconds, latency.clone());
+        let help = "Log lines about requests that the bound left out";
+        registry.register("log_lines_dropped", help, decisions.dropped());
         gauges.register(&mut registry);
         let registry = Mutex::new(registry);
         Self { registry, answered, latency, gauges, gate, roster, rules }
--- a/node/src/proxy/mod.rs
+++ b/node/src/proxy/mod.rs
@@ -6,10 +6,12 @@
 //! reads and writes through the ports. See [platform](../../../docs/design/platform.md).
 
 mod admin;
+mod decisions;
 mod exchange;
 mod fields;
 mod follow;
 mod frame;
+mod graph;
 mod link;
 mod metrics;
 mod own;
--- a/node/src/proxy/ports.rs
+++ b/node/src/proxy/ports.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http::HeaderName;
-use poplar_core::{Name, Offset, RuleSet};
+use poplar_core::{Name, Offset, ResendBound, RuleSet};
 
 /// Names of the headers that callers, targets and nodes of one installation use.
 #[derive(Debug, Clone)]
@@ -101,12 +101,8 @@
 /// Bounds that the installation sets for the behaviour of the nodes.
 #[derive(Debug, Clone, Copy)]
 pub struct Bounds {
-    /// Re-sends that a service may get, as a part of its requests.
-    pub resend_ratio: f64,
-    /// Re-sends beyond that part.
-    pub resend_base: f64,
-    /// Time over which re-sends are counted.
-    pub resend_window: Duration,
+    /// Sends beyond the first that a service may get from all nodes together.
+    pub resends: ResendBound,
     /// Time from a stop signal to the forced end.
     pub grace: Duration,
     /// Usual pause between the heartbeats of a target.
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -1,10 +1,10 @@
 //! The data plane as a whole: its services, its ends and its life cycle.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use poplar_core::{ErrorKind, Name};
+use poplar_core::{ErrorKind, Moment, Name, ResendBudget};
 use poplar_kernel::{Clock, Life, Registry, Serving, part};
 use slog::{Logger, info, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -13,8 +13,10 @@
 use crate::gate::Gate;
 
 use super::admin::{self, Admin};
+use super::decisions::Decisions;
 use super::exchange::Exchange;
 use super::follow::Follower;
+use super::graph::Graph;
 use super::metrics::Metrics;
 use super::own::Own;
 use super::peers::{CHECK_PAUSE, Peers};
@@ -28,8 +30,11 @@
 /// Time for which a stopping node goes on serving: callers take two missed readiness checks, one
 /// second apart, to turn away from it.
 const LINGER: Duration = Duration::from_millis(2_200);
-/// Part of the grace time after which a stopping node ends whatever is left, in tenths.
-const GRACE_TENTHS: u32 = 8;
+/// Time beyond that for which calls of the own target are still taken.
+const CALLS_TIME: Duration = Duration::from_millis(600);
+/// Part of the grace time after which a stopping node ends whatever is left; the rest is for the
+/// end of the process on a slow machine.
+const GRACE_PART: f64 = 0.88;
 /// Pause between looks at the calls in flight while draining.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Pause after a failed accept, so that an exhausted process does not spin.
@@ -89,16 +94,29 @@
             roster.clone(),
             rules.clone(),
         ));
-        let runner = Arc::new(Runner::new(clock, gate.clone(), own.clone(), exchange));
+        let graph = Arc::new(Graph::new(clock));
+        let decisions = Arc::new(Decisions::new(clock, part(root, "request")));
+        let runner = Arc::new(Runner::new(
+            clock,
+            gate.clone(),
+            own.clone(),
+            exchange,
+            graph.clone(),
+            rules.clone(),
+            decisions.clone(),
+        ));
         let key = Name::new(&site.peer.to_string());
         let peers = Peers::new(clock, key, rules.clone(), roster.clone(), runner.clone());
         let peers = Arc::new(peers);
-        let metrics = Arc::new(Metrics::new(gate.clone(), roster.clone(), rules.clone()));
+        let metrics =
+            Arc::new(Metrics::new(gate.clone(), roster.clone(), rules.clone(), &decisions));
         let trips = Trips {
             clock,
             caller: site.service.clone(),
             roster: roster.clone(),
             peers: peers.clone(),
+            graph: graph.clone(),
+            resends: Mutex::new(ResendBudget::new(site.bounds.resends)),
         };
         let callers = Arc::new(Callers {
             clock,
@@ -106,8 +124,10 @@
             rules: rules.clone(),
             trips,
             metrics: metrics.clone(),
+            decisions,
             room: Callers::room(site.memory),
             closing: AtomicBool::new(false),
+            sealed: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
         });
         registry.register(rules.clone());
@@ -116,6 +136,7 @@
         registry.register(own.clone());
         registry.register(peers.clone());
         registry.register(metrics.clone());
+        registry.register(graph.clone());
         let (sender, read) = watch::channel(false);
         follow(Follower {
             clock,
@@ -127,7 +148,7 @@
             logger: part(root, "store"),
             read: sender,
         });
-        tokio::spawn(revise(rules.clone(), gate));
+        tokio::spawn(revise(rules.clone(), gate, graph));
         tokio::spawn(check(peers.clone()));
         tokio::spawn(accept(peer, peers, Peers::serve));
         tokio::spawn(accept(outbound, callers.clone(), Callers::serve));
@@ -154,27 +175,31 @@
 
     /// Serves what is under way, turns callers away, and returns when the process may end.
     pub async fn stop(self) {
-        let began = self.clock.now();
-        info!(self.logger, "process: stopping"; "in_flight" => self.in_flight());
-        self.callers.closing.store(true, Ordering::Release);
-        let life = self.life.drain();
+        let Self { clock, site, logger, life, callers, runner, .. } = self;
+        let in_flight = || callers.in_flight() + runner.in_flight();
+        let began = clock.now();
+        info!(logger, "process: stopping"; "in_flight" => in_flight());
+        callers.closing.store(true, Ordering::Release);
+        let life = life.drain();
         tokio::time::sleep(LINGER).await;
-        self.runner.seal(ErrorKind::Draining);
-        let limit = self.site.bounds.grace * GRACE_TENTHS / 10;
-        let in_flight = || self.callers.in_flight() + self.runner.in_flight();
-        while in_flight() > 0 && self.clock.now().since(began) < limit {
-            tokio::time::sleep(DRAIN_POLL).await;
-        }
+        runner.seal(ErrorKind::Draining);
+        // The target still makes the calls of what it runs.
+        wait(clock, began + LINGER + CALLS_TIME, || runner.in_flight() == 0).await;
+        callers.sealed.store(true, Ordering::Release);
+        wait(clock, began + site.bounds.grace.mul_f64(GRACE_PART), || in_flight() == 0).await;
         if in_flight() > 0 {
-            warn!(self.logger, "process: calls cut off by the end of the grace time";
+            warn!(logger, "process: calls cut off by the end of the grace time";
                 "calls" => in_flight());
         }
         life.stop();
-        info!(self.logger, "process: stopped");
+        info!(logger, "process: stopped");
     }
+}
 
-    fn in_flight(&self) -> usize {
-        self.callers.in_flight() + self.runner.in_flight()
+/// Waits until something is done, but not beyond `limit`.
+async fn wait(clock: Clock, limit: Moment, done: impl Fn() -> bool) {
+    while !done() && clock.now() < limit {
+        tokio::time::sleep(DRAIN_POLL).await;
     }
 }
 
@@ -187,11 +212,12 @@
 }
 
 /// Carries each revision of the rules over to admission.
-async fn revise(rules: Arc<Rules>, gate: Arc<Gate>) {
+async fn revise(rules: Arc<Rules>, gate: Arc<Gate>, graph: Arc<Graph>) {
     let mut watch = rules.watch();
     while watch.changed().await.is_ok() {
         if let Some(held) = rules.current() {
             gate.revise(held.rules.revision, || held.scale());
+            graph.revise(held.scale());
         }
     }
 }
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -4,14 +4,19 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use poplar_core::{ErrorKind, InstanceId, Outcome, Stage, TargetEnd};
+use poplar_core::{
+    ErrorKind, Importance, InstanceId, Level, Moment, Outcome, Rank, Stage, TargetEnd,
+};
 use poplar_kernel::Clock;
 
 use crate::gate::{Entrant, Gate};
 
+use super::decisions::{Decision, Decisions};
 use super::exchange::Exchange;
 use super::frame::{Call, CallAnswer};
+use super::graph::Graph;
 use super::own::Own;
+use super::rules::Rules;
 use super::serve::InFlight;
 
 /// Time to come back for a caller that met a target which is leaving: the others take its work.
@@ -21,12 +26,18 @@
 /// Time beyond the deadline for which the target's own word on it may still come.
 const LAST_WORD: Duration = Duration::from_millis(50);
 
+/// Importance of calls that belong to a request for which work was done already.
+const BEGUN: Importance = Importance(u8::MAX);
+
 /// Runs calls at the target beside this node.
 pub(crate) struct Runner {
     clock: Clock,
     gate: Arc<Gate>,
     own: Arc<Own>,
     exchange: Arc<Exchange>,
+    graph: Arc<Graph>,
+    rules: Arc<Rules>,
+    decisions: Arc<Decisions>,
     /// Why no further call is taken, once the node stops.
     sealed: OnceLock<ErrorKind>,
     in_flight: AtomicUsize,
@@ -38,9 +49,12 @@
         gate: Arc<Gate>,
         own: Arc<Own>,
         exchange: Arc<Exchange>,
+        graph: Arc<Graph>,
+        rules: Arc<Rules>,
+        decisions: Arc<Decisions>,
     ) -> Self {
         let (sealed, in_flight) = (OnceLock::new(), AtomicUsize::new(0));
-        Self { clock, gate, own, exchange, sealed, in_flight }
+        Self { clock, gate, own, exchange, graph, rules, decisions, sealed, in_flight }
     }
 
     /// Refuses all further calls.
@@ -55,37 +69,45 @@
 
     /// Runs a call; dropping the future cancels the run.
     pub(crate) async fn run(&self, call: Call) -> CallAnswer {
-        let began = self.clock.now();
         let _in_flight = InFlight::begin(&self.in_flight);
+        let began = self.clock.now();
+        let internal = self.graph.arrived(&call.route, &call.caller);
+        let answer = self.admit(&call, began, internal).await;
+        let level = self.graph.joined(self.gate.surge_level());
+        let answer = CallAnswer { level, internal, ..answer };
+        self.decisions.write(&answer.outcome, || Decision {
+            request: call.request.clone(),
+            route: call.route.clone(),
+            place: "target",
+            revision: self.rules.revision().0,
+            tried: call.instance.to_string(),
+            level: level.0,
+            took: self.clock.now().since(began),
+        });
+        answer
+    }
+
+    async fn admit(&self, call: &Call, began: Moment, internal: bool) -> CallAnswer {
         if let Some(kind) = self.unfit(&call.instance) {
-            return CallAnswer::refused(kind, LEAVING_RETRY, self.gate.level());
+            return CallAnswer::refused(kind, LEAVING_RETRY);
         }
-        let entrant = Entrant {
-            class: call.route.clone(),
-            rank: call.rank(),
-            age: Duration::ZERO,
-            left: call.left,
-            paid: false,
-        };
-        let permit = match self.gate.enter(entrant).await {
+        let permit = match self.gate.enter(entrant(call, internal)).await {
             Ok(permit) => permit,
-            Err(refusal) => {
-                return CallAnswer::refused(refusal.kind, refusal.retry_after, self.gate.level());
-            }
+            Err(refusal) => return CallAnswer::refused(refusal.kind, refusal.retry_after),
         };
         // The target may have changed while the call waited.
         if let Some(kind) = self.unfit(&call.instance) {
-            return CallAnswer::refused(kind, LEAVING_RETRY, self.gate.level());
+            return CallAnswer::refused(kind, LEAVING_RETRY);
         }
         let left = call.left.saturating_sub(self.clock.now().since(began));
-        let run = self.exchange.run(&call, &call.instance, left);
+        let run = self.exchange.run(call, &call.instance, left);
         let end = tokio::time::timeout(left + LAST_WORD, run).await.unwrap_or(TargetEnd::Deadline);
         let offered = !matches!(end, TargetEnd::NotConnected);
         let outcome = end.outcome(SHED_RETRY);
         if matches!(outcome, Outcome::Done(_)) {
             permit.finish();
         }
-        CallAnswer { outcome, offered, level: self.gate.level() }
+        CallAnswer { outcome, offered, level: Level::OPEN, internal }
     }
 
     /// Why the target beside this node cannot run a call that was meant for `instance`.
@@ -101,3 +123,11 @@
         }
     }
 }
+
+/// Place of a call in admission: work that was begun goes before work that was not.
+fn entrant(call: &Call, internal: bool) -> Entrant {
+    let rank = call.rank();
+    let rank = if internal { Rank::at(BEGUN, rank.lot()) } else { rank };
+    let (class, left) = (call.route.clone(), call.left);
+    Entrant { class, rank, age: Duration::ZERO, left, paid: internal }
+}
--- a/node/src/proxy/serve.rs
+++ b/node/src/proxy/serve.rs
@@ -14,22 +14,25 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use poplar_core::{CallerLimits, ErrorKind, Moment, RouteRule};
+use poplar_core::{CallerLimits, ErrorKind, Moment, Revision, RouteRule};
 use poplar_kernel::Clock;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+use super::decisions::{Decision, Decisions};
 use super::fields;
 use super::metrics::Metrics;
 use super::ports::Dialect;
 use super::reply::{self, Reply};
 use super::rules::{InForce, Rules};
-use super::trip::{Taken, Trips};
+use super::trip::{Spent, Taken, Trips};
 
 /// Time to come back for a caller that meets a node without rules: it reads them at its start.
 const NO_RULES_RETRY: Duration = Duration::from_millis(300);
 /// Time to come back for a caller whose body finds no room.
 const NO_ROOM_RETRY: Duration = Duration::from_millis(300);
+/// Time to come back for a caller that meets a stopping node: about what a restart takes.
+const STOPPED_RETRY: Duration = Duration::from_millis(1_000);
 /// Largest head that is read while no rules are known, in bytes.
 const HEAD_BYTES: usize = 16 << 10;
 /// Smallest read buffer that the HTTP library allows, in bytes.
@@ -57,9 +60,12 @@
     pub(crate) rules: Arc<Rules>,
     pub(crate) trips: Trips,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) decisions: Arc<Decisions>,
     pub(crate) room: Arc<Semaphore>,
     /// Set when the process stops: each answer then asks the caller to leave the connection.
     pub(crate) closing: AtomicBool,
+    /// Set when a stopping process takes no further request.
+    pub(crate) sealed: AtomicBool,
     /// Requests without an answer yet.
     pub(crate) in_flight: AtomicUsize,
 }
@@ -114,7 +120,11 @@
     async fn answer(&self, req: Request<Incoming>) -> Reply {
         let began = self.clock.now();
         let _in_flight = InFlight::begin(&self.in_flight);
-        let mut reply = self.route(began, req).await;
+        let mut reply = if self.sealed.load(Ordering::Acquire) {
+            reply::refused(ErrorKind::Draining, STOPPED_RETRY)
+        } else {
+            self.route(began, req).await
+        };
         if self.closing.load(Ordering::Acquire) {
             reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -140,16 +150,33 @@
             Err(reply) => return *reply,
         };
         let taken = self.taken(head, request, body.bytes.clone(), deadline);
-        self.travel(began, route, &taken).await
+        self.travel(began, held.rules.revision, route, &taken).await
     }
 
-    async fn travel(&self, began: Moment, route: &RouteRule, taken: &Taken) -> Reply {
+    async fn travel(
+        &self,
+        began: Moment,
+        revision: Revision,
+        route: &RouteRule,
+        taken: &Taken,
+    ) -> Reply {
         let left = taken.deadline.since(self.clock.now());
-        let trip = self.trips.travel(route, taken);
+        let mut spent = Spent::default();
+        let trip = self.trips.travel(route, taken, &mut spent);
         let outcome = tokio::time::timeout(left, trip)
             .await
             .unwrap_or(poplar_core::Outcome::Unknown { kind: ErrorKind::Deadline });
-        self.metrics.answered(&route.name, &outcome, self.clock.now().since(began));
+        let took = self.clock.now().since(began);
+        self.metrics.answered(&route.name, &outcome, took);
+        self.decisions.write(&outcome, || Decision {
+            request: taken.request.clone(),
+            route: route.name.clone(),
+            place: "entry",
+            revision: revision.0,
+            tried: spent.tried.iter().map(ToString::to_string).collect::<Vec<_>>().join(" "),
+            level: route.shares.first().map_or(0, |share| self.trips.graph.level(&share.service).0),
+            took,
+        });
         reply::from_outcome(outcome)
     }
 
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -1,17 +1,19 @@
 //! A request's trip from its entry to its answer: choice of a target, sends, and what follows
 //! from each.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use poplar_core::{
-    ErrorKind, InstanceId, Level, Moment, Name, Observed, Outcome, Rank, RequestId, RouteRule,
+    ErrorKind, InstanceId, Level, Moment, Name, Observed, Outcome, Rank, RequestId, ResendBudget,
+    RouteRule,
 };
 use poplar_kernel::Clock;
 use xxhash_rust::xxh3::xxh3_128;
 
 use super::frame::{Call, CallAnswer, Field, WholeReply};
+use super::graph::Graph;
 use super::link::LinkError;
 use super::peers::Peers;
 use super::roster::{Chosen, Roster};
@@ -22,6 +24,13 @@
 /// trip, and three nodes that are all short of room say enough about the service.
 const REFUSALS_MAX: u32 = 3;
 
+/// Mean time to come back for a caller that is refused for want of room: levels move within some
+/// hundred milliseconds, and a shorter time would bring the caller back into the same wave.
+const RETURN_TIME: Duration = Duration::from_millis(800);
+/// Part of the time that the caller has left, as a divisor, within which it comes back, so that
+/// there is time for the answer.
+const RETURN_PART: u32 = 5;
+
 /// Request as the entry took it in.
 #[derive(Debug)]
 pub(crate) struct Taken {
@@ -46,30 +55,45 @@
     pub(crate) caller: Name,
     pub(crate) roster: Arc<Roster>,
     pub(crate) peers: Arc<Peers>,
+    pub(crate) graph: Arc<Graph>,
+    pub(crate) resends: Mutex<ResendBudget>,
 }
 
 /// What a trip has spent so far.
 #[derive(Debug, Default)]
-struct Spent {
+pub(crate) struct Spent {
     /// Targets that may have been handed the request.
     offers: u32,
     /// Nodes that refused it.
     refusals: u32,
-    tried: Vec<InstanceId>,
+    /// Instances that were chosen, in order.
+    pub(crate) tried: Vec<InstanceId>,
 }
 
 impl Trips {
     /// Brings a request to a target and its answer back.
-    pub(crate) async fn travel(&self, route: &RouteRule, taken: &Taken) -> Outcome<WholeReply> {
+    ///
+    /// `spent` tells where it went, also when the caller gives up on this future.
+    pub(crate) async fn travel(
+        &self,
+        route: &RouteRule,
+        taken: &Taken,
+        spent: &mut Spent,
+    ) -> Outcome<WholeReply> {
         let Some(service) = route.pick(fastrand::u32(..)) else {
             return not_run(ErrorKind::NoTarget, NO_TARGET_RETRY);
         };
         let root = RequestId(xxh3_128(&taken.request));
         let rank = Rank::of(route.importance, root);
-        let mut spent = Spent::default();
+        if self.graph.refuses(service, &route.name, rank) {
+            return not_run(ErrorKind::Overload, self.retry_after(taken, rank));
+        }
         let mut last = not_run(ErrorKind::NoTarget, NO_TARGET_RETRY);
         while let Some(chosen) = self.roster.choose(service, rank, &spent.tried) {
             spent.tried.push(chosen.instance.clone());
+            if spent.tried.len() == 1 {
+                self.resends().sent(self.clock.now(), service);
+            }
             let call = self.call(route, taken, &chosen, rank);
             let answer = self.send(service, &chosen, call).await;
             let offered = answer.as_ref().map_or(true, |answer| answer.offered);
@@ -79,7 +103,7 @@
                 Ok(answer) => answer.outcome,
                 Err(kind) => Outcome::Unknown { kind },
             };
-            if !self.sends_again(route, taken, &spent, &last) {
+            if !self.sends_again(route, service, taken, spent, &last) {
                 break;
             }
         }
@@ -90,6 +114,7 @@
     fn sends_again(
         &self,
         route: &RouteRule,
+        service: &Name,
         taken: &Taken,
         spent: &Spent,
         last: &Outcome<WholeReply>,
@@ -101,10 +126,23 @@
             Outcome::Unknown { kind: ErrorKind::Deadline | ErrorKind::Cancelled } => false,
             Outcome::Unknown { .. } => route.is_idempotent(),
         };
+        let now = self.clock.now();
         may_repeat
             && spent.offers < route.attempts
             && spent.refusals < REFUSALS_MAX
-            && self.clock.now() < taken.deadline
+            && now < taken.deadline
+            && (spent.offers == 0 || self.resends().spend(now, service, self.roster.len()))
+    }
+
+    /// Time to come back for a caller that is refused for want of room.
+    fn retry_after(&self, taken: &Taken, rank: Rank) -> Duration {
+        let left = taken.deadline.since(self.clock.now());
+        let base = RETURN_TIME.min(left / RETURN_PART);
+        base / 2 + base.mul_f64(f64::from(rank.lot()) / f64::from(u16::MAX))
+    }
+
+    fn resends(&self) -> MutexGuard<'_, ResendBudget> {
+        self.resends.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sends a call to the node beside the chosen target; the error says why nothing is known.
@@ -114,6 +152,7 @@
         chosen: &Chosen,
         call: Call,
     ) -> Result<CallAnswer, ErrorKind> {
+        let route = call.route.clone();
         let watched = Watched { trips: self, service, instance: &chosen.instance, observed: None };
         let sent = self.clock.now();
         let answer = self.peers.call(&chosen.peer, call).await;
@@ -122,17 +161,20 @@
             Ok(CallAnswer { outcome: Outcome::Done(_), level, .. }) => {
                 Observed::Done { latency: took, level: *level }
             }
-            Ok(CallAnswer {
-                outcome: Outcome::NotRun { kind: ErrorKind::Connection, .. }, ..
-            }) => Observed::Unreachable,
+            Ok(CallAnswer { outcome: Outcome::NotRun { kind, .. }, .. }) if is_absent(*kind) => {
+                Observed::Unreachable
+            }
             Ok(answer) => Observed::Refused { level: answer.level },
             Err(_) => Observed::Unreachable,
         });
         match answer {
-            Ok(answer) => Ok(answer),
+            Ok(answer) => {
+                self.graph.learn(service, &chosen.instance, &route, &answer);
+                Ok(answer)
+            }
             Err(LinkError::Unreached) => {
                 let kind = ErrorKind::Connection;
-                Ok(CallAnswer::refused(kind, NO_TARGET_RETRY, Level::OPEN))
+                Ok(CallAnswer::refused(kind, NO_TARGET_RETRY))
             }
             Err(LinkError::Broken) => Err(ErrorKind::Connection),
         }
@@ -179,3 +221,8 @@
 fn not_run(kind: ErrorKind, retry_after: Duration) -> Outcome<WholeReply> {
     Outcome::NotRun { kind, retry_after }
 }
+
+/// Whether a refusal says that there is no target to run anything.
+fn is_absent(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::Connection | ErrorKind::NoTarget | ErrorKind::Draining)
+}
