Fill unequal targets alike, and tell refused callers to return when it may help

Ruled out: the processor (0.14 of 0.4 cores at most). Change: the node beside a target reports its load with each answer; targets of the own availability zone are taken while they surely have room; the time to return grows with the shortage.

--- a/core/src/choice.rs
+++ b/core/src/choice.rs
@@ -25,6 +25,12 @@
 const BACKOFF_MIN: Duration = Duration::from_millis(100);
 /// Longest such time.
 const BACKOFF_MAX: Duration = Duration::from_secs(5);
+/// Time for which a reported load counts; without answers nothing is known of a target.
+const LOAD_TIME: Duration = Duration::from_millis(1_000);
+/// Load up to which a target of the own availability zone is taken without a comparison.
+const NEAR_LOAD: f64 = 0.7;
+/// Load that the way to another availability zone counts for in a comparison.
+const FAR_LOAD: f64 = 0.2;
 /// Calls that may be in flight to a target that has not answered yet.
 const COLD_CALLS: u32 = 1;
 /// Latency assumed until a target has answered.
@@ -102,6 +108,17 @@
     levelled: Moment,
     backoff: Duration,
     shunned: Moment,
+    report: Option<Report>,
+}
+
+/// Load of a target by the word of the node beside it.
+#[derive(Debug, Clone, Copy)]
+struct Report {
+    /// Calls that run or wait there, whoever sent them, in parts of its limit.
+    load: f64,
+    at: Moment,
+    /// Own calls in flight at the time; more of them are not in the load yet.
+    in_flight: u32,
 }
 
 impl Chooser {
@@ -144,6 +161,17 @@
         }
     }
 
+    /// Takes in the load that came with an answer, in parts of the target's limit.
+    ///
+    /// Own calls in flight say little where many nodes share a target; see
+    /// [choice](../../docs/design/choice.md).
+    pub fn reported(&mut self, now: Moment, instance: &InstanceId, load: f64) {
+        if let Some(target) = self.find(instance) {
+            let in_flight = target.in_flight.saturating_sub(1);
+            target.report = Some(Report { load, at: now, in_flight });
+        }
+    }
+
     /// Chooses a target for a call and counts the call as in flight.
     ///
     /// `random` is a uniform random number. Targets in `tried` are left out. None if no target may
@@ -158,17 +186,16 @@
         let (all, roll) = (0..self.targets.len(), random as u32);
         let near = self.draw(now, 0..self.near_count(), roll, tried);
         let near = near.filter(|idx| self.targets[*idx].level(now) == Level::OPEN);
+        if let Some(idx) = near.filter(|idx| self.targets[*idx].has_room(now)) {
+            return Some(self.give(idx));
+        }
         let first = near.or_else(|| self.draw(now, all.clone(), roll, tried))?;
         let second = self.draw(now, all, (random >> 32) as u32, tried)?;
         let mut best = self.better(now, rank, first, second);
         if !self.targets[best].level(now).admits(rank) {
             best = self.best(now, rank, tried)?;
         }
-        let target = &mut self.targets[best];
-        let connects = target.in_flight >= target.open;
-        target.in_flight += 1;
-        target.open = target.open.max(target.in_flight);
-        Some(Choice { instance: target.info.instance.clone(), connects })
+        Some(self.give(best))
     }
 
     /// Takes in what came of a call that [`Self::choose`] gave out.
@@ -208,6 +235,15 @@
         Ok(())
     }
 
+    /// Counts a call to a target as in flight.
+    fn give(&mut self, idx: usize) -> Choice {
+        let target = &mut self.targets[idx];
+        let connects = target.in_flight >= target.open;
+        target.in_flight += 1;
+        target.open = target.open.max(target.in_flight);
+        Choice { instance: target.info.instance.clone(), connects }
+    }
+
     fn find(&mut self, instance: &InstanceId) -> Option<&mut Target> {
         self.targets.iter_mut().find(|target| target.info.instance == *instance)
     }
@@ -244,6 +280,9 @@
         if !alike && low != high {
             return if low < high { one } else { two };
         }
+        if let (Some(low), Some(high)) = (a.load(now), b.load(now)) {
+            return if high < low { two } else { one };
+        }
         if b.cost(self.latency) < a.cost(self.latency) { two } else { one }
     }
 }
@@ -263,6 +302,7 @@
             levelled: Moment::default(),
             backoff: Duration::ZERO,
             shunned: Moment::default(),
+            report: None,
         }
     }
 
@@ -279,6 +319,19 @@
         if now.since(self.levelled) < LEVEL_TIME { self.level } else { Level::OPEN }
     }
 
+    /// Load with one more call, and what the way there counts for; none if it is not known.
+    fn load(&self, now: Moment) -> Option<f64> {
+        let report = self.report.filter(|report| now.since(report.at) < LOAD_TIME)?;
+        let unseen = self.in_flight.saturating_sub(report.in_flight) + 1;
+        let far = if self.near { 0.0 } else { FAR_LOAD };
+        Some(report.load + f64::from(unseen) / f64::from(self.info.slots.max(1)) + far)
+    }
+
+    /// Whether the target surely has room for one more call.
+    fn has_room(&self, now: Moment) -> bool {
+        self.backoff == Duration::ZERO && self.load(now).is_some_and(|load| load < NEAR_LOAD)
+    }
+
     /// Expected time of one more call: its share of the slots, the way, and the connection.
     fn cost(&self, latency: Duration) -> Duration {
         let mut cost = latency * (self.in_flight + 1) / self.allowed;
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -21,6 +21,7 @@
 mod resend;
 mod roster;
 mod rules;
+mod spell;
 mod surge;
 mod suspects;
 mod time;
@@ -65,6 +66,7 @@
 pub use resend::{ResendBound, ResendBudget};
 pub use roster::{Age, Roster, Stage, TargetRecord};
 pub use rules::{CallerLimits, Repeat, RouteIndex, RouteRule, RuleSet, ServiceRule, Share};
+pub use spell::Spell;
 pub use surge::Surge;
 pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
 pub use time::Moment;
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Importance, ImportanceScale, Level, Moment, Name, Origins, Rank, RequestId, ResendBound,
-    ResendBudget, Surge,
+    Chooser, Importance, ImportanceScale, InstanceId, Level, Moment, Name, Observed, Origins, Rank,
+    RequestId, ResendBound, ResendBudget, Spell, Surge, TargetInfo,
 };
 
 const RATIO: f64 = 0.2;
@@ -142,3 +142,73 @@
     assert!(!origins.is_internal(&outer));
     assert!(!origins.is_internal(&Name::new("unseen")));
 }
+
+/// Surge that outlasts its callers' patience: the longer it has lasted, the later they return.
+#[test]
+fn callers_return_later_the_longer_a_shortage_has_lasted() {
+    let mut spell = Spell::begin(Moment::default());
+    assert_eq!(spell.retry_after(Moment::default(), 0), Duration::from_millis(200));
+    for millis in (0..4_000).step_by(100) {
+        spell.extend(Moment::from_millis(millis));
+    }
+    let after = |lot| spell.retry_after(Moment::from_millis(4_000), lot);
+    assert_eq!(after(0), Duration::from_secs(2));
+    assert_eq!(after(u16::MAX), Duration::from_secs(6));
+    // A refusal long after the others is a new shortage.
+    spell.extend(Moment::from_millis(9_000));
+    let again = spell.retry_after(Moment::from_millis(9_000), 0);
+    assert_eq!(again, Duration::from_millis(200));
+}
+
+/// Unequal targets: three of one service, with speeds 0.6, 1.0 and 1.4, called by many nodes that
+/// each see a fraction of the load.
+#[test]
+fn unequal_targets_are_filled_alike_by_many_nodes() {
+    const SLOTS: u32 = 57;
+    const SPEEDS: [f64; 3] = [0.6, 1.0, 1.4];
+    let ids = ["slow", "usual", "fast"].map(InstanceId::from);
+    let mut nodes: Vec<_> = (0..15).map(|idx| chooser(&ids, SLOTS, idx % 3)).collect();
+    let mut ends: Vec<(u64, usize, usize)> = Vec::new();
+    let mut busy = [0_u32; 3];
+    let mut sums = [0_u64; 3];
+    let mut random = 1_u64;
+    let mut draw = || {
+        random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        random ^ (random >> 29)
+    };
+    // 6.5 calls a millisecond of 22 ms keep 0.84 of the three targets busy.
+    for micros in (0..4_000_000_u64).step_by(154) {
+        let now = Moment::from_micros(micros);
+        for (_, node, target) in ends.extract_if(.., |end| end.0 <= micros) {
+            busy[target] -= 1;
+            let latency = Duration::from_millis(20);
+            nodes[node].observe(now, &ids[target], Observed::Done { latency, level: Level::OPEN });
+            nodes[node].reported(now, &ids[target], f64::from(busy[target]) / f64::from(SLOTS));
+        }
+        let node = (draw() >> 33) as usize % nodes.len();
+        let rank = Rank::at(Importance(1), 0);
+        let choice = nodes[node].choose(now, rank, draw(), &[]).unwrap();
+        let target = ids.iter().position(|id| *id == choice.instance).unwrap();
+        busy[target] += 1;
+        // What waits beyond the slots makes the call take longer.
+        let wait = f64::from(busy[target].max(SLOTS)) / f64::from(SLOTS);
+        ends.push((micros + (22_000.0 / SPEEDS[target] * wait) as u64, node, target));
+        if micros > 1_000_000 {
+            (0..3).for_each(|idx| sums[idx] += u64::from(busy[idx]));
+        }
+    }
+    let steps = (3_000_000 / 154) as f64;
+    let loads = sums.map(|sum| sum as f64 / steps / f64::from(SLOTS));
+    assert!(loads.iter().all(|load| (0.6..1.1).contains(load)), "{loads:?}");
+}
+
+/// Chooser of a node in one of three availability zones, with a target in each.
+fn chooser(ids: &[InstanceId; 3], slots: u32, zone: usize) -> Chooser {
+    let zones = ["z0", "z1", "z2"].map(Name::new);
+    let mut chooser = Chooser::new(zones[zone].clone());
+    for (instance, zone) in ids.iter().zip(zones) {
+        let instance = instance.clone();
+        chooser.join(TargetInfo { instance, zone, slots, connections: 442 });
+    }
+    chooser
+}
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -80,6 +80,8 @@
 /// Load of the target beside this node.
 #[derive(Debug, Default)]
 pub(crate) struct Load {
+    /// Calls that run.
+    pub(crate) running: usize,
     /// Calls that wait.
     pub(crate) queued: usize,
     /// Calls that may run at once.
@@ -145,7 +147,12 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let Some(admission) = state.admission.as_mut() else { return Load::default() };
-        Load { queued: admission.queued(), limit: admission.limit(), level: admission.level(now) }
+        Load {
+            running: admission.in_flight(),
+            queued: admission.queued(),
+            limit: admission.limit(),
+            level: admission.level(now),
+        }
     }
 
     /// Level that goes back with an answer.
@@ -154,12 +161,13 @@
         self.lock().admission.as_mut().map_or(Level::OPEN, |admission| admission.level(now))
     }
 
-    /// Level at which entries should refuse requests that lead here.
-    pub(crate) fn surge_level(&self) -> Level {
+    /// Level at which entries should refuse requests that lead here, and the load behind it, in
+    /// parts of the limit.
+    pub(crate) fn surge(&self) -> (Level, f64) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.observe(now);
-        state.surge.as_ref().map_or(Level::OPEN, Surge::level)
+        state.surge.as_ref().map_or((Level::OPEN, 0.0), |surge| (surge.level(), surge.load()))
     }
 
     fn arrive(
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -3,10 +3,13 @@
 //! Beside a target it learns which routes other targets call; at an entry it learns the levels of
 //! the services, so that a request which would fail deeper down is refused before any work.
 
-use std::collections::{BTreeSet, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use poplar_core::{ImportanceScale, InstanceId, Level, LevelMap, Moment, Name, Origins, Rank};
+use poplar_core::{
+    ImportanceScale, InstanceId, Level, LevelMap, Moment, Name, Origins, Rank, Spell,
+};
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
 
@@ -27,6 +30,8 @@
     internal: HashSet<Name>,
     /// Services that the target beside this node calls.
     callees: BTreeSet<Name>,
+    /// Services that requests are refused for.
+    surges: HashMap<Name, Spell>,
 }
 
 impl Graph {
@@ -36,6 +41,7 @@
             levels: LevelMap::new(ImportanceScale::new([])),
             internal: HashSet::new(),
             callees: BTreeSet::new(),
+            surges: HashMap::new(),
         };
         Self { clock, state: Mutex::new(state) }
     }
@@ -75,7 +81,23 @@
     pub(crate) fn refuses(&self, service: &Name, route: &Name, rank: Rank) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
-        !state.internal.contains(route) && state.levels.is_doomed(now, rank, [service])
+        if state.internal.contains(route) || !state.levels.is_doomed(now, rank, [service]) {
+            return false;
+        }
+        match state.surges.get_mut(service) {
+            Some(spell) => spell.extend(now),
+            None => {
+                state.surges.insert(service.clone(), Spell::begin(now));
+            }
+        }
+        true
+    }
+
+    /// Time to come back for a caller that is refused for want of room at `service`.
+    pub(crate) fn retry_after(&self, service: &Name, rank: Rank) -> Duration {
+        let now = self.clock.now();
+        let spell = self.lock().surges.get(service).copied().unwrap_or(Spell::begin(now));
+        spell.retry_after(now, rank.lot())
     }
 
     /// Level to send back with an answer: the target's own or that of a service which it calls.
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use poplar_core::{ErrorKind, Moment, Name, ResendBudget};
+use poplar_core::{ErrorKind, Level, Moment, Name, ResendBudget};
 use poplar_kernel::{Clock, Life, Registry, Serving, part};
 use slog::{Logger, info, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -37,6 +37,8 @@
 const GRACE_PART: f64 = 0.88;
 /// Pause between looks at the calls in flight while draining.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Pause between two lines on the load of the target; short against the length of a surge.
+const REPORT_PAUSE: Duration = Duration::from_secs(2);
 /// Pause after a failed accept, so that an exhausted process does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -148,8 +150,9 @@
             logger: part(root, "store"),
             read: sender,
         });
-        tokio::spawn(revise(rules.clone(), gate, graph));
+        tokio::spawn(revise(rules.clone(), gate.clone(), graph.clone()));
         tokio::spawn(check(peers.clone()));
+        tokio::spawn(report(gate.clone(), graph.clone(), part(root, "load")));
         tokio::spawn(accept(peer, peers, Peers::serve));
         tokio::spawn(accept(outbound, callers.clone(), Callers::serve));
         tokio::spawn(admin::serve(scrapes, Admin { clock, registry, metrics }));
@@ -231,6 +234,19 @@
     }
 }
 
+/// Writes what the target is busy with, for those who look at a failure later.
+async fn report(gate: Arc<Gate>, graph: Arc<Graph>, logger: Logger) {
+    loop {
+        tokio::time::sleep(REPORT_PAUSE).await;
+        let (load, (own, _)) = (gate.load(), gate.surge());
+        if load.running + load.queued > 0 || own != Level::OPEN {
+            info!(logger, "load: target"; "running" => load.running, "queued" => load.queued,
+                "limit" => load.limit, "admission" => load.level.0, "own" => own.0,
+                "joined" => graph.joined(own).0);
+        }
+    }
+}
+
 async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(|error| StartError::Listen(address, error))
 }
--- a/node/src/proxy/roster.rs
+++ b/node/src/proxy/roster.rs
@@ -89,6 +89,14 @@
         }
     }
 
+    /// Takes in the load of a target by the word of the node beside it.
+    pub(crate) fn reported(&self, service: &Name, instance: &InstanceId, load: f32) {
+        let now = self.clock.now();
+        if let Some(chooser) = self.lock().choosers.get_mut(service) {
+            chooser.reported(now, instance, f64::from(load));
+        }
+    }
+
     /// Addresses of all nodes that a record names.
     pub(crate) fn peers(&self) -> Vec<Name> {
         self.lock().records.iter().map(|record| record.peer.clone()).collect()
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -73,8 +73,9 @@
         let began = self.clock.now();
         let internal = self.graph.arrived(&call.route, &call.caller);
         let answer = self.admit(&call, began, internal).await;
-        let level = self.graph.joined(self.gate.surge_level());
-        let answer = CallAnswer { level, internal, ..answer };
+        let (own, load) = self.gate.surge();
+        let level = self.graph.joined(own);
+        let answer = CallAnswer { level, load: load as f32, internal, ..answer };
         self.decisions.write(&answer.outcome, || Decision {
             request: call.request.clone(),
             route: call.route.clone(),
@@ -107,7 +108,7 @@
         if matches!(outcome, Outcome::Done(_)) {
             permit.finish();
         }
-        CallAnswer { outcome, offered, level: Level::OPEN, internal }
+        CallAnswer { outcome, offered, level: Level::OPEN, load: 0.0, internal }
     }
 
     /// Why the target beside this node cannot run a call that was meant for `instance`.
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -24,13 +24,6 @@
 /// trip, and three nodes that are all short of room say enough about the service.
 const REFUSALS_MAX: u32 = 3;
 
-/// Mean time to come back for a caller that is refused for want of room: levels move within some
-/// hundred milliseconds, and a shorter time would bring the caller back into the same wave.
-const RETURN_TIME: Duration = Duration::from_millis(800);
-/// Part of the time that the caller has left, as a divisor, within which it comes back, so that
-/// there is time for the answer.
-const RETURN_PART: u32 = 5;
-
 /// Request as the entry took it in.
 #[derive(Debug)]
 pub(crate) struct Taken {
@@ -86,7 +79,7 @@
         let root = RequestId(xxh3_128(&taken.request));
         let rank = Rank::of(route.importance, root);
         if self.graph.refuses(service, &route.name, rank) {
-            return not_run(ErrorKind::Overload, self.retry_after(taken, rank));
+            return not_run(ErrorKind::Overload, self.graph.retry_after(service, rank));
         }
         let mut last = not_run(ErrorKind::NoTarget, NO_TARGET_RETRY);
         while let Some(chosen) = self.roster.choose(service, rank, &spent.tried) {
@@ -134,13 +127,6 @@
             && (spent.offers == 0 || self.resends().spend(now, service, self.roster.len()))
     }
 
-    /// Time to come back for a caller that is refused for want of room.
-    fn retry_after(&self, taken: &Taken, rank: Rank) -> Duration {
-        let left = taken.deadline.since(self.clock.now());
-        let base = RETURN_TIME.min(left / RETURN_PART);
-        base / 2 + base.mul_f64(f64::from(rank.lot()) / f64::from(u16::MAX))
-    }
-
     fn resends(&self) -> MutexGuard<'_, ResendBudget> {
         self.resends.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -158,18 +144,20 @@
         let answer = self.peers.call(&chosen.peer, call).await;
         let took = self.clock.now().since(sent);
         watched.ended(match &answer {
-            Ok(CallAnswer { outcome: Outcome::Done(_), level, .. }) => {
-                Observed::Done { latency: took, level: *level }
+            // Levels tell entries what to refuse; which target to choose follows from the load.
+            Ok(CallAnswer { outcome: Outcome::Done(_), .. }) => {
+                Observed::Done { latency: took, level: Level::OPEN }
             }
             Ok(CallAnswer { outcome: Outcome::NotRun { kind, .. }, .. }) if is_absent(*kind) => {
                 Observed::Unreachable
             }
-            Ok(answer) => Observed::Refused { level: answer.level },
+            Ok(_) => Observed::Refused { level: Level::OPEN },
             Err(_) => Observed::Unreachable,
         });
         match answer {
             Ok(answer) => {
                 self.graph.learn(service, &chosen.instance, &route, &answer);
+                self.roster.reported(service, &chosen.instance, answer.load);
                 Ok(answer)
             }
             Err(LinkError::Unreached) => {
