Tell calls of targets by the services they miss, and drop the probing of levels

Low ranks leaked in: each entry let a refused class through once per 25 ms and service, up to 600 a second. Change: a route is internal if at most half of the services call it, unknown until 40 calls; levels alone decide at entries; the level moves faster; re-sends of callers' requests get a larger part.

--- a/core/src/origin.rs
+++ b/core/src/origin.rs
@@ -1,9 +1,9 @@
 //! Tells the calls that targets make from the requests of callers outside.
 //!
-//! Nothing in a call says that a target made it. But callers outside are spread over all
-//! instances, while a route that only one service calls is seen from that service's instances
-//! alone. The distinction decides who may be refused: a call belongs to a request for which work
-//! was already done.
+//! Nothing in a call says that a target made it. But callers outside are spread over the instances
+//! of all services, while the calls that targets make for a route come from the instances of a few.
+//! The distinction decides who may be refused: a call belongs to a request for which work was
+//! already done.
 
 use std::collections::HashMap;
 
@@ -11,11 +11,12 @@
 
 /// Calls after which the counts of a route are halved, so that a change of the graph shows.
 const COUNT_MAX: u32 = 512;
-/// Fewest calls from which a route is judged.
-const COUNT_MIN: u32 = 24;
-/// Part of a route's calls that must come from one service.
-const PART: f64 = 0.9;
-/// Fewest services that must be seen to call anything before one origin tells anything.
+/// Fewest calls from which a route is judged; of callers spread over four services, one is missed
+/// by chance once in ten thousand times.
+const COUNT_MIN: u32 = 40;
+/// Part of a route's calls from which a service counts as one that calls it.
+const PART: f64 = 0.03;
+/// Fewest services of which the absence of some tells anything.
 const SERVICES_MIN: usize = 3;
 /// Largest number of routes that are counted.
 const ROUTES_MAX: usize = 1_024;
@@ -24,8 +25,6 @@
 #[derive(Debug, Default)]
 pub struct Origins {
     routes: HashMap<Name, Counts>,
-    /// Services from whose instances any call came.
-    services: HashMap<Name, u32>,
 }
 
 #[derive(Debug, Default)]
@@ -37,9 +36,6 @@
 impl Origins {
     /// Counts a call of `route` that began on an instance of `caller`.
     pub fn count(&mut self, route: &Name, caller: &Name) {
-        if !self.services.contains_key(caller) {
-            self.services.insert(caller.clone(), 0);
-        }
         if !self.routes.contains_key(route) {
             if self.routes.len() >= ROUTES_MAX {
                 return;
@@ -60,12 +56,14 @@
         }
     }
 
-    /// Whether targets make the calls of `route`, rather than callers outside.
-    pub fn is_internal(&self, route: &Name) -> bool {
-        let Some(counts) = self.routes.get(route) else { return false };
-        let most = counts.callers.values().copied().max().unwrap_or_default();
-        counts.total >= COUNT_MIN
-            && self.services.len() >= SERVICES_MIN
-            && f64::from(most) >= PART * f64::from(counts.total)
+    /// Whether targets make the calls of `route`, rather than callers outside; none while too few
+    /// calls were seen.
+    ///
+    /// That is so if at most half of the installation's `services` call it.
+    pub fn is_internal(&self, route: &Name, services: usize) -> Option<bool> {
+        let counts = self.routes.get(route).filter(|counts| counts.total >= COUNT_MIN)?;
+        let least = PART * f64::from(counts.total);
+        let callers = counts.callers.values().filter(|count| f64::from(**count) >= least).count();
+        Some(services >= SERVICES_MIN && 2 * callers <= services)
     }
 }
--- a/core/src/resend.rs
+++ b/core/src/resend.rs
@@ -15,9 +15,12 @@
 
 /// Buckets in one window; a coarser count forgets too much at once.
 const BUCKETS: usize = 10;
-/// Part of the bound that one hop spends: a request that is sent again makes its calls again, so
-/// sends beyond the first add up along a chain of some four services.
-const HOP_PART: f64 = 0.25;
+/// Part of the bound up to which calls of targets are sent again: a request that is sent again
+/// makes its calls again, so sends beyond the first add up along a chain.
+const CALLS_PART: f64 = 0.25;
+/// Part up to which requests of callers are: each saves a whole request, a call only one of many
+/// that its request needs.
+const REQUESTS_PART: f64 = 0.5;
 
 /// Bound on sends beyond the first.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -64,12 +67,15 @@
     }
 
     /// Spends one send beyond the first, if the budget of one node among `nodes` allows it.
-    pub fn spend(&mut self, now: Moment, service: &Name, nodes: usize) -> bool {
+    ///
+    /// `internal` says that a target made the call.
+    pub fn spend(&mut self, now: Moment, service: &Name, nodes: usize, internal: bool) -> bool {
         let bound = self.bound;
         let row = self.row(now, service);
         let (requests, resends) = row.totals();
         let base = bound.base / nodes.max(1) as f64;
-        let allowed = HOP_PART * (bound.ratio * f64::from(requests) + base);
+        let part = if internal { CALLS_PART } else { REQUESTS_PART };
+        let allowed = part * (bound.ratio * f64::from(requests) + base);
         if f64::from(resends) + 1.0 > allowed {
             return false;
         }
--- a/core/src/surge.rs
+++ b/core/src/surge.rs
@@ -17,11 +17,11 @@
 /// Part of the limit at which the target should be held: full, with next to no queue.
 const GOAL: f64 = 0.95;
 /// Steps of importance per second by which the level moves for each limit's worth of error.
-const GAIN: f64 = 1.0;
+const GAIN: f64 = 1.6;
 /// Largest error that counts, in limits; a long queue is no reason to refuse everybody.
 const ERROR_MAX: f64 = 0.6;
 /// Steps of importance that each limit's worth of queue adds at once.
-const PUSH: f64 = 0.4;
+const PUSH: f64 = 0.7;
 /// Time over which the load is smoothed; a few runs.
 const SMOOTH_TIME: Duration = Duration::from_millis(60);
 /// Part of the most important requests that passes at any level.
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -105,15 +105,16 @@
     pub(crate) level: Level,
     /// Calls that run or wait at the target, in parts of its limit.
     pub(crate) load: f32,
-    /// Whether the calls of this route come from targets, not from callers outside.
-    pub(crate) internal: bool,
+    /// Whether the calls of this route come from targets, not from callers outside; none if the
+    /// node beside the target has seen too few.
+    pub(crate) internal: Option<bool>,
 }
 
 impl CallAnswer {
     /// Refusal of a call that the target has not seen.
     pub(crate) fn refused(kind: ErrorKind, retry_after: Duration) -> Self {
         let outcome = poplar_core::Outcome::NotRun { kind, retry_after };
-        Self { outcome, offered: false, level: Level::OPEN, load: 0.0, internal: false }
+        Self { outcome, offered: false, level: Level::OPEN, load: 0.0, internal: None }
     }
 }
 
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -51,11 +51,12 @@
         self.lock().levels.revise(scale);
     }
 
-    /// Counts a call that came to the target beside this node; says whether a target made it.
-    pub(crate) fn arrived(&self, route: &Name, caller: &Name) -> bool {
+    /// Counts a call that came to the target beside this node; says whether a target made it, if
+    /// that can be told. `services` is the number of services of the installation.
+    pub(crate) fn arrived(&self, route: &Name, caller: &Name, services: usize) -> Option<bool> {
         let mut state = self.lock();
         state.origins.count(route, caller);
-        state.origins.is_internal(route)
+        state.origins.is_internal(route, services)
     }
 
     /// Takes in what came with an answer of `instance` to a call of `route` to `service`.
@@ -69,19 +70,29 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.levels.learn(now, service, instance, answer.level);
-        if !answer.internal {
-            state.internal.remove(route);
-        } else if state.internal.insert(route.clone()) {
-            state.callees.insert(service.clone());
+        match answer.internal {
+            Some(true) if !state.internal.contains(route) => {
+                state.internal.insert(route.clone());
+                state.callees.insert(service.clone());
+            }
+            Some(false) => {
+                state.internal.remove(route);
+            }
+            Some(true) | None => {}
         }
     }
 
+    /// Whether targets make the calls of `route`, as far as this node knows.
+    pub(crate) fn is_internal(&self, route: &Name) -> bool {
+        self.lock().internal.contains(route)
+    }
+
     /// Whether a request should be refused here, because `service` or one that it calls is short
     /// of room; a call of a target never is.
     pub(crate) fn refuses(&self, service: &Name, route: &Name, rank: Rank) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
-        if state.internal.contains(route) || !state.levels.is_doomed(now, rank, [service]) {
+        if state.internal.contains(route) || state.levels.level(now, service).admits(rank) {
             return false;
         }
         match state.surges.get_mut(service) {
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -71,8 +71,8 @@
     pub(crate) async fn run(&self, call: Call) -> CallAnswer {
         let _in_flight = InFlight::begin(&self.in_flight);
         let began = self.clock.now();
-        let internal = self.graph.arrived(&call.route, &call.caller);
-        let answer = self.admit(&call, began, internal).await;
+        let internal = self.graph.arrived(&call.route, &call.caller, self.services());
+        let answer = self.admit(&call, began, internal == Some(true)).await;
         let (own, load) = self.gate.surge();
         let level = self.graph.joined(own);
         let answer = CallAnswer { level, load: load as f32, internal, ..answer };
@@ -108,7 +108,12 @@
         if matches!(outcome, Outcome::Done(_)) {
             permit.finish();
         }
-        CallAnswer { outcome, offered, level: Level::OPEN, load: 0.0, internal }
+        CallAnswer { outcome, offered, level: Level::OPEN, load: 0.0, internal: None }
+    }
+
+    /// Number of services that the rules in force name.
+    fn services(&self) -> usize {
+        self.rules.current().map_or(0, |held| held.rules.services.len())
     }
 
     /// Why the target beside this node cannot run a call that was meant for `instance`.
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -124,7 +124,12 @@
             && spent.offers < route.attempts
             && spent.refusals < REFUSALS_MAX
             && now < taken.deadline
-            && (spent.offers == 0 || self.resends().spend(now, service, self.roster.len()))
+            && (spent.offers == 0 || self.may_resend(now, service, &route.name))
+    }
+
+    fn may_resend(&self, now: Moment, service: &Name, route: &Name) -> bool {
+        let internal = self.graph.is_internal(route);
+        self.resends().spend(now, service, self.roster.len(), internal)
     }
 
     fn resends(&self) -> MutexGuard<'_, ResendBudget> {
