Follow offered load instead of the queue, and let circling levels die out

From 12 s on entries refused at 0xff0000 though the parts targets asked for nothing: two services had taken each other for a callee, and the level went in a circle; a node that restarted under that level never learnt which routes are internal, as it sent none of them.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -67,6 +67,6 @@
 pub use roster::{Age, Roster, Stage, TargetRecord};
 pub use rules::{CallerLimits, Repeat, RouteIndex, RouteRule, RuleSet, ServiceRule, Share};
 pub use spell::Spell;
-pub use surge::Surge;
+pub use surge::{Occupancy, Surge};
 pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
 pub use time::Moment;
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Chooser, Importance, ImportanceScale, InstanceId, Level, Moment, Name, Observed, Origins, Rank,
-    RequestId, ResendBound, ResendBudget, Spell, Surge, TargetInfo,
+    Chooser, Importance, ImportanceScale, InstanceId, Level, Moment, Name, Observed, Occupancy,
+    Origins, Rank, RequestId, ResendBound, ResendBudget, Spell, Surge, TargetInfo,
 };
 
 const RATIO: f64 = 0.2;
@@ -47,50 +47,68 @@
 /// Requests, a deep service behind them, and the surge level between.
 struct Deep {
     surge: Surge,
-    scale: ImportanceScale,
-    /// Work units that wait or run, in limits.
+    /// Calls that wait or run.
     busy: f64,
+    /// Part of a call that is due.
+    due: f64,
+    now: u64,
     /// Passed and offered requests of the low and of the high importance.
     counts: [(u32, u32); 2],
+    /// Levels that are on their way to the entries.
+    levels: [Level; DELAY_STEPS],
 }
 
 const LOW: Importance = Importance(1);
 const HIGH: Importance = Importance(2);
 /// Time that a level takes to the entries and a request down the chain, in steps of 1 ms.
-const DELAY_STEPS: usize = 150;
+const DELAY_STEPS: usize = 400;
 const LIMIT: u32 = 100;
+const RUN_MS: u32 = 20;
+/// Requests per millisecond of each importance.
+const REQUESTS: u64 = 10;
 
 impl Deep {
     fn new() -> Self {
-        let scale = ImportanceScale::new([LOW, HIGH]);
-        let surge = Surge::new(Moment::default(), &scale);
-        Self { surge, scale, busy: 0.0, counts: [(0, 0); 2] }
+        let surge = Surge::new(Moment::default(), &ImportanceScale::new([LOW, HIGH]));
+        let levels = [Level::OPEN; DELAY_STEPS];
+        Self { surge, busy: 0.0, due: 0.0, now: 0, counts: [(0, 0); 2], levels }
     }
 
     /// Plays `seconds` with the given demand, in limits of the deep service, for low and high.
-    fn play(&mut self, from: u64, seconds: u64, demand: [f64; 2]) -> u64 {
-        let mut levels = vec![self.surge.level(); DELAY_STEPS];
-        let end = from + seconds * 1_000;
-        for millis in from..end {
-            let level = levels[millis as usize % DELAY_STEPS];
+    fn play(&mut self, seconds: u64, demand: [f64; 2]) {
+        let capacity = f64::from(LIMIT / RUN_MS);
+        for _ in 0..seconds * 1_000 {
+            let level = self.levels[self.now as usize % DELAY_STEPS];
             for (idx, importance) in [LOW, HIGH].into_iter().enumerate() {
-                // Ten requests a millisecond, each with its share of the demand.
-                for number in 0..10_u64 {
-                    let id = RequestId(u128::from(millis * 10 + number) << idx);
+                for number in 0..REQUESTS {
+                    let id = RequestId(u128::from(self.now * REQUESTS + number) << idx);
                     let passes = level.admits(Rank::of(importance, id));
                     self.counts[idx].0 += u32::from(passes);
                     self.counts[idx].1 += 1;
-                    // One limit's worth of work lasts 20 ms.
-                    self.busy += f64::from(u8::from(passes)) * demand[idx] / 10.0 / 20.0;
+                    let calls = demand[idx] * capacity / REQUESTS as f64;
+                    self.due += f64::from(u8::from(passes)) * calls;
                 }
             }
-            self.busy -= self.busy.min(1.0) / 20.0;
-            let calls = (self.busy * f64::from(LIMIT)) as usize;
-            self.surge.observe(Moment::from_millis(millis), calls, LIMIT);
-            levels[millis as usize % DELAY_STEPS] = self.surge.level();
+            self.step();
         }
-        assert!(self.scale == ImportanceScale::new([LOW, HIGH]));
-        end
+    }
+
+    /// Lets calls arrive, run and end for 1 ms.
+    fn step(&mut self) {
+        while self.due >= 1.0 {
+            self.due -= 1.0;
+            self.surge.arrived();
+            // Beyond one limit's worth of queue, calls are refused.
+            self.busy = (self.busy + 1.0).min(f64::from(2 * LIMIT));
+        }
+        self.busy -= self.busy.min(f64::from(LIMIT)) / f64::from(RUN_MS);
+        self.surge.finished(Duration::from_millis(u64::from(RUN_MS)));
+        let busy = self.busy as usize;
+        let running = busy.min(LIMIT as usize);
+        let calls = Occupancy { running, queued: busy - running, limit: LIMIT };
+        self.surge.observe(Moment::from_millis(self.now), calls);
+        self.levels[self.now as usize % DELAY_STEPS] = self.surge.level();
+        self.now += 1;
     }
 
     fn passed(&mut self) -> [f64; 2] {
@@ -105,29 +123,43 @@
 #[test]
 fn burst_on_a_deep_service_is_refused_at_the_entries_least_important_first() {
     let mut deep = Deep::new();
-    let now = deep.play(0, 3, [0.9, 0.8]);
+    deep.play(5, [0.9, 0.8]);
     deep.passed();
-    deep.play(now, 10, [0.9, 0.8]);
+    deep.play(10, [0.9, 0.8]);
     let [low, high] = deep.passed();
     assert!(high > 0.99, "the important ones pass: {high}");
     // 0.15 to 0.2 limits of 0.9 are left for the rest.
-    assert!((0.08..0.30).contains(&low), "what is left goes to the others: {low}");
-    assert!(deep.busy < 2.0, "no more than one limit waits: {}", deep.busy);
+    assert!((0.12..0.25).contains(&low), "what is left goes to the others: {low}");
 }
 
 /// Recovery after a burst: the level falls once the load does.
 #[test]
 fn service_recovers_within_two_seconds_of_a_burst() {
     let mut deep = Deep::new();
-    let now = deep.play(0, 10, [0.9, 0.8]);
-    let now = deep.play(now, 2, [0.3, 0.3]);
+    deep.play(10, [0.9, 0.8]);
+    deep.play(2, [0.3, 0.3]);
     deep.passed();
-    deep.play(now, 2, [0.3, 0.3]);
+    deep.play(2, [0.3, 0.3]);
     let [low, high] = deep.passed();
     assert!(low > 0.99 && high > 0.99, "{low} {high}");
     assert_eq!(deep.surge.level(), Level::OPEN);
 }
 
+/// Loop delay: the level settles instead of swinging, although it shows 0.4 s late.
+#[test]
+fn level_settles_although_it_shows_late() {
+    let mut deep = Deep::new();
+    deep.play(6, [1.0, 0.4]);
+    let mut passed = Vec::new();
+    for _ in 0..8 {
+        deep.passed();
+        deep.play(1, [1.0, 0.4]);
+        passed.push(deep.passed()[0]);
+    }
+    // 0.55 to 0.6 limits are left for 1.0.
+    assert!(passed.iter().all(|part| (0.45..0.70).contains(part)), "{passed:?}");
+}
+
 /// Deep call graph: routes that one or two services call are told from those of callers outside.
 #[test]
 fn calls_of_targets_are_told_from_requests_of_callers() {
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Admission, AdmissionVerdict, Arrival, ErrorKind, ImportanceScale, Level, Moment, Name, Rank,
-    Refusal, Release, Revision, RunTimes, Surge, TargetLimits, Ticket,
+    Admission, AdmissionVerdict, Arrival, ErrorKind, ImportanceScale, Level, Moment, Name,
+    Occupancy, Rank, Refusal, Release, Revision, RunTimes, Surge, TargetLimits, Ticket,
 };
 use poplar_kernel::{Clock, Service};
 use poplar_wire::CallMeta;
@@ -161,13 +161,18 @@
         self.lock().admission.as_mut().map_or(Level::OPEN, |admission| admission.level(now))
     }
 
-    /// Level at which entries should refuse requests that lead here, and the load behind it, in
-    /// parts of the limit.
+    /// Level at which entries should refuse requests that lead here, and the calls that run or
+    /// wait, in parts of the limit.
     pub(crate) fn surge(&self) -> (Level, f64) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.observe(now);
-        state.surge.as_ref().map_or((Level::OPEN, 0.0), |surge| (surge.level(), surge.load()))
+        let level = state.surge.as_ref().map_or(Level::OPEN, Surge::level);
+        let load = state.admission.as_ref().map_or(0.0, |admission| {
+            let calls = admission.in_flight() + admission.queued();
+            calls as f64 / f64::from(admission.limit().max(1))
+        });
+        (level, load)
     }
 
     fn arrive(
@@ -178,6 +183,9 @@
         let mut state = self.lock();
         state.next += 1;
         let ticket = Ticket(state.next);
+        if let Some(surge) = state.surge.as_mut() {
+            surge.arrived();
+        }
         let arrival = Arrival {
             ticket,
             rank: entrant.rank,
@@ -209,6 +217,9 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.times.observe(class, took);
+        if let Some(surge) = state.surge.as_mut() {
+            surge.finished(took);
+        }
         let release = state.admission.as_mut().map(|a| a.finish(now, ticket, took));
         state.tell(release.unwrap_or_default());
         state.observe(now);
@@ -254,7 +265,12 @@
     /// Lets the surge level follow the load.
     fn observe(&mut self, now: Moment) {
         if let (Some(surge), Some(admission)) = (self.surge.as_mut(), self.admission.as_ref()) {
-            surge.observe(now, admission.in_flight() + admission.queued(), admission.limit());
+            let occupancy = Occupancy {
+                running: admission.in_flight(),
+                queued: admission.queued(),
+                limit: admission.limit(),
+            };
+            surge.observe(now, occupancy);
         }
     }
 
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -3,18 +3,32 @@
 //! Beside a target it learns which routes other targets call; at an entry it learns the levels of
 //! the services, so that a request which would fail deeper down is refused before any work.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use poplar_core::{
-    ImportanceScale, InstanceId, Level, LevelMap, Moment, Name, Origins, Rank, Spell,
+    ImportanceScale, InstanceId, Level, LevelMap, Moment, Name, Origins, Rank, RouteRule, Share,
+    Spell,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
 
 use super::frame::CallAnswer;
 
+/// Lots, of 65,536 in an importance, by which a level is lowered at each hop back, so that one
+/// which services tell each other in a circle dies out.
+const HOP_LOTS: u32 = 1_024;
+
+/// Who calls a route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Calls {
+    /// Callers outside.
+    External,
+    /// Targets, the one beside this node among them; the route leads to this service.
+    Internal(Name),
+}
+
 /// Service that holds what was learnt.
 #[derive(Debug)]
 pub(crate) struct Graph {
@@ -26,21 +40,28 @@
 struct State {
     origins: Origins,
     levels: LevelMap,
-    /// Routes that targets call, by the word of the nodes that run them.
-    internal: HashSet<Name>,
-    /// Services that the target beside this node calls.
-    callees: BTreeSet<Name>,
+    /// Routes by whether targets call them, by the word of the nodes that run them.
+    routes: HashMap<Name, Calls>,
     /// Services that requests are refused for.
     surges: HashMap<Name, Spell>,
 }
 
+impl Calls {
+    /// Service that the target beside this node calls.
+    fn callee(&self) -> Option<&Name> {
+        match self {
+            Self::External => None,
+            Self::Internal(service) => Some(service),
+        }
+    }
+}
+
 impl Graph {
     pub(crate) fn new(clock: Clock) -> Self {
         let state = State {
             origins: Origins::default(),
             levels: LevelMap::new(ImportanceScale::new([])),
-            internal: HashSet::new(),
-            callees: BTreeSet::new(),
+            routes: HashMap::new(),
             surges: HashMap::new(),
         };
         Self { clock, state: Mutex::new(state) }
@@ -70,29 +91,31 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.levels.learn(now, service, instance, answer.level);
-        match answer.internal {
-            Some(true) if !state.internal.contains(route) => {
-                state.internal.insert(route.clone());
-                state.callees.insert(service.clone());
-            }
-            Some(false) => {
-                state.internal.remove(route);
-            }
-            Some(true) | None => {}
+        let Some(internal) = answer.internal else { return };
+        let calls = if internal { Calls::Internal(service.clone()) } else { Calls::External };
+        if state.routes.get(route) != Some(&calls) {
+            state.routes.insert(route.clone(), calls);
         }
     }
 
     /// Whether targets make the calls of `route`, as far as this node knows.
     pub(crate) fn is_internal(&self, route: &Name) -> bool {
-        self.lock().internal.contains(route)
+        matches!(self.lock().routes.get(route), Some(Calls::Internal(_)))
     }
 
-    /// Whether a request should be refused here, because `service` or one that it calls is short
-    /// of room; a call of a target never is.
-    pub(crate) fn refuses(&self, service: &Name, route: &Name, rank: Rank) -> bool {
+    /// Whether a request of `route` should be refused here, because a service that it may go to,
+    /// or one that this service calls, is short of room.
+    ///
+    /// All shares of a route are refused alike, so that their parts stay what the weights say. A
+    /// call of a target is never refused, nor one of a route of which nothing is known.
+    pub(crate) fn refuses(&self, service: &Name, route: &RouteRule, rank: Rank) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
-        if state.internal.contains(route) || state.levels.level(now, service).admits(rank) {
+        if state.routes.get(&route.name) != Some(&Calls::External) {
+            return false;
+        }
+        let admits = |share: &Share| state.levels.level(now, &share.service).admits(rank);
+        if route.shares.iter().all(admits) {
             return false;
         }
         match state.surges.get_mut(service) {
@@ -115,7 +138,9 @@
     pub(crate) fn joined(&self, own: Level) -> Level {
         let now = self.clock.now();
         let state = self.lock();
-        state.levels.joined(now, own, &state.callees)
+        let callees = state.routes.values().filter_map(Calls::callee);
+        let deeper = callees.map(|service| state.levels.level(now, service).0).max();
+        own.max(Level(deeper.unwrap_or_default().saturating_sub(HOP_LOTS)))
     }
 
     /// Level of a service as this node knows it.
@@ -136,11 +161,11 @@
 
     fn dump(&self, now: Moment) -> Value {
         let state = self.lock();
-        let levels: serde_json::Map<_, _> = state
-            .callees
-            .iter()
-            .map(|name| (name.to_string(), json!(state.levels.level(now, name))))
-            .collect();
-        json!({ "internal_routes": state.internal.iter().collect::<Vec<_>>(), "callees": levels })
+        let internal = state.routes.iter().filter_map(|(route, calls)| {
+            let service = calls.callee()?;
+            let level = state.levels.level(now, service);
+            Some((route.to_string(), json!({ "service": service, "level": level })))
+        });
+        json!({ "internal_routes": internal.collect::<serde_json::Map<_, _>>() })
     }
 }
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -78,7 +78,7 @@
         };
         let root = RequestId(xxh3_128(&taken.request));
         let rank = Rank::of(route.importance, root);
-        if self.graph.refuses(service, &route.name, rank) {
+        if self.graph.refuses(service, route, rank) {
             return not_run(ErrorKind::Overload, self.graph.retry_after(service, rank));
         }
         let mut last = not_run(ErrorKind::NoTarget, NO_TARGET_RETRY);
