Move the surge level in units of load, learnt by importance

Change: calls carry the importances of what their target runs, so that a deep service learns what load each importance causes, and the level moves by load.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -15,6 +15,7 @@
 mod ids;
 mod limit;
 mod membership;
+mod mix;
 mod origin;
 mod outcome;
 mod publish;
@@ -60,6 +61,7 @@
     Ask, Change, Entry, Follower, MemberRecord, MemberState, Membership, Message, Outgoing, Peer,
     ProbeId, Sample, SampleRequest, TICK_TIME, Verdict as MemberVerdict, VerdictReport, ViewError,
 };
+pub use mix::{Mix, MixSum};
 pub use origin::Origins;
 pub use outcome::{ErrorKind, Outcome, Reply, TargetEnd};
 pub use publish::{PublishAction, PublishPlan, PublishResult, Publisher, RESEND, publish_id};
--- /dev/null
+++ b/core/src/mix.rs
@@ -0,0 +1,74 @@
+//! For which requests a call is made, as far as that can be told.
+//!
+//! A call of a target belongs to one of the requests that the target runs, and nothing says to
+//! which. Over many calls it is enough to know how the running requests divide by importance: a
+//! deep service learns how much of its load each importance causes.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::Importance;
+
+/// Smallest part that is passed on; smaller ones are noise and cost bytes.
+const PART_MIN: f32 = 0.02;
+
+/// Parts of one call by the importance of the requests that it may belong to; they add up to one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Mix(Vec<(Importance, f32)>);
+
+impl Mix {
+    /// Call that belongs to a request of this importance.
+    pub fn of(importance: Importance) -> Self {
+        Self(vec![(importance, 1.0)])
+    }
+
+    /// Parts, by importance.
+    pub fn parts(&self) -> impl Iterator<Item = (Importance, f64)> + '_ {
+        self.0.iter().map(|(importance, part)| (*importance, f64::from(*part)))
+    }
+}
+
+/// Sum of the mixes of the calls that run at one target.
+#[derive(Debug, Default)]
+pub struct MixSum {
+    sums: BTreeMap<Importance, f32>,
+    calls: usize,
+}
+
+impl MixSum {
+    /// Adds a call that begins to run.
+    pub fn begin(&mut self, mix: &Mix) {
+        self.calls += 1;
+        for (importance, part) in &mix.0 {
+            *self.sums.entry(*importance).or_default() += part;
+        }
+    }
+
+    /// Takes off a call that has ended.
+    pub fn end(&mut self, mix: &Mix) {
+        self.calls = self.calls.saturating_sub(1);
+        for (importance, part) in &mix.0 {
+            if let Some(sum) = self.sums.get_mut(importance) {
+                *sum = (*sum - part).max(0.0);
+            }
+        }
+        if self.calls == 0 {
+            // What remains is rounding.
+            self.sums.clear();
+        }
+    }
+
+    /// Mix of a call that one of the running calls makes; none if nothing runs.
+    pub fn mean(&self) -> Option<Mix> {
+        let total: f32 = self.sums.values().sum();
+        if total <= 0.0 {
+            return None;
+        }
+        let parts = self.sums.iter().map(|(importance, sum)| (*importance, sum / total));
+        let kept: Vec<_> = parts.filter(|(_, part)| *part >= PART_MIN).collect();
+        let whole: f32 = kept.iter().map(|(_, part)| part).sum();
+        Some(Mix(kept.into_iter().map(|(importance, part)| (importance, part / whole)).collect()))
+    }
+}
--- a/core/src/surge.rs
+++ b/core/src/surge.rs
@@ -13,17 +13,25 @@
 use crate::admission::{Level, Rank};
 use crate::ids::Importance;
 use crate::limit::ImportanceScale;
+use crate::mix::Mix;
 use crate::time::Moment;
 
 /// Offered load at which the target should be held, in parts of its limit: full, with a short
 /// queue at times.
 const GOAL: f64 = 0.97;
-/// Steps of importance per second by which the level moves for each limit's worth of error. A
-/// change shows after the time that a request takes down the chain, some hundred milliseconds, and
-/// one step is about half of the load; a larger gain oscillates.
-const GAIN: f64 = 1.6;
+/// Load that is refused or let in per second, as a part of the error. A change shows after the time
+/// that a request takes down the chain, some hundred milliseconds; a larger gain oscillates.
+const GAIN: f64 = 1.0;
 /// Largest error that counts; what lies beyond it is a burst or a target that has just started.
-const ERROR_MAX: f64 = 0.7;
+const ERROR_MAX: f64 = 1.0;
+/// Time over which the level is averaged to tell how much of an importance passed it.
+const LEVEL_TIME: Duration = Duration::from_millis(300);
+/// Smallest part of an importance that must pass for its whole load to be told from it.
+const VISIBLE_MIN: f64 = 0.2;
+/// Weight of a window in the load of an importance.
+const CLASS_WEIGHT: f64 = 0.1;
+/// Smallest load that an importance is taken to cause, so that the level passes idle ones quickly.
+const CLASS_MIN: f64 = 0.02;
 /// Error that a full queue adds, so that it empties although the load fits again.
 const BACKLOG: f64 = 0.15;
 /// Time over which arrivals are counted.
@@ -48,15 +56,37 @@
     pub limit: u32,
 }
 
+/// Load that requests of one importance cause.
+#[derive(Debug, Clone, Copy)]
+struct Class {
+    importance: Importance,
+    /// Calls that arrived in this window.
+    arrivals: f64,
+    /// Load in limits if none of them were refused.
+    whole: f64,
+}
+
+impl Class {
+    fn new(importance: Importance) -> Self {
+        Self { importance, arrivals: 0.0, whole: 0.0 }
+    }
+}
+
 /// Level of one target, moved by the load that is offered to it.
 ///
 /// The length of the queue alone would not do: it fills or empties within some ten milliseconds,
 /// much sooner than a change of the level shows, and the level would swing from end to end.
+///
+/// It moves in units of load: an importance that causes little of it is passed quickly, one that
+/// causes much slowly.
 #[derive(Debug)]
 pub struct Surge {
-    scale: Vec<Importance>,
+    /// Rising importance.
+    classes: Vec<Class>,
     /// Steps of importance that are refused; the fraction refuses part of the next.
     refused: f64,
+    /// The same, averaged over the time that a change takes to show.
+    averaged: f64,
     /// Calls that arrived in this window, refused ones included.
     arrivals: u32,
     /// Smoothed arrivals per second.
@@ -72,8 +102,9 @@
     /// Level that refuses nothing.
     pub fn new(now: Moment, scale: &ImportanceScale) -> Self {
         Self {
-            scale: scale.iter().collect(),
+            classes: scale.iter().map(Class::new).collect(),
             refused: 0.0,
+            averaged: 0.0,
             arrivals: 0,
             rate: 0.0,
             latency: 0.0,
@@ -84,13 +115,23 @@
 
     /// Takes over the importances of a new revision.
     pub fn revise(&mut self, scale: &ImportanceScale) {
-        self.scale = scale.iter().collect();
+        let known = std::mem::take(&mut self.classes);
+        for importance in scale.iter() {
+            let same = known.iter().find(|class| class.importance == importance);
+            self.classes.push(same.copied().unwrap_or(Class::new(importance)));
+        }
         self.refused = self.refused.min(self.most());
     }
 
     /// Counts a call that asks to be run, whatever becomes of it.
-    pub fn arrived(&mut self) {
+    pub fn arrived(&mut self, mix: &Mix) {
         self.arrivals += 1;
+        for (importance, part) in mix.parts() {
+            let above = self.classes.partition_point(|class| class.importance <= importance);
+            if let Some(class) = above.checked_sub(1).and_then(|idx| self.classes.get_mut(idx)) {
+                class.arrivals += part;
+            }
+        }
     }
 
     /// Takes in the time that a run took.
@@ -117,18 +158,65 @@
             self.load = self.load.max(1.0);
         }
         let error = (self.load + backlog - GOAL).clamp(-ERROR_MAX, ERROR_MAX);
-        self.refused = (self.refused + GAIN * error * span).clamp(0.0, self.most());
+        self.learn(span, limit);
+        self.step(GAIN * error * span);
+        let weight = span / (span + LEVEL_TIME.as_secs_f64());
+        self.averaged += weight * (self.refused - self.averaged);
+    }
+
+    /// Tells the load of each importance from the part of it that the level let through.
+    fn learn(&mut self, span: f64, limit: f64) {
+        for (idx, class) in self.classes.iter_mut().enumerate() {
+            let rate = std::mem::take(&mut class.arrivals) / span;
+            let visible = 1.0 - (self.averaged - idx as f64).clamp(0.0, 1.0);
+            if visible >= VISIBLE_MIN {
+                let whole = rate * self.latency / limit / visible;
+                class.whole += CLASS_WEIGHT * (whole - class.whole);
+            }
+        }
+    }
+
+    /// Moves the level so that `load` more of the offered load is refused, or less if negative.
+    fn step(&mut self, load: f64) {
+        let mut rest = load;
+        while rest > 0.0 && self.refused < self.most() {
+            let idx = self.refused.floor();
+            let whole = self.whole(idx);
+            let left = (idx + 1.0 - self.refused) * whole;
+            if rest < left {
+                self.refused += rest / whole;
+                break;
+            }
+            rest -= left;
+            self.refused = idx + 1.0;
+        }
+        while rest < 0.0 && self.refused > 0.0 {
+            let idx = self.refused.ceil() - 1.0;
+            let whole = self.whole(idx);
+            let left = (self.refused - idx) * whole;
+            if -rest < left {
+                self.refused += rest / whole;
+                break;
+            }
+            rest += left;
+            self.refused = idx;
+        }
+        self.refused = self.refused.clamp(0.0, self.most());
+    }
+
+    fn whole(&self, idx: f64) -> f64 {
+        self.classes.get(idx as usize).map_or(CLASS_MIN, |class| class.whole.max(CLASS_MIN))
     }
 
     /// Level that goes back with answers.
     pub fn level(&self) -> Level {
         let step = self.refused.floor();
-        let Some(importance) = self.scale.get(step as usize) else { return Level::OPEN };
+        let Some(class) = self.classes.get(step as usize) else { return Level::OPEN };
         let lot = (LOTS * (self.refused - step)).min(LOTS - 1.0) as u16;
         if step == 0.0 && lot == 0 {
             return Level::OPEN;
         }
-        Level::at(Rank::at(*importance, lot))
+        Level::at(Rank::at(class.importance, lot))
     }
 
     /// Offered load, in limits of the target.
@@ -137,6 +225,6 @@
     }
 
     fn most(&self) -> f64 {
-        (self.scale.len() as f64 - SPARED).max(0.0)
+        (self.classes.len() as f64 - SPARED).max(0.0)
     }
 }
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Chooser, Importance, ImportanceScale, InstanceId, Level, Moment, Name, Observed, Occupancy,
-    Origins, Rank, RequestId, ResendBound, ResendBudget, Spell, Surge, TargetInfo,
+    Chooser, Importance, ImportanceScale, InstanceId, Level, Mix, MixSum, Moment, Name, Observed,
+    Occupancy, Origins, Rank, RequestId, ResendBound, ResendBudget, Spell, Surge, TargetInfo,
 };
 
 const RATIO: f64 = 0.2;
@@ -49,8 +49,8 @@
     surge: Surge,
     /// Calls that wait or run.
     busy: f64,
-    /// Part of a call that is due.
-    due: f64,
+    /// Parts of calls that are due, by importance.
+    due: [f64; 2],
     now: u64,
     /// Passed and offered requests of the low and of the high importance.
     counts: [(u32, u32); 2],
@@ -71,7 +71,7 @@
     fn new() -> Self {
         let surge = Surge::new(Moment::default(), &ImportanceScale::new([LOW, HIGH]));
         let levels = [Level::OPEN; DELAY_STEPS];
-        Self { surge, busy: 0.0, due: 0.0, now: 0, counts: [(0, 0); 2], levels }
+        Self { surge, busy: 0.0, due: [0.0; 2], now: 0, counts: [(0, 0); 2], levels }
     }
 
     /// Plays `seconds` with the given demand, in limits of the deep service, for low and high.
@@ -86,7 +86,7 @@
                     self.counts[idx].0 += u32::from(passes);
                     self.counts[idx].1 += 1;
                     let calls = demand[idx] * capacity / REQUESTS as f64;
-                    self.due += f64::from(u8::from(passes)) * calls;
+                    self.due[idx] += f64::from(u8::from(passes)) * calls;
                 }
             }
             self.step();
@@ -95,11 +95,13 @@
 
     /// Lets calls arrive, run and end for 1 ms.
     fn step(&mut self) {
-        while self.due >= 1.0 {
-            self.due -= 1.0;
-            self.surge.arrived();
-            // Beyond one limit's worth of queue, calls are refused.
-            self.busy = (self.busy + 1.0).min(f64::from(2 * LIMIT));
+        for (due, importance) in self.due.iter_mut().zip([LOW, HIGH]) {
+            while *due >= 1.0 {
+                *due -= 1.0;
+                self.surge.arrived(&Mix::of(importance));
+                // Beyond one limit's worth of queue, calls are refused.
+                self.busy = (self.busy + 1.0).min(f64::from(2 * LIMIT));
+            }
         }
         self.busy -= self.busy.min(f64::from(LIMIT)) / f64::from(RUN_MS);
         self.surge.finished(Duration::from_millis(u64::from(RUN_MS)));
@@ -160,6 +162,40 @@
     assert!(passed.iter().all(|part| (0.45..0.70).contains(part)), "{passed:?}");
 }
 
+/// Cheap requests between costly ones: the level passes an importance that causes little load as
+/// quickly as it passes little load.
+#[test]
+fn level_passes_an_idle_importance_quickly() {
+    let mut deep = Deep::new();
+    deep.play(4, [0.01, 0.9]);
+    deep.passed();
+    deep.play(3, [0.01, 1.6]);
+    deep.passed();
+    deep.play(3, [0.01, 1.6]);
+    let [low, high] = deep.passed();
+    assert!(low < 0.05, "{low}");
+    // 0.57 to 0.62 of the demand fit.
+    assert!((0.5..0.7).contains(&high), "{high}");
+    deep.play(2, [0.01, 0.8]);
+    deep.passed();
+    deep.play(2, [0.01, 0.8]);
+    let [low, high] = deep.passed();
+    assert!(low > 0.99 && high > 0.99, "recovered within two seconds: {low} {high}");
+}
+
+/// Deep call graph: a call is put down to the importances that its target runs.
+#[test]
+fn calls_are_put_down_to_what_their_target_runs() {
+    let mut sum = MixSum::default();
+    assert_eq!(sum.mean(), None);
+    (0..3).for_each(|_| sum.begin(&Mix::of(LOW)));
+    sum.begin(&Mix::of(HIGH));
+    let parts: Vec<_> = sum.mean().unwrap().parts().collect();
+    assert_eq!(parts, [(LOW, 0.75), (HIGH, 0.25)]);
+    sum.end(&Mix::of(HIGH));
+    assert_eq!(sum.mean(), Some(Mix::of(LOW)));
+}
+
 /// Deep call graph: routes that one or two services call are told from those of callers outside.
 #[test]
 fn calls_of_targets_are_told_from_requests_of_callers() {
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Admission, AdmissionVerdict, Arrival, ErrorKind, ImportanceScale, Level, Moment, Name,
+    Admission, AdmissionVerdict, Arrival, ErrorKind, ImportanceScale, Level, Mix, Moment, Name,
     Occupancy, Rank, Refusal, Release, Revision, RunTimes, Surge, TargetLimits, Ticket,
 };
 use poplar_kernel::{Clock, Service};
@@ -34,6 +34,8 @@
     pub(crate) left: Duration,
     /// Whether targets have already worked for the root request.
     pub(crate) paid: bool,
+    /// Importances of the requests that the call may belong to.
+    pub(crate) mix: Mix,
 }
 
 impl Entrant {
@@ -45,6 +47,7 @@
             age: meta.age,
             left: meta.left,
             paid: meta.depth > 0,
+            mix: Mix::of(meta.importance),
         }
     }
 }
@@ -184,7 +187,7 @@
         state.next += 1;
         let ticket = Ticket(state.next);
         if let Some(surge) = state.surge.as_mut() {
-            surge.arrived();
+            surge.arrived(&entrant.mix);
         }
         let arrival = Arrival {
             ticket,
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use poplar_core::{ErrorKind, InstanceId, Level, Name, Rank, Revision, RuleSet, TargetRecord};
+use poplar_core::{ErrorKind, InstanceId, Level, Mix, Name, Rank, Revision, RuleSet, TargetRecord};
 use serde::{Deserialize, Serialize};
 
 /// Largest frame, in bytes: the largest body that rules allow so far, with room for its head.
@@ -68,6 +68,8 @@
     pub(crate) fields: Vec<Field>,
     /// Place in the order of survival.
     pub(crate) rank: u32,
+    /// Importances of the requests that it may belong to.
+    pub(crate) mix: Mix,
     /// Time left until the answer is of no use.
     pub(crate) left: Duration,
     /// Whether it may run more than once.
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    ImportanceScale, InstanceId, Level, LevelMap, Moment, Name, Origins, Rank, RouteRule, Share,
-    Spell,
+    ImportanceScale, InstanceId, Level, LevelMap, Mix, MixSum, Moment, Name, Origins, Rank,
+    RouteRule, Share, Spell,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -42,6 +42,8 @@
     levels: LevelMap,
     /// Routes by whether targets call them, by the word of the nodes that run them.
     routes: HashMap<Name, Calls>,
+    /// What the target beside this node runs, by importance.
+    running: MixSum,
     /// Services that requests are refused for.
     surges: HashMap<Name, Spell>,
 }
@@ -62,6 +64,7 @@
             origins: Origins::default(),
             levels: LevelMap::new(ImportanceScale::new([])),
             routes: HashMap::new(),
+            running: MixSum::default(),
             surges: HashMap::new(),
         };
         Self { clock, state: Mutex::new(state) }
@@ -98,6 +101,20 @@
         }
     }
 
+    /// Counts a call that the target beside this node runs until the result is dropped.
+    pub(crate) fn begin(&self, mix: Mix) -> Running<'_> {
+        self.lock().running.begin(&mix);
+        Running { graph: self, mix }
+    }
+
+    /// Importances of the requests that a call of `route` from this node may belong to.
+    pub(crate) fn mix(&self, route: &RouteRule) -> Mix {
+        let state = self.lock();
+        let internal = matches!(state.routes.get(&route.name), Some(Calls::Internal(_)));
+        let mean = state.running.mean().filter(|_| internal);
+        mean.unwrap_or_else(|| Mix::of(route.importance))
+    }
+
     /// Whether targets make the calls of `route`, as far as this node knows.
     pub(crate) fn is_internal(&self, route: &Name) -> bool {
         matches!(self.lock().routes.get(route), Some(Calls::Internal(_)))
@@ -154,6 +171,18 @@
     }
 }
 
+/// Call that runs at the target beside this node.
+pub(crate) struct Running<'a> {
+    graph: &'a Graph,
+    mix: Mix,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.graph.lock().running.end(&self.mix);
+    }
+}
+
 impl Service for Graph {
     fn name(&self) -> &'static str {
         "call-graph"
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -100,6 +100,7 @@
         if let Some(kind) = self.unfit(&call.instance) {
             return CallAnswer::refused(kind, LEAVING_RETRY);
         }
+        let _running = self.graph.begin(call.mix.clone());
         let left = call.left.saturating_sub(self.clock.now().since(began));
         let run = self.exchange.run(call, &call.instance, left);
         let end = tokio::time::timeout(left + LAST_WORD, run).await.unwrap_or(TargetEnd::Deadline);
@@ -135,5 +136,6 @@
     let rank = call.rank();
     let rank = if internal { Rank::at(BEGUN, rank.lot()) } else { rank };
     let (class, left) = (call.route.clone(), call.left);
-    Entrant { class, rank, age: Duration::ZERO, left, paid: internal }
+    let mix = call.mix.clone();
+    Entrant { class, rank, age: Duration::ZERO, left, paid: internal, mix }
 }
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -183,6 +183,7 @@
             path: taken.path.clone(),
             fields: taken.fields.clone(),
             rank: Level::at(rank).0,
+            mix: self.graph.mix(route),
             left: taken.deadline.since(self.clock.now()),
             idempotent: route.is_idempotent(),
             body: taken.body.clone(),
