Tell calls of targets by where routes are asked for, not by what arrives

Change: nodes tell each other which routes are asked for at the instances of which services; the origin of an answer no longer travels with it.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -62,7 +62,7 @@
     ProbeId, Sample, SampleRequest, TICK_TIME, Verdict as MemberVerdict, VerdictReport, ViewError,
 };
 pub use mix::{Mix, MixSum};
-pub use origin::Origins;
+pub use origin::{Origins, Sighting};
 pub use outcome::{ErrorKind, Outcome, Reply, TargetEnd};
 pub use publish::{PublishAction, PublishPlan, PublishResult, Publisher, RESEND, publish_id};
 pub use resend::{ResendBound, ResendBudget};
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -196,22 +196,43 @@
     assert_eq!(sum.mean(), Some(Mix::of(LOW)));
 }
 
-/// Deep call graph: routes that one or two services call are told from those of callers outside.
+/// Deep call graph: routes that one or two services call are told from those of callers outside,
+/// also while most entries refuse the latter.
 #[test]
 fn calls_of_targets_are_told_from_requests_of_callers() {
-    let mut origins = Origins::default();
-    let [one, two, all] = ["one", "two", "all"].map(Name::new);
+    let [one, two, all, stray] = ["one", "two", "all", "stray"].map(Name::new);
     let services = ["a", "b", "c", "d"].map(Name::new);
-    for number in 0..80 {
-        origins.count(&one, &services[2]);
-        origins.count(&two, &services[number % 2]);
-        origins.count(&all, &services[number % services.len()]);
+    let mut nodes: Vec<_> = (0..8).map(|_| Origins::default()).collect();
+    for millis in (0..4_000).step_by(100) {
+        let now = Moment::from_millis(millis);
+        for (idx, node) in nodes.iter_mut().enumerate() {
+            let service = &services[idx % services.len()];
+            node.saw(now, &all, service);
+            if idx % services.len() < 2 {
+                node.saw(now, &two, service);
+            }
+            if idx % services.len() == 0 {
+                node.saw(now, &one, service);
+            }
+            if millis == 0 {
+                node.saw(now, &stray, service);
+            }
+        }
+        // Each tells the next but two, as if drawn at random.
+        for idx in 0..nodes.len() {
+            let told = nodes[idx].export(now);
+            let peer = (idx + 3) % nodes.len();
+            nodes[peer].merge(now, &told);
+        }
+    }
+    let now = Moment::from_millis(4_000);
+    for node in &nodes {
+        assert_eq!(node.is_internal(now, &one, services.len()), Some(true));
+        // As when a revision moves a calling route to another service.
+        assert_eq!(node.is_internal(now, &two, services.len()), Some(true));
+        assert_eq!(node.is_internal(now, &all, services.len()), Some(false));
+        assert_eq!(node.is_internal(now, &stray, services.len()), None);
     }
-    assert_eq!(origins.is_internal(&one, services.len()), Some(true));
-    // As when a revision moves a calling route to another service.
-    assert_eq!(origins.is_internal(&two, services.len()), Some(true));
-    assert_eq!(origins.is_internal(&all, services.len()), Some(false));
-    assert_eq!(origins.is_internal(&Name::new("unseen"), services.len()), None);
 }
 
 /// Surge that outlasts its callers' patience: the longer it has lasted, the later they return.
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use poplar_core::{ErrorKind, InstanceId, Level, Mix, Name, Rank, Revision, RuleSet, TargetRecord};
+use poplar_core::{
+    ErrorKind, InstanceId, Level, Mix, Name, Rank, Revision, RuleSet, Sighting, TargetRecord,
+};
 use serde::{Deserialize, Serialize};
 
 /// Largest frame, in bytes: the largest body that rules allow so far, with room for its head.
@@ -34,6 +36,8 @@
     Rules(Box<RuleSet>),
     /// Records of targets that the receiver may lack.
     Targets(Vec<TargetRecord>),
+    /// Routes that are asked for, and where.
+    Sightings(Vec<Sighting>),
 }
 
 /// What a node has of the shared state.
@@ -107,16 +111,13 @@
     pub(crate) level: Level,
     /// Calls that run or wait at the target, in parts of its limit.
     pub(crate) load: f32,
-    /// Whether the calls of this route come from targets, not from callers outside; none if the
-    /// node beside the target has seen too few.
-    pub(crate) internal: Option<bool>,
 }
 
 impl CallAnswer {
     /// Refusal of a call that the target has not seen.
     pub(crate) fn refused(kind: ErrorKind, retry_after: Duration) -> Self {
         let outcome = poplar_core::Outcome::NotRun { kind, retry_after };
-        Self { outcome, offered: false, level: Level::OPEN, load: 0.0, internal: None }
+        Self { outcome, offered: false, level: Level::OPEN, load: 0.0 }
     }
 }
 
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -9,7 +9,7 @@
 
 use poplar_core::{
     ImportanceScale, InstanceId, Level, LevelMap, Mix, MixSum, Moment, Name, Origins, Rank,
-    RouteRule, Share, Spell,
+    RouteRule, Share, Sighting, Spell,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -20,15 +20,6 @@
 /// which services tell each other in a circle dies out.
 const HOP_LOTS: u32 = 1_024;
 
-/// Who calls a route.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Calls {
-    /// Callers outside.
-    External,
-    /// Targets, the one beside this node among them; the route leads to this service.
-    Internal(Name),
-}
-
 /// Service that holds what was learnt.
 #[derive(Debug)]
 pub(crate) struct Graph {
@@ -40,47 +31,52 @@
 struct State {
     origins: Origins,
     levels: LevelMap,
-    /// Routes by whether targets call them, by the word of the nodes that run them.
-    routes: HashMap<Name, Calls>,
+    /// Routes that the target beside this node calls, and the services that run them.
+    callees: HashMap<Name, Name>,
+    /// Services of the installation.
+    services: usize,
     /// What the target beside this node runs, by importance.
     running: MixSum,
     /// Services that requests are refused for.
     surges: HashMap<Name, Spell>,
 }
 
-impl Calls {
-    /// Service that the target beside this node calls.
-    fn callee(&self) -> Option<&Name> {
-        match self {
-            Self::External => None,
-            Self::Internal(service) => Some(service),
-        }
-    }
-}
-
 impl Graph {
     pub(crate) fn new(clock: Clock) -> Self {
         let state = State {
             origins: Origins::default(),
             levels: LevelMap::new(ImportanceScale::new([])),
-            routes: HashMap::new(),
+            callees: HashMap::new(),
+            services: 0,
             running: MixSum::default(),
             surges: HashMap::new(),
         };
         Self { clock, state: Mutex::new(state) }
     }
 
-    /// Takes over the importances of a new revision.
-    pub(crate) fn revise(&self, scale: ImportanceScale) {
-        self.lock().levels.revise(scale);
+    /// Takes over the importances and the number of services of a new revision.
+    pub(crate) fn revise(&self, scale: ImportanceScale, services: usize) {
+        let mut state = self.lock();
+        state.levels.revise(scale);
+        state.services = services;
     }
 
-    /// Counts a call that came to the target beside this node; says whether a target made it, if
-    /// that can be told. `services` is the number of services of the installation.
-    pub(crate) fn arrived(&self, route: &Name, caller: &Name, services: usize) -> Option<bool> {
-        let mut state = self.lock();
-        state.origins.count(route, caller);
-        state.origins.is_internal(route, services)
+    /// Takes in a request for `route` that begins at this node, an instance of `service`.
+    pub(crate) fn saw(&self, route: &Name, service: &Name) {
+        let now = self.clock.now();
+        self.lock().origins.saw(now, route, service);
+    }
+
+    /// What this node tells others of the requests that it saw or heard of.
+    pub(crate) fn sightings(&self) -> Vec<Sighting> {
+        let now = self.clock.now();
+        self.lock().origins.export(now)
+    }
+
+    /// Takes in what another node tells.
+    pub(crate) fn heard(&self, told: &[Sighting]) {
+        let now = self.clock.now();
+        self.lock().origins.merge(now, told);
     }
 
     /// Takes in what came with an answer of `instance` to a call of `route` to `service`.
@@ -94,10 +90,10 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.levels.learn(now, service, instance, answer.level);
-        let Some(internal) = answer.internal else { return };
-        let calls = if internal { Calls::Internal(service.clone()) } else { Calls::External };
-        if state.routes.get(route) != Some(&calls) {
-            state.routes.insert(route.clone(), calls);
+        if state.is_internal(now, route) != Some(true) {
+            state.callees.remove(route);
+        } else if state.callees.get(route) != Some(service) {
+            state.callees.insert(route.clone(), service.clone());
         }
     }
 
@@ -110,14 +106,15 @@
     /// Importances of the requests that a call of `route` from this node may belong to.
     pub(crate) fn mix(&self, route: &RouteRule) -> Mix {
         let state = self.lock();
-        let internal = matches!(state.routes.get(&route.name), Some(Calls::Internal(_)));
+        let internal = state.is_internal(self.clock.now(), &route.name) == Some(true);
         let mean = state.running.mean().filter(|_| internal);
         mean.unwrap_or_else(|| Mix::of(route.importance))
     }
 
     /// Whether targets make the calls of `route`, as far as this node knows.
     pub(crate) fn is_internal(&self, route: &Name) -> bool {
-        matches!(self.lock().routes.get(route), Some(Calls::Internal(_)))
+        let now = self.clock.now();
+        self.lock().is_internal(now, route) == Some(true)
     }
 
     /// Whether a request of `route` should be refused here, because a service that it may go to,
@@ -128,7 +125,7 @@
     pub(crate) fn refuses(&self, service: &Name, route: &RouteRule, rank: Rank) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
-        if state.routes.get(&route.name) != Some(&Calls::External) {
+        if state.is_internal(now, &route.name) != Some(false) {
             return false;
         }
         let admits = |share: &Share| state.levels.level(now, &share.service).admits(rank);
@@ -155,8 +152,7 @@
     pub(crate) fn joined(&self, own: Level) -> Level {
         let now = self.clock.now();
         let state = self.lock();
-        let callees = state.routes.values().filter_map(Calls::callee);
-        let deeper = callees.map(|service| state.levels.level(now, service).0).max();
+        let deeper = state.callees.values().map(|service| state.levels.level(now, service).0).max();
         own.max(Level(deeper.unwrap_or_default().saturating_sub(HOP_LOTS)))
     }
 
@@ -171,6 +167,12 @@
     }
 }
 
+impl State {
+    fn is_internal(&self, now: Moment, route: &Name) -> Option<bool> {
+        self.origins.is_internal(now, route, self.services)
+    }
+}
+
 /// Call that runs at the target beside this node.
 pub(crate) struct Running<'a> {
     graph: &'a Graph,
@@ -190,11 +192,10 @@
 
     fn dump(&self, now: Moment) -> Value {
         let state = self.lock();
-        let internal = state.routes.iter().filter_map(|(route, calls)| {
-            let service = calls.callee()?;
+        let callees = state.callees.iter().map(|(route, service)| {
             let level = state.levels.level(now, service);
-            Some((route.to_string(), json!({ "service": service, "level": level })))
+            (route.to_string(), json!({ "service": service, "level": level }))
         });
-        json!({ "internal_routes": internal.collect::<serde_json::Map<_, _>>() })
+        json!({ "callees": callees.collect::<serde_json::Map<_, _>>() })
     }
 }
--- a/node/src/proxy/peers.rs
+++ b/node/src/proxy/peers.rs
@@ -20,6 +20,7 @@
 use tokio::task::AbortHandle;
 
 use super::frame::{Call, CallAnswer, CallNumber, Known, Message};
+use super::graph::Graph;
 use super::link::{Link, LinkError, Outbox, drive};
 use super::roster::Roster;
 use super::rules::Rules;
@@ -44,6 +45,7 @@
     own: Name,
     rules: Arc<Rules>,
     roster: Arc<Roster>,
+    graph: Arc<Graph>,
     runner: Arc<Runner>,
     slots: Mutex<HashMap<Name, Arc<Slot>>>,
 }
@@ -60,9 +62,10 @@
         own: Name,
         rules: Arc<Rules>,
         roster: Arc<Roster>,
+        graph: Arc<Graph>,
         runner: Arc<Runner>,
     ) -> Self {
-        Self { clock, own, rules, roster, runner, slots: Mutex::default() }
+        Self { clock, own, rules, roster, graph, runner, slots: Mutex::default() }
     }
 
     /// Has the node at `peer` run a call and waits for its answer.
@@ -104,6 +107,7 @@
             self.roster.peers().into_iter().filter(|peer| *peer != self.own).collect();
         let Some(peer) = fastrand::choice(&peers) else { return };
         if let Ok(link) = self.link(peer).await {
+            link.outbox.push(&Message::Sightings(self.graph.sightings()));
             link.check(now, known, true);
         }
     }
@@ -205,6 +209,7 @@
         match message {
             Message::Ping(known) => {
                 outbox.push(&Message::Pong(self.known()));
+                outbox.push(&Message::Sightings(self.graph.sightings()));
                 self.share(outbox, known);
             }
             Message::Pong(known) => self.share(outbox, known),
@@ -216,6 +221,7 @@
                     self.roster.merge(record);
                 }
             }
+            Message::Sightings(told) => self.graph.heard(&told),
             Message::Call(..) | Message::Cancel(_) | Message::Answer(..) => {}
         }
     }
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -108,7 +108,8 @@
             decisions.clone(),
         ));
         let key = Name::new(&site.peer.to_string());
-        let peers = Peers::new(clock, key, rules.clone(), roster.clone(), runner.clone());
+        let peers =
+            Peers::new(clock, key, rules.clone(), roster.clone(), graph.clone(), runner.clone());
         let peers = Arc::new(peers);
         let metrics =
             Arc::new(Metrics::new(gate.clone(), roster.clone(), rules.clone(), &decisions));
@@ -220,7 +221,7 @@
     while watch.changed().await.is_ok() {
         if let Some(held) = rules.current() {
             gate.revise(held.rules.revision, || held.scale());
-            graph.revise(held.scale());
+            graph.revise(held.scale(), held.rules.services.len());
         }
     }
 }
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -71,11 +71,11 @@
     pub(crate) async fn run(&self, call: Call) -> CallAnswer {
         let _in_flight = InFlight::begin(&self.in_flight);
         let began = self.clock.now();
-        let internal = self.graph.arrived(&call.route, &call.caller, self.services());
-        let answer = self.admit(&call, began, internal == Some(true)).await;
+        let internal = self.graph.is_internal(&call.route);
+        let answer = self.admit(&call, began, internal).await;
         let (own, load) = self.gate.surge();
         let level = self.graph.joined(own);
-        let answer = CallAnswer { level, load: load as f32, internal, ..answer };
+        let answer = CallAnswer { level, load: load as f32, ..answer };
         self.decisions.write(&answer.outcome, || Decision {
             request: call.request.clone(),
             route: call.route.clone(),
@@ -109,12 +109,7 @@
         if matches!(outcome, Outcome::Done(_)) {
             permit.finish();
         }
-        CallAnswer { outcome, offered, level: Level::OPEN, load: 0.0, internal: None }
-    }
-
-    /// Number of services that the rules in force name.
-    fn services(&self) -> usize {
-        self.rules.current().map_or(0, |held| held.rules.services.len())
+        CallAnswer { outcome, offered, level: Level::OPEN, load: 0.0 }
     }
 
     /// Why the target beside this node cannot run a call that was meant for `instance`.
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -76,6 +76,7 @@
         let Some(service) = route.pick(fastrand::u32(..)) else {
             return not_run(ErrorKind::NoTarget, NO_TARGET_RETRY);
         };
+        self.graph.saw(&route.name, &self.caller);
         let root = RequestId(xxh3_128(&taken.request));
         let rank = Rank::of(route.importance, root);
         if self.graph.refuses(service, route, rank) {
