Carry levels over hops without rounding

The map of levels rounds down to a whole importance where one instance asks for less, and each hop then took off one more. Change: a median to the lot for levels that are joined; the old rule stays for the node's own calls.

--- a/core/src/admission/map.rs
+++ b/core/src/admission/map.rs
@@ -100,6 +100,15 @@
         self.classes.get(class).map_or(Level::OPEN, |row| row.level(now, &self.scale))
     }
 
+    /// Median of the levels known for `class`, to the lot.
+    ///
+    /// Unlike [`Self::level`] it holds also if one instance asks for much less than the others, as
+    /// an idle one does; it is for levels that are joined over several hops, where rounding down at
+    /// each would lose them.
+    pub fn median(&self, now: Moment, class: &Name) -> Level {
+        self.classes.get(class).map_or(Level::OPEN, |row| row.median(now, &self.scale))
+    }
+
     /// Level to send back with an answer: the node's own, or the one that a further call meets.
     pub fn joined<'a>(
         &self,
@@ -142,16 +151,30 @@
 }
 
 impl Row {
+    fn median(&self, now: Moment, scale: &ImportanceScale) -> Level {
+        self.fallen(self.middle(), now, scale)
+    }
+
     fn level(&self, now: Moment, scale: &ImportanceScale) -> Level {
+        let median = self.middle();
+        let lowest = self.learnt.iter().map(|known| known.level).min().unwrap_or_default();
+        let clamped = lowest.importance() < median.importance();
+        let level = if clamped { median.whole() } else { median };
+        self.fallen(level, now, scale)
+    }
+
+    /// Median of the levels that came with the newest one, the lower of two.
+    fn middle(&self) -> Level {
         let newest = self.newest();
         let fresh = self.learnt.iter().filter(|known| newest.since(known.at) <= FRESH_TIME);
         let mut levels: Vec<_> = fresh.map(|known| known.level).collect();
         levels.sort_unstable();
-        let median = levels.get(levels.len().saturating_sub(1) / 2).copied().unwrap_or_default();
-        let lowest = self.learnt.iter().map(|known| known.level).min().unwrap_or_default();
-        let clamped = lowest.importance() < median.importance();
-        let level = if clamped { median.whole() } else { median };
-        level.fallen(now.since(newest).saturating_sub(HOLD_TIME), scale)
+        levels.get(levels.len().saturating_sub(1) / 2).copied().unwrap_or_default()
+    }
+
+    /// Level after the time for which nothing has renewed it.
+    fn fallen(&self, level: Level, now: Moment, scale: &ImportanceScale) -> Level {
+        level.fallen(now.since(self.newest()).saturating_sub(HOLD_TIME), scale)
     }
 
     /// Whether the level is old and no call was let through of late.
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Chooser, Importance, ImportanceScale, InstanceId, Level, Mix, MixSum, Moment, Name, Observed,
-    Occupancy, Origins, Rank, RequestId, ResendBound, ResendBudget, Spell, Surge, TargetInfo,
+    Chooser, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, MixSum, Moment, Name,
+    Observed, Occupancy, Origins, Rank, RequestId, ResendBound, ResendBudget, Spell, Surge,
+    TargetInfo,
 };
 
 const RATIO: f64 = 0.2;
@@ -183,6 +184,22 @@
     assert!(low > 0.99 && high > 0.99, "recovered within two seconds: {low} {high}");
 }
 
+/// Deep call graph: a level keeps its place over hops, although one instance at each hop is idle.
+#[test]
+fn level_of_a_deep_service_reaches_the_entries() {
+    let (service, ids) = (Name::new("s"), ["a", "b", "idle"].map(InstanceId::from));
+    let now = Moment::from_millis(5_000);
+    let mut level = Level::at(Rank::at(HIGH, 30_000));
+    for _hop in 0..3 {
+        let mut map = LevelMap::new(ImportanceScale::new([LOW, HIGH]));
+        map.learn(now, &service, &ids[0], level);
+        map.learn(now, &service, &ids[1], level);
+        map.learn(now, &service, &ids[2], Level::OPEN);
+        level = map.median(now, &service);
+    }
+    assert_eq!(level, Level::at(Rank::at(HIGH, 30_000)));
+}
+
 /// Deep call graph: a call is put down to the importances that its target runs.
 #[test]
 fn calls_are_put_down_to_what_their_target_runs() {
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -128,7 +128,7 @@
         if state.is_internal(now, &route.name) != Some(false) {
             return false;
         }
-        let admits = |share: &Share| state.levels.level(now, &share.service).admits(rank);
+        let admits = |share: &Share| state.levels.median(now, &share.service).admits(rank);
         if route.shares.iter().all(admits) {
             return false;
         }
@@ -152,14 +152,15 @@
     pub(crate) fn joined(&self, own: Level) -> Level {
         let now = self.clock.now();
         let state = self.lock();
-        let deeper = state.callees.values().map(|service| state.levels.level(now, service).0).max();
+        let deeper =
+            state.callees.values().map(|service| state.levels.median(now, service).0).max();
         own.max(Level(deeper.unwrap_or_default().saturating_sub(HOP_LOTS)))
     }
 
     /// Level of a service as this node knows it.
     pub(crate) fn level(&self, service: &Name) -> Level {
         let now = self.clock.now();
-        self.lock().levels.level(now, service)
+        self.lock().levels.median(now, service)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -193,7 +194,7 @@
     fn dump(&self, now: Moment) -> Value {
         let state = self.lock();
         let callees = state.callees.iter().map(|(route, service)| {
-            let level = state.levels.level(now, service);
+            let level = state.levels.median(now, service);
             (route.to_string(), json!({ "service": service, "level": level }))
         });
         json!({ "callees": callees.collect::<serde_json::Map<_, _>>() })
