--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -76,8 +76,6 @@
     pub(crate) mix: Mix,
     /// Time left until the answer is of no use.
     pub(crate) left: Duration,
-    /// Whether it may run more than once.
-    pub(crate) idempotent: bool,
     /// Body.
     pub(crate) body: Bytes,
 }
--- a/node/src/proxy/ports.rs
+++ b/node/src/proxy/ports.rs
@@ -105,8 +105,6 @@
     pub resends: ResendBound,
     /// Time from a stop signal to the forced end.
     pub grace: Duration,
-    /// Usual pause between the heartbeats of a target.
-    pub heartbeat: Duration,
 }
 
 /// Where one node stands and what it listens on.
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -186,7 +186,6 @@
             rank: Level::at(rank).0,
             mix: self.graph.mix(route),
             left: taken.deadline.since(self.clock.now()),
-            idempotent: route.is_idempotent(),
             body: taken.body.clone(),
         }
     }
