Never say not run after an answer was lost; log links and what peers tell

Cause, found on a read: a request that may be repeated was sent to a target whose answer was lost and then to one that turned it away; the caller got the second outcome, 503, though it had run. The caller is told unknown. Also: a line for each link opened and lost, for rules and targets that peers tell, and for a connection that cannot be accepted.

--- a/node/src/proxy/peers.rs
+++ b/node/src/proxy/peers.rs
@@ -15,6 +15,7 @@
 use poplar_core::{Moment, Name};
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
+use slog::{Logger, info};
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -47,6 +48,7 @@
     roster: Arc<Roster>,
     graph: Arc<Graph>,
     runner: Arc<Runner>,
+    logger: Logger,
     slots: Mutex<HashMap<Name, Arc<Slot>>>,
 }
 
@@ -64,8 +66,10 @@
         roster: Arc<Roster>,
         graph: Arc<Graph>,
         runner: Arc<Runner>,
+        logger: Logger,
     ) -> Self {
-        Self { clock, own, rules, roster, graph, runner, slots: Mutex::default() }
+        let slots = Mutex::default();
+        Self { clock, own, rules, roster, graph, runner, logger, slots }
     }
 
     /// Has the node at `peer` run a call and waits for its answer.
@@ -123,14 +127,21 @@
             .await
             .map_err(|_| LinkError::Unreached)?
             .map_err(|_| LinkError::Unreached)?;
+        info!(self.logger, "link: opened"; "peer" => %peer);
         let link = Arc::new(Link::new(self.clock.now()));
         *held = Some(link.clone());
-        tokio::spawn(self.clone().follow(link.clone(), socket, unread));
+        tokio::spawn(self.clone().follow(peer.clone(), link.clone(), socket, unread));
         Ok(link)
     }
 
     /// Takes in what the other end of an own link sends.
-    async fn follow(self: Arc<Self>, link: Arc<Link>, socket: TcpStream, unread: Bytes) {
+    async fn follow(
+        self: Arc<Self>,
+        peer: Name,
+        link: Arc<Link>,
+        socket: TcpStream,
+        unread: Bytes,
+    ) {
         let take = |message| {
             link.heard(self.clock.now());
             match message {
@@ -139,6 +150,7 @@
             }
         };
         drive(socket, &unread, &link.outbox, take).await;
+        info!(self.logger, "link: lost"; "peer" => %peer, "calls" => link.waiting());
         link.abandon();
     }
 
@@ -214,11 +226,19 @@
             }
             Message::Pong(known) => self.share(outbox, known),
             Message::Rules(rules) => {
-                self.rules.offer(self.clock.now(), *rules);
+                let revision = rules.revision;
+                let taken = self.rules.offer(self.clock.now(), *rules);
+                info!(self.logger, "rules: told by a peer"; "revision" => revision.0,
+                    "in_force" => taken);
             }
             Message::Targets(records) => {
                 for record in records {
-                    self.roster.merge(record);
+                    let instance = record.instance.clone();
+                    let (stage, age) = (record.stage, record.age);
+                    if self.roster.merge(record) {
+                        info!(self.logger, "roster: told by a peer"; "instance" => %instance,
+                            "stage" => ?stage, "born" => age.born, "sequence" => age.sequence);
+                    }
                 }
             }
             Message::Sightings(told) => self.graph.heard(&told),
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -108,8 +108,15 @@
             decisions.clone(),
         ));
         let key = Name::new(&site.peer.to_string());
-        let peers =
-            Peers::new(clock, key, rules.clone(), roster.clone(), graph.clone(), runner.clone());
+        let peers = Peers::new(
+            clock,
+            key,
+            rules.clone(),
+            roster.clone(),
+            graph.clone(),
+            runner.clone(),
+            part(root, "link"),
+        );
         let peers = Arc::new(peers);
         let metrics =
             Arc::new(Metrics::new(gate.clone(), roster.clone(), rules.clone(), &decisions));
@@ -154,8 +161,9 @@
         tokio::spawn(revise(rules.clone(), gate.clone(), graph.clone()));
         tokio::spawn(check(peers.clone()));
         tokio::spawn(report(gate.clone(), graph.clone(), part(root, "load")));
-        tokio::spawn(accept(peer, peers, Peers::serve));
-        tokio::spawn(accept(outbound, callers.clone(), Callers::serve));
+        let ends = part(root, "listen");
+        tokio::spawn(accept(peer, peers, Peers::serve, ends.clone()));
+        tokio::spawn(accept(outbound, callers.clone(), Callers::serve, ends));
         tokio::spawn(admin::serve(scrapes, Admin { clock, registry, metrics }));
         let logger = part(root, "process");
         info!(logger, "process: started"; "node" => %site.node, "service" => %site.service);
@@ -253,8 +261,12 @@
 }
 
 /// Accepts connections for ever and serves each in a task of its own.
-async fn accept<S, F>(listener: TcpListener, server: Arc<S>, serve: fn(Arc<S>, TcpStream) -> F)
-where
+async fn accept<S, F>(
+    listener: TcpListener,
+    server: Arc<S>,
+    serve: fn(Arc<S>, TcpStream) -> F,
+    logger: Logger,
+) where
     S: Send + Sync + 'static,
     F: Future<Output = ()> + Send + 'static,
 {
@@ -265,7 +277,10 @@
                 let _ = socket.set_nodelay(true);
                 tokio::spawn(serve(server.clone(), socket));
             }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            Err(error) => {
+                warn!(logger, "listen: connection not accepted"; "error" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -59,6 +59,8 @@
     offers: u32,
     /// Nodes that refused it.
     refusals: u32,
+    /// Why it may have run somewhere already; a later refusal does not undo that.
+    unknown: Option<ErrorKind>,
     /// Instances that were chosen, in order.
     pub(crate) tried: Vec<InstanceId>,
 }
@@ -97,11 +99,17 @@
                 Ok(answer) => answer.outcome,
                 Err(kind) => Outcome::Unknown { kind },
             };
+            if let Outcome::Unknown { kind } = &last {
+                spent.unknown = Some(*kind);
+            }
             if !self.sends_again(route, service, taken, spent, &last) {
                 break;
             }
         }
-        last
+        match (last, spent.unknown) {
+            (Outcome::NotRun { .. }, Some(kind)) => Outcome::Unknown { kind },
+            (last, _) => last,
+        }
     }
 
     /// Whether a further target should get the request.
