--- a/core/src/admission/level.rs
+++ b/core/src/admission/level.rs
@@ -82,7 +82,7 @@
     }
 
     /// Part of the calls of one importance that passes.
-    pub(crate) fn visible(self, importance: Importance) -> f64 {
+    pub fn visible(self, importance: Importance) -> f64 {
         let base = Rank::at(importance, 0).0;
         let hidden = u64::from(self.0.saturating_sub(base)).min(LOTS);
         1.0 - hidden as f64 / LOTS as f64
--- a/core/src/admission/map.rs
+++ b/core/src/admission/map.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{InstanceId, Name};
 use crate::limit::ImportanceScale;
 use crate::time::Moment;
@@ -15,11 +17,25 @@
 const PROBE_TIME: Duration = Duration::from_millis(25);
 /// Time after which a level that no answer has renewed begins to fall.
 const HOLD_TIME: Duration = Duration::from_millis(500);
+/// Time for which a service that is open again is still told of; until then every caller has
+/// heard of it, and unpressed services cost no bytes.
+const TELL_TIME: Duration = Duration::from_secs(2);
 /// Largest number of classes in the map.
 const CLASSES_MAX: usize = 4_096;
 /// Largest number of instances kept per class.
 const INSTANCES_MAX: usize = 16;
 
+/// Level of a service as one node tells it to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldLevel {
+    /// Service.
+    pub service: Name,
+    /// Level below which requests that reach the service should be refused.
+    pub level: Level,
+    /// Milliseconds since the service itself gave it.
+    pub age: u16,
+}
+
 /// Levels learnt per class and answering instance.
 ///
 /// At most 4,096 classes with 16 instances each are kept. What is not refreshed falls at the rate
@@ -36,6 +52,8 @@
     learnt: Vec<Learnt>,
     /// When a call was last let through to learn the level anew.
     probed: Moment,
+    /// When the level was last above the open one.
+    pressed: Moment,
 }
 
 #[derive(Debug)]
@@ -73,7 +91,11 @@
         if !self.classes.contains_key(class) && self.classes.len() >= CLASSES_MAX {
             return;
         }
-        let row = &mut self.classes.entry(class.clone()).or_default().learnt;
+        let row = self.classes.entry(class.clone()).or_default();
+        if level > Level::OPEN {
+            row.pressed = row.pressed.max(now);
+        }
+        let row = &mut row.learnt;
         if let Some(known) = row.iter_mut().find(|known| known.instance == *instance) {
             known.level = level;
             known.at = now;
@@ -87,6 +109,34 @@
         row.push(Learnt { instance: instance.clone(), level, at: now });
     }
 
+    /// Takes in a level that `instance` tells of a service behind it.
+    ///
+    /// It counts from when the service gave it, so that a level which nodes tell each other in a
+    /// circle dies out, and older words never replace newer ones.
+    pub fn heard(&mut self, now: Moment, instance: &InstanceId, told: &ToldLevel) {
+        let age = Duration::from_millis(u64::from(told.age));
+        let at = Moment::default() + now.since(Moment::default()).saturating_sub(age);
+        let rows = self.classes.get(&told.service).map_or(&[][..], |row| &row.learnt);
+        let newer = rows.iter().any(|known| known.instance == *instance && known.at > at);
+        if !newer {
+            self.learn(at, &told.service, instance, told.level);
+        }
+    }
+
+    /// What to tell other nodes: fresh levels, and for a while that a service is open again.
+    pub fn tell(&self, now: Moment) -> Vec<ToldLevel> {
+        let fresh = self.classes.iter().filter_map(|(service, row)| {
+            let age = now.since(row.newest());
+            let pressed = row.pressed > Moment::default() && now.since(row.pressed) < TELL_TIME;
+            (age < HOLD_TIME && pressed).then(|| ToldLevel {
+                service: service.clone(),
+                level: row.middle(),
+                age: age.as_millis() as u16,
+            })
+        });
+        fresh.collect()
+    }
+
     /// Drops what came from an instance that has left.
     pub fn forget(&mut self, instance: &InstanceId) {
         for row in self.classes.values_mut() {
--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -21,7 +21,7 @@
 
 use concurrency::{Concurrency, Crowd};
 pub use level::{Level, Rank};
-pub use map::LevelMap;
+pub use map::{LevelMap, ToldLevel};
 use pressure::{Load, Pressure};
 use queue::{Queue, Waiting};
 
@@ -80,6 +80,17 @@
     pub refuse: Vec<Refusal>,
 }
 
+/// How a target that is short of room turns calls away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shedding {
+    /// By a level that admission sets itself and tells its callers.
+    ByLevel,
+    /// Only where the queue is full; who may come at all is decided elsewhere, as by
+    /// [`crate::Surge`]. A call that has come this far waits unless more important ones fill the
+    /// queue, since refusing it wastes what was done for its request.
+    ByQueue,
+}
+
 /// Admission to one target.
 ///
 /// Invariants: at most `limit` calls run and at most `limits.queue` wait, which bounds its
@@ -88,6 +99,7 @@
 #[derive(Debug)]
 pub struct Admission {
     limits: TargetLimits,
+    shedding: Shedding,
     concurrency: Concurrency,
     /// Calls that run, and how many ran once each had started.
     running: BTreeMap<Ticket, u32>,
@@ -98,8 +110,19 @@
 impl Admission {
     /// Admission to a target that has just announced itself.
     pub fn new(now: Moment, limits: TargetLimits, scale: ImportanceScale) -> Self {
+        Self::shedding(now, limits, scale, Shedding::ByLevel)
+    }
+
+    /// Admission that turns calls away in the given manner.
+    pub fn shedding(
+        now: Moment,
+        limits: TargetLimits,
+        scale: ImportanceScale,
+        shedding: Shedding,
+    ) -> Self {
         Self {
             limits,
+            shedding,
             concurrency: Concurrency::new(now, limits),
             running: BTreeMap::new(),
             queue: Queue::default(),
@@ -213,9 +236,28 @@
         self.pressure.advance(now, load);
     }
 
+    /// Least importance that may wait.
+    fn floor(&self) -> Importance {
+        match self.shedding {
+            Shedding::ByLevel => self.pressure.floor(),
+            Shedding::ByQueue => Importance::default(),
+        }
+    }
+
+    /// Whether the own level lets a call wait.
+    fn passes(&self, waiting: &Waiting) -> bool {
+        match self.shedding {
+            Shedding::ByLevel => {
+                waiting.rank.importance() >= self.floor()
+                    && (waiting.paid || self.pressure.level().admits(waiting.rank))
+            }
+            Shedding::ByQueue => true,
+        }
+    }
+
     /// Removes the calls below the importance of which some are refused.
     fn take_below_floor(&mut self) -> Vec<Waiting> {
-        let floor = self.pressure.floor();
+        let floor = self.floor();
         let mut below = Vec::new();
         while self.queue.lowest().is_some_and(|lowest| lowest.importance() < floor) {
             below.extend(self.queue.pop_lowest());
@@ -226,8 +268,7 @@
     /// Queues the call, lets a lesser one give way to it, or refuses it.
     fn enqueue(&mut self, waiting: Waiting) -> Verdict {
         let full = self.queue.len() >= self.limits.queue as usize;
-        let above_floor = waiting.rank.importance() >= self.pressure.floor();
-        let passes = above_floor && (waiting.paid || self.pressure.level().admits(waiting.rank));
+        let passes = self.passes(&waiting);
         let rank = waiting.rank;
         let lowest = self.queue.lowest();
         let outranks = lowest.is_some_and(|lowest| lowest.importance() < rank.importance());
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -19,16 +19,18 @@
 mod origin;
 mod outcome;
 mod publish;
+mod reach;
 mod resend;
 mod roster;
 mod rules;
+mod runs;
 mod spell;
 mod surge;
 mod suspects;
 mod time;
 
 pub use admission::{
-    Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Ticket,
+    Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Shedding, Ticket, ToldLevel,
     Verdict as AdmissionVerdict,
 };
 pub use answer::{AnswerError, AnswerHead, Exchange, Expected, Idle, Waiting, WholeAnswer};
@@ -65,9 +67,11 @@
 pub use origin::{Origins, Sighting};
 pub use outcome::{ErrorKind, Outcome, Reply, SHED_NOT_RUN, TargetEnd};
 pub use publish::{PublishAction, PublishPlan, PublishResult, Publisher, RESEND, publish_id};
+pub use reach::Reach;
 pub use resend::{ResendBound, ResendBudget};
 pub use roster::{Age, Roster, Stage, TargetRecord};
 pub use rules::{CallerLimits, Repeat, RouteIndex, RouteRule, RuleSet, ServiceRule, Share};
+pub use runs::{RunningCall, Runs};
 pub use spell::Spell;
 pub use surge::{Occupancy, Surge};
 pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
--- a/core/src/limit.rs
+++ b/core/src/limit.rs
@@ -48,6 +48,12 @@
         let queue = slots.saturating_mul(QUEUE_PER_SLOT).clamp(QUEUE_MIN, QUEUE_MAX);
         Self { slots, cold: slots.div_ceil(COLD_SHARE), queue, connections: connections.max(1) }
     }
+
+    /// The same limits with another number of places in the queue for each slot.
+    pub fn queueing(self, per_slot: u32) -> Self {
+        let queue = self.slots.saturating_mul(per_slot).clamp(QUEUE_MIN, QUEUE_MAX);
+        Self { queue, ..self }
+    }
 }
 
 /// Importances of a contract in rising order; the scale on which levels move.
--- a/core/src/mix.rs
+++ b/core/src/mix.rs
@@ -12,8 +12,14 @@
 
 /// Smallest part that is passed on; smaller ones are noise and cost bytes.
 const PART_MIN: f32 = 0.02;
+/// Most requests that one call stands for; a larger figure would rest on too small a sample.
+const REQUESTS_MAX: f64 = 20.0;
 
-/// Parts of one call by the importance of the requests that it may belong to; they add up to one.
+/// Requests that one call stands for, by the importance of those that it may belong to.
+///
+/// The parts add up to one where every request was let in. Where an entry lets in only every
+/// second one, a call stands for two, so that the service at the end of a chain learns what is
+/// asked for rather than what came through, however late the call arrives.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Mix(Vec<(Importance, f32)>);
@@ -24,6 +30,12 @@
         Self(vec![(importance, 1.0)])
     }
 
+    /// Call that belongs to a request of this importance, of which the part `passed` was let in.
+    pub fn sampled(importance: Importance, passed: f64) -> Self {
+        let requests = 1.0 / passed.clamp(1.0 / REQUESTS_MAX, 1.0);
+        Self(vec![(importance, requests as f32)])
+    }
+
     /// Parts, by importance.
     pub fn parts(&self) -> impl Iterator<Item = (Importance, f64)> + '_ {
         self.0.iter().map(|(importance, part)| (*importance, f64::from(*part)))
@@ -62,13 +74,12 @@
 
     /// Mix of a call that one of the running calls makes; none if nothing runs.
     pub fn mean(&self) -> Option<Mix> {
-        let total: f32 = self.sums.values().sum();
-        if total <= 0.0 {
+        if self.calls == 0 {
             return None;
         }
-        let parts = self.sums.iter().map(|(importance, sum)| (*importance, sum / total));
+        let calls = self.calls as f32;
+        let parts = self.sums.iter().map(|(importance, sum)| (*importance, sum / calls));
         let kept: Vec<_> = parts.filter(|(_, part)| *part >= PART_MIN).collect();
-        let whole: f32 = kept.iter().map(|(_, part)| part).sum();
-        Some(Mix(kept.into_iter().map(|(importance, part)| (importance, part / whole)).collect()))
+        (!kept.is_empty()).then_some(Mix(kept))
     }
 }
--- /dev/null
+++ b/core/src/reach.rs
@@ -0,0 +1,63 @@
+//! Which services the requests of a route reach, by the answers to them.
+//!
+//! The pattern that this answers: a deep service is short of room, and requests that never reach it
+//! share an entry, or even their first service, with requests that do. Refusing by the level of the
+//! first service alone would turn away the former for the sake of the latter. See
+//! [overload](../../docs/design/overload.md).
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::admission::{Level, LevelMap};
+use crate::ids::Name;
+use crate::time::Moment;
+
+/// Largest number of routes that are followed.
+const ROUTES_MAX: usize = 4_096;
+
+/// Services that each route was seen to reach beyond its first one.
+#[derive(Debug, Default, Serialize)]
+pub struct Reach {
+    routes: HashMap<Name, HashMap<Name, Moment>>,
+}
+
+impl Reach {
+    /// Time for which an observation counts; long against gaps in a rare route.
+    pub const MEMORY: Duration = Duration::from_secs(30);
+
+    /// Takes in that a request of `route` reached `services`.
+    pub fn learn<'a>(
+        &mut self,
+        now: Moment,
+        route: &Name,
+        services: impl IntoIterator<Item = &'a Name>,
+    ) {
+        if !self.routes.contains_key(route) && self.routes.len() >= ROUTES_MAX {
+            return;
+        }
+        let known = self.routes.entry(route.clone()).or_default();
+        for service in services {
+            known.insert(service.clone(), now);
+        }
+    }
+
+    /// Highest level that a request of `route` meets, which goes to one of `first`.
+    pub fn barrier<'a>(
+        &'a self,
+        now: Moment,
+        route: &Name,
+        first: impl IntoIterator<Item = &'a Name>,
+        levels: &LevelMap,
+    ) -> Level {
+        let reached = first.into_iter().chain(self.of(now, route));
+        reached.map(|service| levels.median(now, service)).max().unwrap_or_default()
+    }
+
+    /// Services that requests of `route` reach.
+    pub fn of(&self, now: Moment, route: &Name) -> impl Iterator<Item = &Name> {
+        let known = self.routes.get(route).into_iter().flatten();
+        known.filter(move |(_, at)| now.since(**at) < Self::MEMORY).map(|(service, _)| service)
+    }
+}
--- /dev/null
+++ b/core/src/runs.rs
@@ -0,0 +1,75 @@
+//! Runs at one target, and which of them a call of that target belongs to.
+//!
+//! A target that makes further calls gives them identifiers that extend the one of the request it
+//! runs (hierarchical request identifiers). Where it does, each call is put down to its request:
+//! the call takes over the request's place in the order of survival, and the request learns which
+//! services it reaches. Where identifiers say nothing, a call counts as one of an average run. See
+//! [overload](../../docs/design/overload.md).
+
+use std::collections::{BTreeSet, HashMap};
+
+use crate::admission::Rank;
+use crate::ids::Name;
+use crate::mix::{Mix, MixSum};
+
+/// Largest number of services that one run is noted to reach; bounds the size of answers.
+const REACHED_MAX: usize = 16;
+
+/// Request that a target runs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RunningCall {
+    /// Place of the root request in the order of survival.
+    pub rank: Rank,
+    /// Requests that the run stands for, by importance.
+    pub mix: Mix,
+    /// Services that calls of this run have reached.
+    reached: BTreeSet<Name>,
+}
+
+/// Runs at one target, by the identifier of their request.
+#[derive(Debug, Default)]
+pub struct Runs {
+    running: HashMap<Box<[u8]>, RunningCall>,
+    sum: MixSum,
+}
+
+impl Runs {
+    /// Takes in a run that begins; a request that the target already runs is replaced.
+    pub fn begin(&mut self, id: &[u8], rank: Rank, mix: Mix) {
+        self.sum.begin(&mix);
+        let run = RunningCall { rank, mix, reached: BTreeSet::new() };
+        if let Some(replaced) = self.running.insert(id.into(), run) {
+            self.sum.end(&replaced.mix);
+        }
+    }
+
+    /// Ends a run; returns the services that it reached.
+    pub fn end(&mut self, id: &[u8]) -> BTreeSet<Name> {
+        let Some(run) = self.running.remove(id) else { return BTreeSet::new() };
+        self.sum.end(&run.mix);
+        run.reached
+    }
+
+    /// Run that the call `id` belongs to, with the identifier of its request.
+    ///
+    /// That is the one with the longest identifier that `id` extends by a part of its own.
+    pub fn parent<'a>(&self, id: &'a [u8]) -> Option<(&'a [u8], &RunningCall)> {
+        let ends = (1..id.len()).rev().filter(|end| !id[*end].is_ascii_alphanumeric());
+        ends.map(|end| &id[..end]).find_map(|prefix| Some((prefix, self.running.get(prefix)?)))
+    }
+
+    /// Notes that a call of the run `id` reached `services`.
+    pub fn reach<'a>(&mut self, id: &[u8], services: impl IntoIterator<Item = &'a Name>) {
+        let Some(run) = self.running.get_mut(id) else { return };
+        for service in services {
+            if run.reached.len() < REACHED_MAX {
+                run.reached.insert(service.clone());
+            }
+        }
+    }
+
+    /// Mix of a call that belongs to an unknown one of the runs; none if nothing runs.
+    pub fn mean(&self) -> Option<Mix> {
+        self.sum.mean()
+    }
+}
--- a/core/src/surge.rs
+++ b/core/src/surge.rs
@@ -3,43 +3,50 @@
 //! The pattern that this answers: a deep service is short of room, and what overloads it are calls
 //! of requests that entered elsewhere. Turning the calls away wastes the work already done for
 //! their requests, so the calls run, and the level that goes back with each answer tells the
-//! entries which requests not to begin. The node beside the target knows neither the requests nor
-//! their cost; it moves the level until the load that
-//! is offered fits. See
-//! [overload](../../docs/design/overload.md).
+//! entries which requests not to begin.
+//!
+//! Calls arrive some hundred milliseconds after the entries decided. What is counted is therefore
+//! not the calls but the requests that each [`Mix`] stands for: an entry that let in every second
+//! request sends calls that count twice. The sum tells what is asked for whatever the level was at
+//! the time, so the level can be set at once to where that meets the capacity, and its own delay
+//! cannot make it swing. See [overload](../../docs/design/overload.md).
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::admission::{Level, Rank};
-use crate::ids::Importance;
+use crate::ids::{Importance, Name};
 use crate::limit::ImportanceScale;
 use crate::mix::Mix;
 use crate::time::Moment;
 
-/// Offered load at which the target should be held, in parts of its limit: full, with a short
-/// queue at times.
-const GOAL: f64 = 0.97;
-/// Load that is refused or let in per second, as a part of the error. A change shows after the time
-/// that a request takes down the chain, some hundred milliseconds; a larger gain oscillates.
-const GAIN: f64 = 1.0;
-/// Largest error that counts; what lies beyond it is a burst or a target that has just started.
-const ERROR_MAX: f64 = 1.0;
-/// Time over which the level is averaged to tell how much of an importance passed it.
-const LEVEL_TIME: Duration = Duration::from_millis(300);
-/// Smallest part of an importance that must pass for its whole load to be told from it.
-const VISIBLE_MIN: f64 = 0.2;
-/// Weight of a window in the load of an importance.
-const CLASS_WEIGHT: f64 = 0.1;
-/// Smallest load that an importance is taken to cause, so that the level passes idle ones quickly.
-const CLASS_MIN: f64 = 0.02;
-/// Error that a full queue adds, so that it empties although the load fits again.
-const BACKLOG: f64 = 0.15;
+/// Load at which the target should be held, in parts of its limit. The rest absorbs chance: at this
+/// load hardly any call waits for longer than it runs.
+const GOAL: f64 = 0.92;
+/// Load that one limit's worth of waiting calls takes off the goal, so that a queue which formed
+/// empties. A larger part would let the level follow the queue, which moves much faster than a
+/// change of the level shows.
+const BACKLOG: f64 = 0.05;
+/// Limits' worth of waiting calls beyond which nothing more is taken off.
+const BACKLOG_MAX: f64 = 4.0;
+/// Smallest goal; whatever waits, what fits goes on being let in.
+const GOAL_MIN: f64 = 0.2;
 /// Time over which arrivals are counted.
 const WINDOW: Duration = Duration::from_millis(50);
-/// Weight of a window in the smoothed rate.
-const RATE_WEIGHT: f64 = 0.35;
-/// Weight of a run in the smoothed latency.
+/// Time over which the load of an importance is averaged: several calls of each request, and less
+/// than callers wait.
+const LOAD_TIME: Duration = Duration::from_millis(250);
+/// Time for which calls may still arrive of requests that entries decided on before a change of
+/// the level.
+const DELAY: Duration = Duration::from_millis(600);
+/// Part of an importance that must have passed for what arrives to tell the whole.
+const VISIBLE_MIN: f64 = 0.05;
+/// Time in which the remembered load of a hidden importance halves, so that it is tried again.
+const HIDDEN_HALF: Duration = Duration::from_secs(3);
+/// Weight of a run in the smoothed latency of its route, once it has this inverse number of runs.
 const RUN_WEIGHT: f64 = 0.02;
+/// Largest number of routes whose latency is kept.
+const ROUTES_MAX: usize = 4_096;
 /// Part of the most important requests that passes at any level.
 const SPARED: f64 = 0.1;
 /// Lots in one importance.
@@ -56,44 +63,61 @@
     pub limit: u32,
 }
 
-/// Load that requests of one importance cause.
+/// Load that requests of one importance ask for.
 #[derive(Debug, Clone, Copy)]
 struct Class {
     importance: Importance,
-    /// Calls that arrived in this window.
-    arrivals: f64,
-    /// Load in limits if none of them were refused.
-    whole: f64,
+    /// Slot seconds asked for in this window.
+    work: f64,
+    /// Smoothed load in limits, as if nothing were refused.
+    load: f64,
+    /// When the level last hid nearly all of this importance.
+    hidden: Option<Moment>,
 }
 
 impl Class {
     fn new(importance: Importance) -> Self {
-        Self { importance, arrivals: 0.0, whole: 0.0 }
+        Self { importance, work: 0.0, load: 0.0, hidden: None }
     }
+
+    /// Takes in the load of a window.
+    fn learn(&mut self, now: Moment, span: Duration, load: f64) {
+        let secs = span.as_secs_f64();
+        let hidden = self.hidden.is_some_and(|at| now.since(at) < DELAY);
+        if hidden && load < self.load {
+            self.load *= 0.5_f64.powf(secs / HIDDEN_HALF.as_secs_f64());
+            return;
+        }
+        self.load += secs / (secs + LOAD_TIME.as_secs_f64()) * (load - self.load);
+    }
+}
+
+/// Smoothed run time.
+#[derive(Debug, Clone, Copy, Default)]
+struct RunTime {
+    secs: f64,
+    runs: f64,
 }
 
-/// Level of one target, moved by the load that is offered to it.
-///
-/// The length of the queue alone would not do: it fills or empties within some ten milliseconds,
-/// much sooner than a change of the level shows, and the level would swing from end to end.
-///
-/// It moves in units of load: an importance that causes little of it is passed quickly, one that
-/// causes much slowly.
+impl RunTime {
+    fn observe(&mut self, latency: Duration) {
+        self.runs += 1.0;
+        self.secs += (latency.as_secs_f64() - self.secs) * (1.0 / self.runs).max(RUN_WEIGHT);
+    }
+}
+
+/// Level of one target, set to where the load that is asked for fits.
 #[derive(Debug)]
 pub struct Surge {
     /// Rising importance.
     classes: Vec<Class>,
-    /// Steps of importance that are refused; the fraction refuses part of the next.
-    refused: f64,
-    /// The same, averaged over the time that a change takes to show.
-    averaged: f64,
-    /// Calls that arrived in this window, refused ones included.
-    arrivals: u32,
-    /// Smoothed arrivals per second.
-    rate: f64,
-    /// Smoothed run time, in seconds.
-    latency: f64,
+    routes: HashMap<Name, RunTime>,
+    /// Run time over all routes.
+    any: RunTime,
+    level: Level,
     opened: Moment,
+    /// When a run last ended.
+    finished: Moment,
 }
 
 impl Surge {
@@ -101,12 +125,11 @@
     pub fn new(now: Moment, scale: &ImportanceScale) -> Self {
         Self {
             classes: scale.iter().map(Class::new).collect(),
-            refused: 0.0,
-            averaged: 0.0,
-            arrivals: 0,
-            rate: 0.0,
-            latency: 0.0,
+            routes: HashMap::new(),
+            any: RunTime::default(),
+            level: Level::OPEN,
             opened: now,
+            finished: now,
         }
     }
 
@@ -117,106 +140,85 @@
             let same = known.iter().find(|class| class.importance == importance);
             self.classes.push(same.copied().unwrap_or(Class::new(importance)));
         }
-        self.refused = self.refused.min(self.most());
     }
 
-    /// Counts a call that asks to be run, whatever becomes of it.
-    pub fn arrived(&mut self, mix: &Mix) {
-        self.arrivals += 1;
-        for (importance, part) in mix.parts() {
+    /// Counts a call of `route` that asks to be run, whatever becomes of it.
+    pub fn arrived(&mut self, route: &Name, mix: &Mix) {
+        let known = self.routes.get(route).copied().unwrap_or(self.any);
+        for (importance, requests) in mix.parts() {
             let above = self.classes.partition_point(|class| class.importance <= importance);
             if let Some(class) = above.checked_sub(1).and_then(|idx| self.classes.get_mut(idx)) {
-                class.arrivals += part;
+                class.work += requests * known.secs;
             }
         }
     }
 
-    /// Takes in the time that a run took.
-    pub fn finished(&mut self, latency: Duration) {
-        let weight = if self.latency > 0.0 { RUN_WEIGHT } else { 1.0 };
-        self.latency += weight * (latency.as_secs_f64() - self.latency);
+    /// Takes in the time that a run of `route` took.
+    pub fn finished(&mut self, now: Moment, route: &Name, latency: Duration) {
+        self.finished = now;
+        self.any.observe(latency);
+        if let Some(known) = self.routes.get_mut(route) {
+            known.observe(latency);
+        } else if self.routes.len() < ROUTES_MAX {
+            self.routes.entry(route.clone()).or_default().observe(latency);
+        }
     }
 
-    /// Lets the level follow the load once a window is over.
+    /// Sets the level to the load once a window is over.
     pub fn observe(&mut self, now: Moment, calls: Occupancy) {
         let span = now.since(self.opened);
         if span < WINDOW {
             return;
         }
         self.opened = now;
-        let span = span.min(Duration::from_secs(1)).as_secs_f64();
-        let rate = f64::from(std::mem::take(&mut self.arrivals)) / span;
-        self.rate += RATE_WEIGHT * (rate - self.rate);
         let limit = f64::from(calls.limit.max(1));
-        let backlog = BACKLOG * (calls.queued as f64 / limit).min(1.0);
-        let mut load = self.rate * self.latency / limit;
-        if calls.queued > 0 {
-            // A target that finishes nothing has no latency to tell of it.
-            load = load.max(1.0);
+        let stall = self.stall(now, calls);
+        for class in &mut self.classes {
+            let work = std::mem::take(&mut class.work);
+            class.learn(now, span, work * stall / span.as_secs_f64() / limit);
         }
-        let error = (load + backlog - GOAL).clamp(-ERROR_MAX, ERROR_MAX);
-        self.learn(span, limit);
-        self.step(GAIN * error * span);
-        let weight = span / (span + LEVEL_TIME.as_secs_f64());
-        self.averaged += weight * (self.refused - self.averaged);
-    }
-
-    /// Tells the load of each importance from the part of it that the level let through.
-    fn learn(&mut self, span: f64, limit: f64) {
-        for (idx, class) in self.classes.iter_mut().enumerate() {
-            let rate = std::mem::take(&mut class.arrivals) / span;
-            let visible = 1.0 - (self.averaged - idx as f64).clamp(0.0, 1.0);
-            if visible >= VISIBLE_MIN {
-                let whole = rate * self.latency / limit / visible;
-                class.whole += CLASS_WEIGHT * (whole - class.whole);
+        self.level = self.fitting(goal(calls));
+        for class in &mut self.classes {
+            if self.level.visible(class.importance) < VISIBLE_MIN {
+                class.hidden = Some(now);
             }
         }
     }
 
-    /// Moves the level so that `load` more of the offered load is refused, or less if negative.
-    fn step(&mut self, load: f64) {
-        let mut rest = load;
-        while rest > 0.0 && self.refused < self.most() {
-            let idx = self.refused.floor();
-            let whole = self.whole(idx);
-            let left = (idx + 1.0 - self.refused) * whole;
-            if rest < left {
-                self.refused += rest / whole;
-                break;
-            }
-            rest -= left;
-            self.refused = idx + 1.0;
-        }
-        while rest < 0.0 && self.refused > 0.0 {
-            let idx = self.refused.ceil() - 1.0;
-            let whole = self.whole(idx);
-            let left = (self.refused - idx) * whole;
-            if -rest < left {
-                self.refused += rest / whole;
-                break;
-            }
-            rest += left;
-            self.refused = idx;
-        }
-        self.refused = self.refused.clamp(0.0, self.most());
+    /// Level that goes back with answers.
+    pub fn level(&self) -> Level {
+        self.level
     }
 
-    fn whole(&self, idx: f64) -> f64 {
-        self.classes.get(idx as usize).map_or(CLASS_MIN, |class| class.whole.max(CLASS_MIN))
+    /// Factor by which runs take longer than the smoothed latency tells, when a target that is
+    /// full ends none of them.
+    fn stall(&self, now: Moment, calls: Occupancy) -> f64 {
+        let full = calls.running >= calls.limit as usize && calls.queued > 0;
+        if !full || self.any.secs <= 0.0 {
+            return 1.0;
+        }
+        (now.since(self.finished).as_secs_f64() / self.any.secs).max(1.0)
     }
 
-    /// Level that goes back with answers.
-    pub fn level(&self) -> Level {
-        let step = self.refused.floor();
-        let Some(class) = self.classes.get(step as usize) else { return Level::OPEN };
-        let lot = (LOTS * (self.refused - step)).min(LOTS - 1.0) as u16;
-        if step == 0.0 && lot == 0 {
-            return Level::OPEN;
+    /// Level down to which what is asked for fits.
+    fn fitting(&self, goal: f64) -> Level {
+        let mut left = goal;
+        for (idx, class) in self.classes.iter().enumerate().rev() {
+            if class.load > left {
+                let top = idx + 1 == self.classes.len();
+                let most = if top { 1.0 - SPARED } else { 1.0 };
+                let refused = (1.0 - left.max(0.0) / class.load).min(most);
+                let lot = (LOTS * refused).min(LOTS - 1.0) as u16;
+                return Level::at(Rank::at(class.importance, lot));
+            }
+            left -= class.load;
         }
-        Level::at(Rank::at(class.importance, lot))
+        Level::OPEN
     }
+}
 
-    fn most(&self) -> f64 {
-        (self.classes.len() as f64 - SPARED).max(0.0)
-    }
+/// Load to let in.
+fn goal(calls: Occupancy) -> f64 {
+    let waiting = calls.queued as f64 / f64::from(calls.limit.max(1));
+    (GOAL - BACKLOG * waiting.min(BACKLOG_MAX)).max(GOAL_MIN)
 }
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -4,8 +4,8 @@
 
 use poplar_core::{
     Chooser, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, MixSum, Moment, Name,
-    Observed, Occupancy, Origins, Rank, RequestId, ResendBound, ResendBudget, Spell, Surge,
-    TargetInfo,
+    Observed, Occupancy, Origins, Rank, Reach, RequestId, ResendBound, ResendBudget, Runs, Spell,
+    Surge, TargetInfo, ToldLevel,
 };
 
 const RATIO: f64 = 0.2;
@@ -50,8 +50,9 @@
     surge: Surge,
     /// Calls that wait or run.
     busy: f64,
-    /// Parts of calls that are due, by importance.
+    /// Parts of calls that are due, by importance, and the requests that they stand for.
     due: [f64; 2],
+    stand: [Mix; 2],
     now: u64,
     /// Passed and offered requests of the low and of the high importance.
     counts: [(u32, u32); 2],
@@ -81,7 +82,8 @@
     fn at(delay: usize, room: f64) -> Self {
         let surge = Surge::new(Moment::default(), &ImportanceScale::new([LOW, HIGH]));
         let levels = vec![Level::OPEN; delay];
-        Self { surge, busy: 0.0, due: [0.0; 2], now: 0, counts: [(0, 0); 2], levels, room }
+        let stand = [LOW, HIGH].map(Mix::of);
+        Self { surge, busy: 0.0, due: [0.0; 2], stand, now: 0, counts: [(0, 0); 2], levels, room }
     }
 
     /// Plays `seconds` with the given demand, in limits of the deep service, for low and high.
@@ -90,6 +92,7 @@
         for _ in 0..seconds * 1_000 {
             let level = self.levels[self.now as usize % self.levels.len()];
             for (idx, importance) in [LOW, HIGH].into_iter().enumerate() {
+                self.stand[idx] = Mix::sampled(importance, level.visible(importance));
                 for number in 0..REQUESTS {
                     let id = RequestId(u128::from(self.now * REQUESTS + number) << idx);
                     let passes = level.admits(Rank::of(importance, id));
@@ -105,19 +108,21 @@
 
     /// Lets calls arrive, run and end for 1 ms.
     fn step(&mut self) {
-        for (due, importance) in self.due.iter_mut().zip([LOW, HIGH]) {
+        let route = Name::new("deep");
+        for (due, stand) in self.due.iter_mut().zip(&self.stand) {
             while *due >= 1.0 {
                 *due -= 1.0;
-                self.surge.arrived(&Mix::of(importance));
+                self.surge.arrived(&route, stand);
                 self.busy = (self.busy + 1.0).min(self.room);
             }
         }
         self.busy -= self.busy.min(f64::from(LIMIT)) / f64::from(RUN_MS);
-        self.surge.finished(Duration::from_millis(u64::from(RUN_MS)));
+        let now = Moment::from_millis(self.now);
+        self.surge.finished(now, &route, Duration::from_millis(u64::from(RUN_MS)));
         let busy = self.busy as usize;
         let running = busy.min(LIMIT as usize);
         let calls = Occupancy { running, queued: busy - running, limit: LIMIT };
-        self.surge.observe(Moment::from_millis(self.now), calls);
+        self.surge.observe(now, calls);
         let slot = self.now as usize % self.levels.len();
         self.levels[slot] = self.surge.level();
         self.now += 1;
@@ -144,6 +149,34 @@
     assert!((0.12..0.25).contains(&low), "what is left goes to the others: {low}");
 }
 
+/// Burst that sets in at once: the entries refuse what does not fit as soon as its first calls have
+/// come through the chain, and do not overshoot.
+#[test]
+fn sudden_burst_is_refused_once_its_first_calls_have_come_through() {
+    let mut deep = Deep::new();
+    deep.play(3, [0.3, 0.3]);
+    deep.play(1, [1.2, 0.8]);
+    deep.passed();
+    deep.play(1, [1.2, 0.8]);
+    let [low, high] = deep.passed();
+    assert!(high > 0.99, "the important ones pass: {high}");
+    // 0.1 to 0.2 limits of 1.2 are left.
+    assert!((0.02..0.25).contains(&low), "{low}");
+}
+
+/// Two thirds of the targets are lost: what is left serves the most important requests.
+#[test]
+fn loss_of_most_targets_leaves_what_remains_to_the_important() {
+    let mut deep = Deep::new();
+    // What was 0.3 of three targets is 0.9 of one.
+    deep.play(2, [0.4, 0.3]);
+    deep.play(3, [1.2, 0.9]);
+    deep.passed();
+    deep.play(5, [1.2, 0.9]);
+    let [low, high] = deep.passed();
+    assert!(high > 0.9 && low < 0.1, "{low} {high}");
+}
+
 /// The same burst on a service that refuses nothing itself: its queue stays short, although the
 /// entries alone keep it so.
 #[test]
@@ -225,6 +258,70 @@
     assert_eq!(level, Level::at(Rank::at(HIGH, 30_000)));
 }
 
+/// Deep call graph: a level that nodes tell each other counts from when the service gave it, so that
+/// it dies out in a circle, and an older word never replaces a newer one.
+#[test]
+fn told_levels_age_on_their_way() {
+    let (service, peer) = (Name::new("s"), InstanceId::from("a"));
+    let high = Level::at(Rank::at(HIGH, 30_000));
+    let told = ToldLevel { service: service.clone(), level: high, age: 0 };
+    let mut maps = [(); 2].map(|()| LevelMap::new(ImportanceScale::new([LOW, HIGH])));
+    maps[0].heard(Moment::from_millis(10_000), &peer, &told);
+    for millis in (10_000..12_000).step_by(10) {
+        let now = Moment::from_millis(millis);
+        let (from, to) = if millis % 20 == 0 { (0, 1) } else { (1, 0) };
+        for told in maps[from].tell(now) {
+            maps[to].heard(now, &peer, &told);
+        }
+    }
+    let now = Moment::from_millis(12_000);
+    assert!(maps.iter().all(|map| map.median(now, &service) == Level::OPEN));
+    let open = ToldLevel { level: Level::OPEN, ..told.clone() };
+    maps[0].heard(now, &peer, &open);
+    maps[0].heard(now, &peer, &ToldLevel { age: 200, ..told });
+    assert_eq!(maps[0].median(now, &service), Level::OPEN);
+}
+
+/// Deep call graph: requests that share their first service with others, but never reach the one
+/// that is short of room, are let in.
+#[test]
+fn requests_that_never_reach_the_short_service_are_let_in() {
+    let [direct, chained] = ["direct", "chained"].map(Name::new);
+    let [first, deep] = ["first", "deep"].map(Name::new);
+    let now = Moment::from_millis(1_000);
+    let mut levels = LevelMap::new(ImportanceScale::new([LOW, HIGH]));
+    let level = Level::at(Rank::at(HIGH, 0));
+    let told = ToldLevel { service: deep.clone(), level, age: 0 };
+    levels.heard(now, &InstanceId::from("a"), &told);
+    let mut reach = Reach::default();
+    reach.learn(now, &direct, []);
+    reach.learn(now, &chained, [&deep]);
+    assert_eq!(reach.barrier(now, &direct, [&first], &levels), Level::OPEN);
+    assert_eq!(reach.barrier(now, &chained, [&first], &levels), level);
+    assert_eq!(reach.barrier(now, &direct, [&deep], &levels), level);
+}
+
+/// Deep call graph: a call belongs to the request whose identifier it extends, and takes over that
+/// one's place in the order of survival.
+#[test]
+fn calls_are_put_down_to_the_request_that_they_extend() {
+    let mut runs = Runs::default();
+    let [low, high] = [LOW, HIGH].map(|importance| Rank::at(importance, 7));
+    runs.begin(b"aa", low, Mix::of(LOW));
+    runs.begin(b"aa.bb", high, Mix::of(HIGH));
+    let rank = |id: &'static [u8]| runs.parent(id).map(|(parent, run)| (parent, run.rank));
+    assert_eq!(rank(b"aa.cc"), Some((&b"aa"[..], low)));
+    assert_eq!(rank(b"aa.bb.cc"), Some((&b"aa.bb"[..], high)));
+    assert_eq!(rank(b"aa.bb"), Some((&b"aa"[..], low)));
+    assert_eq!(rank(b"aabb"), None);
+    assert_eq!(rank(b"ab.cc"), None);
+    let deep = Name::new("deep");
+    runs.reach(b"aa", [&deep]);
+    assert!(runs.end(b"aa").contains(&deep));
+    assert!(runs.end(b"aa").is_empty());
+    assert_eq!(runs.mean(), Some(Mix::of(HIGH)));
+}
+
 /// Deep call graph: a call is put down to the importances that its target runs.
 #[test]
 fn calls_are_put_down_to_what_their_target_runs() {
--- a/node/src/announce.rs
+++ b/node/src/announce.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use poplar_core::{ImportanceScale, Incarnation, InstanceId, Moment, Name, TargetLimits};
+use poplar_core::{ImportanceScale, Incarnation, InstanceId, Moment, Name, Shedding, TargetLimits};
 use poplar_kernel::{Clock, Registry, RegistryError, Service};
 use poplar_wire::{Announcement, MemberRecord, MemberState};
 use serde_json::{Value, json};
@@ -69,7 +69,7 @@
         let limits = TargetLimits::derive(announcement.slots, announcement.connections);
         self.target.announce(now, announcement);
         if !known {
-            self.gate.open(limits, ImportanceScale::new([]));
+            self.gate.open(limits, ImportanceScale::new([]), Shedding::ByLevel);
             self.tell(MemberState::Serving);
         }
     }
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -6,7 +6,7 @@
 
 use poplar_core::{
     Admission, AdmissionVerdict, Arrival, ErrorKind, ImportanceScale, Level, Mix, Moment, Name,
-    Occupancy, Rank, Refusal, Release, Revision, RunTimes, Surge, TargetLimits, Ticket,
+    Occupancy, Rank, Refusal, Release, Revision, RunTimes, Shedding, Surge, TargetLimits, Ticket,
 };
 use poplar_kernel::{Clock, Service};
 use poplar_wire::CallMeta;
@@ -107,11 +107,11 @@
     }
 
     /// Takes the limits of a target that has just announced itself.
-    pub(crate) fn open(&self, limits: TargetLimits, scale: ImportanceScale) {
+    pub(crate) fn open(&self, limits: TargetLimits, scale: ImportanceScale, shedding: Shedding) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.surge = Some(Surge::new(now, &scale));
-        state.admission = Some(Admission::new(now, limits, scale));
+        state.admission = Some(Admission::shedding(now, limits, scale, shedding));
         state.revision = Revision::default();
     }
 
@@ -183,7 +183,7 @@
         state.next += 1;
         let ticket = Ticket(state.next);
         if let Some(surge) = state.surge.as_mut() {
-            surge.arrived(&entrant.mix);
+            surge.arrived(&entrant.class, &entrant.mix);
         }
         let arrival = Arrival {
             ticket,
@@ -217,7 +217,7 @@
         let mut state = self.lock();
         state.times.observe(class, took);
         if let Some(surge) = state.surge.as_mut() {
-            surge.finished(took);
+            surge.finished(now, class, took);
         }
         let release = state.admission.as_mut().map(|a| a.finish(now, ticket, took));
         state.tell(release.unwrap_or_default());
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -8,6 +8,7 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use poplar_core::{
     ErrorKind, InstanceId, Level, Mix, Name, Rank, Revision, RuleSet, Sighting, TargetRecord,
+    ToldLevel,
 };
 use serde::{Deserialize, Serialize};
 
@@ -72,8 +73,10 @@
     pub(crate) fields: Vec<Field>,
     /// Place in the order of survival.
     pub(crate) rank: u32,
-    /// Importances of the requests that it may belong to.
+    /// Requests that it stands for.
     pub(crate) mix: Mix,
+    /// Whether work was already done for the request that it belongs to.
+    pub(crate) begun: bool,
     /// Time left until the answer is of no use.
     pub(crate) left: Duration,
     /// Body.
@@ -105,8 +108,10 @@
     pub(crate) outcome: poplar_core::Outcome<WholeReply>,
     /// Whether any of the request was handed to the target.
     pub(crate) offered: bool,
-    /// Level below which entries should refuse requests that lead here.
-    pub(crate) level: Level,
+    /// Levels of the target's service and of others that are short of room.
+    pub(crate) levels: Vec<ToldLevel>,
+    /// Services that the run reached by its calls.
+    pub(crate) reached: Vec<Name>,
     /// Calls that run or wait at the target, in parts of its limit.
     pub(crate) load: f32,
 }
@@ -115,7 +120,7 @@
     /// Refusal of a call that the target has not seen.
     pub(crate) fn refused(kind: ErrorKind, retry_after: Duration) -> Self {
         let outcome = poplar_core::Outcome::NotRun { kind, retry_after };
-        Self { outcome, offered: false, level: Level::OPEN, load: 0.0 }
+        Self { outcome, offered: false, levels: Vec::new(), reached: Vec::new(), load: 0.0 }
     }
 }
 
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -1,30 +1,33 @@
 //! What this node learns of the call graph from the calls that it sees and the answers to them.
 //!
-//! From what is asked for at it and at other nodes it learns which routes targets call; from the
-//! answers it learns the levels of the services, so that a request which would fail deeper down is
-//! refused before any work.
+//! A call of the target beside this node is put down to the request that it belongs to. Answers
+//! tell which services a request reached and at which levels these stand, so that a request which
+//! would fail deeper down is refused before any work. See [overload](../../../docs/design/overload.md).
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use poplar_core::{
-    ImportanceScale, InstanceId, Level, LevelMap, Mix, MixSum, Moment, Name, Origins, Rank,
-    RouteRule, Share, Sighting, Spell,
+    Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, Moment, Name, Origins, Rank,
+    Reach, RequestId, RouteRule, Runs, Sighting, Spell, ToldLevel,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
+use xxhash_rust::xxh3::xxh3_128;
 
-use super::frame::CallAnswer;
+use super::frame::{Call, CallAnswer};
 
-/// Lots, of 65,536 in an importance, by which a level is lowered at each hop back, so that one
-/// which services tell each other in a circle dies out.
-const HOP_LOTS: u32 = 1_024;
+/// Importance of a call for which work was done already but whose request is not known.
+const BEGUN: Importance = Importance(u8::MAX);
 
 /// Service that holds what was learnt.
 #[derive(Debug)]
 pub(crate) struct Graph {
     clock: Clock,
+    /// Service of the target beside this node.
+    own: Name,
     state: Mutex<State>,
 }
 
@@ -32,27 +35,42 @@
 struct State {
     origins: Origins,
     levels: LevelMap,
-    /// Routes that the target beside this node calls, and the services that run them.
-    callees: HashMap<Name, Name>,
+    reach: Reach,
+    /// Requests that the target beside this node runs.
+    runs: Runs,
+    /// Services that calls of unknown requests of this target reached, and when.
+    unknown: HashMap<Name, Moment>,
     /// Services of the installation.
     services: usize,
-    /// What the target beside this node runs, by importance.
-    running: MixSum,
     /// Services that requests are refused for.
     surges: HashMap<Name, Spell>,
 }
 
+/// Place of a request in the call graph, as its entry found it.
+#[derive(Debug, Clone)]
+pub(crate) struct Standing {
+    /// Place in the order of survival.
+    pub(crate) rank: Rank,
+    /// Requests that it stands for.
+    pub(crate) mix: Mix,
+    /// Whether it is a call of a request for which work was done already.
+    pub(crate) begun: bool,
+    /// Request of the target beside this node that it belongs to.
+    parent: Option<Bytes>,
+}
+
 impl Graph {
-    pub(crate) fn new(clock: Clock) -> Self {
+    pub(crate) fn new(clock: Clock, own: Name) -> Self {
         let state = State {
             origins: Origins::default(),
             levels: LevelMap::new(ImportanceScale::new([])),
-            callees: HashMap::new(),
+            reach: Reach::default(),
+            runs: Runs::default(),
+            unknown: HashMap::new(),
             services: 0,
-            running: MixSum::default(),
             surges: HashMap::new(),
         };
-        Self { clock, state: Mutex::new(state) }
+        Self { clock, own, state: Mutex::new(state) }
     }
 
     /// Takes over the importances and the number of services of a new revision.
@@ -62,10 +80,38 @@
         state.services = services;
     }
 
-    /// Takes in a request for `route` that begins at this node, an instance of `service`.
-    pub(crate) fn saw(&self, route: &Name, service: &Name) {
+    /// Finds the place of a request that enters here and goes to `service`.
+    ///
+    /// # Errors
+    ///
+    /// Time to come back, if the request should not begin because a service that it may reach is
+    /// short of room. A call of a target is never refused. All shares of a route are refused
+    /// alike, so that their parts stay what the weights say.
+    pub(crate) fn admit(
+        &self,
+        service: &Name,
+        route: &RouteRule,
+        request: &Bytes,
+    ) -> Result<Standing, Duration> {
         let now = self.clock.now();
-        self.lock().origins.saw(now, route, service);
+        let mut state = self.lock();
+        state.origins.saw(now, &route.name, &self.own);
+        let rank = Rank::of(route.importance, RequestId(xxh3_128(request)));
+        if let Some(standing) = state.begun(now, route, request, rank) {
+            return Ok(standing);
+        }
+        match state.passed(now, route, rank) {
+            Some(passed) => {
+                let mix = Mix::sampled(route.importance, passed);
+                Ok(Standing { rank, mix, begun: false, parent: None })
+            }
+            None => {
+                let fresh = Spell::begin(now);
+                let spell = state.surges.entry(service.clone()).or_insert(fresh);
+                spell.extend(now);
+                Err(spell.retry_after(now, rank.lot()))
+            }
+        }
     }
 
     /// What this node tells others of the requests that it saw or heard of.
@@ -80,88 +126,51 @@
         self.lock().origins.merge(now, told);
     }
 
-    /// Takes in what came with an answer of `instance` to a call of `route` to `service`.
+    /// Takes in what came with an answer of `instance` to a request of `route` to `service`.
     pub(crate) fn learn(
         &self,
         service: &Name,
         instance: &InstanceId,
         route: &Name,
+        standing: &Standing,
         answer: &CallAnswer,
     ) {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.levels.learn(now, service, instance, answer.level);
-        if state.is_internal(now, route) != Some(true) {
-            state.callees.remove(route);
-        } else if state.callees.get(route) != Some(service) {
-            state.callees.insert(route.clone(), service.clone());
-        }
-    }
-
-    /// Counts a call that the target beside this node runs until the result is dropped.
-    pub(crate) fn begin(&self, mix: Mix) -> Running<'_> {
-        self.lock().running.begin(&mix);
-        Running { graph: self, mix }
-    }
-
-    /// Importances of the requests that a call of `route` from this node may belong to.
-    pub(crate) fn mix(&self, route: &RouteRule) -> Mix {
-        let state = self.lock();
-        let internal = state.is_internal(self.clock.now(), &route.name) == Some(true);
-        let mean = state.running.mean().filter(|_| internal);
-        mean.unwrap_or_else(|| Mix::of(route.importance))
-    }
-
-    /// Whether targets make the calls of `route`, as far as this node knows.
-    pub(crate) fn is_internal(&self, route: &Name) -> bool {
-        let now = self.clock.now();
-        self.lock().is_internal(now, route) == Some(true)
-    }
-
-    /// Whether a request of `route` should be refused here, because a service that it may go to,
-    /// or one that this service calls, is short of room.
-    ///
-    /// All shares of a route are refused alike, so that their parts stay what the weights say. A
-    /// call of a target is never refused, nor one of a route of which nothing is known.
-    pub(crate) fn refuses(&self, service: &Name, route: &RouteRule, rank: Rank) -> bool {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        if state.is_internal(now, &route.name) != Some(false) {
-            return false;
+        for told in &answer.levels {
+            state.levels.heard(now, instance, told);
         }
-        let admits = |share: &Share| state.levels.median(now, &share.service).admits(rank);
-        if route.shares.iter().all(admits) {
-            return false;
+        if !standing.begun {
+            state.reach.learn(now, route, &answer.reached);
+            return;
         }
-        match state.surges.get_mut(service) {
-            Some(spell) => spell.extend(now),
-            None => {
-                state.surges.insert(service.clone(), Spell::begin(now));
-            }
+        let reached = answer.reached.iter().chain([service]);
+        if let Some(parent) = &standing.parent {
+            state.runs.reach(parent, reached);
+        } else {
+            state.unknown.extend(reached.map(|service| (service.clone(), now)));
         }
-        true
     }
 
-    /// Time to come back for a caller that is refused for want of room at `service`.
-    pub(crate) fn retry_after(&self, service: &Name, rank: Rank) -> Duration {
-        let now = self.clock.now();
-        let spell = self.lock().surges.get(service).copied().unwrap_or(Spell::begin(now));
-        spell.retry_after(now, rank.lot())
+    /// Counts a call that the target beside this node runs until the result is ended or dropped.
+    pub(crate) fn begin(&self, call: &Call) -> Running<'_> {
+        self.lock().runs.begin(&call.request, call.rank(), call.mix.clone());
+        Running { graph: self, id: call.request.clone() }
     }
 
-    /// Level to send back with an answer: the target's own or that of a service which it calls.
-    pub(crate) fn joined(&self, own: Level) -> Level {
+    /// Levels to send back with an answer: the target's own and those that are known of others.
+    pub(crate) fn tell(&self, own: Level) -> Vec<ToldLevel> {
         let now = self.clock.now();
-        let state = self.lock();
-        let deeper =
-            state.callees.values().map(|service| state.levels.median(now, service).0).max();
-        own.max(Level(deeper.unwrap_or_default().saturating_sub(HOP_LOTS)))
+        let mut told = self.lock().levels.tell(now);
+        told.retain(|told| told.service != self.own);
+        told.push(ToldLevel { service: self.own.clone(), level: own, age: 0 });
+        told
     }
 
-    /// Level of a service as this node knows it.
-    pub(crate) fn level(&self, service: &Name) -> Level {
+    /// Highest level that a request of `route` meets, as this node knows it.
+    pub(crate) fn barrier(&self, route: &RouteRule) -> Level {
         let now = self.clock.now();
-        self.lock().levels.median(now, service)
+        self.lock().barrier(now, route)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -170,20 +179,62 @@
 }
 
 impl State {
-    fn is_internal(&self, now: Moment, route: &Name) -> Option<bool> {
-        self.origins.is_internal(now, route, self.services)
+    /// Place of a request that a target makes; none for one that enters from outside.
+    fn begun(
+        &self,
+        now: Moment,
+        route: &RouteRule,
+        request: &Bytes,
+        rank: Rank,
+    ) -> Option<Standing> {
+        if let Some((parent, run)) = self.runs.parent(request) {
+            let parent = Some(request.slice(..parent.len()));
+            return Some(Standing { rank: run.rank, mix: run.mix.clone(), begun: true, parent });
+        }
+        if self.origins.is_internal(now, &route.name, self.services) != Some(true) {
+            return None;
+        }
+        let mix = self.runs.mean().unwrap_or_else(|| Mix::of(route.importance));
+        Some(Standing { rank: Rank::at(BEGUN, rank.lot()), mix, begun: true, parent: None })
+    }
+
+    /// Part of the requests of `route` that is let in, if this one is among it.
+    fn passed(&self, now: Moment, route: &RouteRule, rank: Rank) -> Option<f64> {
+        let level = self.barrier(now, route);
+        level.admits(rank).then(|| level.visible(route.importance))
+    }
+
+    fn barrier(&self, now: Moment, route: &RouteRule) -> Level {
+        let first = route.shares.iter().map(|share| &share.service);
+        self.reach.barrier(now, &route.name, first, &self.levels)
+    }
+
+    /// Services that a run has reached by its own calls or may have by those of unknown requests.
+    fn end(&mut self, now: Moment, id: &[u8]) -> BTreeSet<Name> {
+        let mut reached = self.runs.end(id);
+        self.unknown.retain(|_, at| now.since(*at) < Reach::MEMORY);
+        reached.extend(self.unknown.keys().cloned());
+        reached
     }
 }
 
 /// Call that runs at the target beside this node.
 pub(crate) struct Running<'a> {
     graph: &'a Graph,
-    mix: Mix,
+    id: Bytes,
+}
+
+impl Running<'_> {
+    /// Ends the run; returns the services that it reached.
+    pub(crate) fn end(self) -> Vec<Name> {
+        let now = self.graph.clock.now();
+        self.graph.lock().end(now, &self.id).into_iter().collect()
+    }
 }
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
-        self.graph.lock().running.end(&self.mix);
+        self.graph.lock().runs.end(&self.id);
     }
 }
 
@@ -194,10 +245,6 @@
 
     fn dump(&self, now: Moment) -> Value {
         let state = self.lock();
-        let callees = state.callees.iter().map(|(route, service)| {
-            let level = state.levels.median(now, service);
-            (route.to_string(), json!({ "service": service, "level": level }))
-        });
-        json!({ "callees": callees.collect::<serde_json::Map<_, _>>() })
+        json!({ "levels": state.levels.tell(now), "reach": state.reach })
     }
 }
--- a/node/src/proxy/own.rs
+++ b/node/src/proxy/own.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Age, ImportanceScale, InstanceId, Moment, Name, Stage, TargetLimits, TargetRecord,
+    Age, ImportanceScale, InstanceId, Moment, Name, Shedding, Stage, TargetLimits, TargetRecord,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -18,6 +18,10 @@
 use super::roster::Roster;
 use super::rules::Rules;
 
+/// Calls that may wait per slot of the target. A call that has come this far belongs mostly to a
+/// request that was let in; a full queue of short calls drains well within their time limits.
+const QUEUE_PER_SLOT: u32 = 4;
+
 /// What a target says of itself, periodically.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Announcement {
@@ -185,9 +189,9 @@
         self.exchange.close_kept();
         let held = self.rules.current();
         let connections = self.rules.connections(&target.service);
-        let limits = TargetLimits::derive(target.slots, connections);
+        let limits = TargetLimits::derive(target.slots, connections).queueing(QUEUE_PER_SLOT);
         let scale = held.as_ref().map_or_else(|| ImportanceScale::new([]), |held| held.scale());
-        self.gate.open(limits, scale);
+        self.gate.open(limits, scale, Shedding::ByQueue);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -95,7 +95,7 @@
             roster.clone(),
             rules.clone(),
         ));
-        let graph = Arc::new(Graph::new(clock));
+        let graph = Arc::new(Graph::new(clock, site.service.clone()));
         let decisions = Arc::new(Decisions::new(clock, part(root, "request")));
         let runner = Arc::new(Runner::new(
             clock,
@@ -158,7 +158,7 @@
         });
         tokio::spawn(revise(rules.clone(), gate.clone(), graph.clone()));
         tokio::spawn(check(peers.clone()));
-        tokio::spawn(report(gate.clone(), graph.clone(), part(root, "load")));
+        tokio::spawn(report(gate.clone(), part(root, "load")));
         let ends = part(root, "listen");
         tokio::spawn(accept(peer, peers, Peers::serve, ends.clone()));
         tokio::spawn(accept(outbound, callers.clone(), Callers::serve, ends));
@@ -242,14 +242,13 @@
 }
 
 /// Writes what the target is busy with, for those who look at a failure later.
-async fn report(gate: Arc<Gate>, graph: Arc<Graph>, logger: Logger) {
+async fn report(gate: Arc<Gate>, logger: Logger) {
     loop {
         tokio::time::sleep(REPORT_PAUSE).await;
         let (load, (own, _)) = (gate.load(), gate.surge());
         if load.running + load.queued > 0 || own != Level::OPEN {
             info!(logger, "load: target"; "running" => load.running, "queued" => load.queued,
-                "limit" => load.limit, "admission" => load.level.0, "own" => own.0,
-                "joined" => graph.joined(own).0);
+                "limit" => load.limit, "admission" => load.level.0, "own" => own.0);
         }
     }
 }
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -4,9 +4,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use poplar_core::{
-    ErrorKind, Importance, InstanceId, Level, Moment, Outcome, Rank, Stage, TargetEnd,
-};
+use poplar_core::{ErrorKind, InstanceId, Moment, Outcome, Stage, TargetEnd};
 use poplar_kernel::Clock;
 
 use crate::gate::{Entrant, Gate};
@@ -26,9 +24,6 @@
 /// Time beyond the deadline for which the target's own word on it may still come.
 const LAST_WORD: Duration = Duration::from_millis(50);
 
-/// Importance of calls that belong to a request for which work was done already.
-const BEGUN: Importance = Importance(u8::MAX);
-
 /// Runs calls at the target beside this node.
 pub(crate) struct Runner {
     clock: Clock,
@@ -71,11 +66,10 @@
     pub(crate) async fn run(&self, call: Call) -> CallAnswer {
         let _in_flight = InFlight::begin(&self.in_flight);
         let began = self.clock.now();
-        let internal = self.graph.is_internal(&call.route);
-        let answer = self.admit(&call, began, internal).await;
-        let (own, load) = self.gate.surge();
-        let level = self.graph.joined(own);
-        let answer = CallAnswer { level, load: load as f32, ..answer };
+        let answer = self.admit(&call, began).await;
+        let (level, load) = self.gate.surge();
+        let levels = self.graph.tell(level);
+        let answer = CallAnswer { levels, load: load as f32, ..answer };
         self.decisions.write(&answer.outcome, || Decision {
             request: call.request.clone(),
             route: call.route.clone(),
@@ -88,11 +82,11 @@
         answer
     }
 
-    async fn admit(&self, call: &Call, began: Moment, internal: bool) -> CallAnswer {
+    async fn admit(&self, call: &Call, began: Moment) -> CallAnswer {
         if let Some(kind) = self.unfit(&call.instance) {
             return CallAnswer::refused(kind, LEAVING_RETRY);
         }
-        let permit = match self.gate.enter(entrant(call, internal)).await {
+        let permit = match self.gate.enter(entrant(call)).await {
             Ok(permit) => permit,
             Err(refusal) => return CallAnswer::refused(refusal.kind, refusal.retry_after),
         };
@@ -100,7 +94,7 @@
         if let Some(kind) = self.unfit(&call.instance) {
             return CallAnswer::refused(kind, LEAVING_RETRY);
         }
-        let _running = self.graph.begin(call.mix.clone());
+        let running = self.graph.begin(call);
         let left = call.left.saturating_sub(self.clock.now().since(began));
         let run = self.exchange.run(call, &call.instance, left);
         let end = tokio::time::timeout(left + LAST_WORD, run).await.unwrap_or(TargetEnd::Deadline);
@@ -109,7 +103,7 @@
         if matches!(outcome, Outcome::Done(_)) {
             permit.finish();
         }
-        CallAnswer { outcome, offered, level: Level::OPEN, load: 0.0 }
+        CallAnswer { outcome, offered, levels: Vec::new(), reached: running.end(), load: 0.0 }
     }
 
     /// Why the target beside this node cannot run a call that was meant for `instance`.
@@ -126,11 +120,14 @@
     }
 }
 
-/// Place of a call in admission: work that was begun goes before work that was not.
-fn entrant(call: &Call, internal: bool) -> Entrant {
-    let rank = call.rank();
-    let rank = if internal { Rank::at(BEGUN, rank.lot()) } else { rank };
-    let (class, left) = (call.route.clone(), call.left);
-    let mix = call.mix.clone();
-    Entrant { class, rank, age: Duration::ZERO, left, paid: internal, mix }
+/// Call as admission takes it.
+fn entrant(call: &Call) -> Entrant {
+    Entrant {
+        class: call.route.clone(),
+        rank: call.rank(),
+        age: Duration::ZERO,
+        left: call.left,
+        paid: call.begun,
+        mix: call.mix.clone(),
+    }
 }
--- a/node/src/proxy/serve.rs
+++ b/node/src/proxy/serve.rs
@@ -166,7 +166,7 @@
             place: "entry",
             revision: revision.0,
             tried: spent.tried.iter().map(ToString::to_string).collect::<Vec<_>>().join(" "),
-            level: route.shares.first().map_or(0, |share| self.trips.graph.level(&share.service).0),
+            level: self.trips.graph.barrier(route).0,
             took,
         });
         reply::from_outcome(outcome)
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -6,14 +6,12 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    ErrorKind, InstanceId, Level, Moment, Name, Observed, Outcome, Rank, RequestId, ResendBudget,
-    RouteRule,
+    ErrorKind, InstanceId, Level, Moment, Name, Observed, Outcome, ResendBudget, RouteRule,
 };
 use poplar_kernel::Clock;
-use xxhash_rust::xxh3::xxh3_128;
 
 use super::frame::{Call, CallAnswer, Field, WholeReply};
-use super::graph::Graph;
+use super::graph::{Graph, Standing};
 use super::link::LinkError;
 use super::peers::Peers;
 use super::roster::{Chosen, Roster};
@@ -78,20 +76,18 @@
         let Some(service) = route.pick(fastrand::u32(..)) else {
             return not_run(ErrorKind::NoTarget, NO_TARGET_RETRY);
         };
-        self.graph.saw(&route.name, &self.caller);
-        let root = RequestId(xxh3_128(&taken.request));
-        let rank = Rank::of(route.importance, root);
-        if self.graph.refuses(service, route, rank) {
-            return not_run(ErrorKind::Overload, self.graph.retry_after(service, rank));
-        }
+        let standing = match self.graph.admit(service, route, &taken.request) {
+            Ok(standing) => standing,
+            Err(retry_after) => return not_run(ErrorKind::Overload, retry_after),
+        };
         let mut last = not_run(ErrorKind::NoTarget, NO_TARGET_RETRY);
-        while let Some(chosen) = self.roster.choose(service, rank, &spent.tried) {
+        while let Some(chosen) = self.roster.choose(service, standing.rank, &spent.tried) {
             spent.tried.push(chosen.instance.clone());
             if spent.tried.len() == 1 {
                 self.resends().sent(self.clock.now(), service);
             }
-            let call = self.call(route, taken, &chosen, rank);
-            let answer = self.send(service, &chosen, call).await;
+            let call = self.call(route, taken, &chosen, &standing);
+            let answer = self.send(service, &chosen, &standing, call).await;
             let offered = answer.as_ref().map_or(true, |answer| answer.offered);
             spent.offers += u32::from(offered);
             spent.refusals += u32::from(!offered);
@@ -102,7 +98,8 @@
             if let Outcome::Unknown { kind } = &last {
                 spent.unknown = Some(*kind);
             }
-            if !self.sends_again(route, service, taken, spent, &last) {
+            let again = self.may_repeat(route, taken, spent, &last);
+            if !(again && (spent.offers == 0 || self.may_resend(service, &standing))) {
                 break;
             }
         }
@@ -112,11 +109,10 @@
         }
     }
 
-    /// Whether a further target should get the request.
-    fn sends_again(
+    /// Whether a further target may get the request, as far as the request itself goes.
+    fn may_repeat(
         &self,
         route: &RouteRule,
-        service: &Name,
         taken: &Taken,
         spent: &Spent,
         last: &Outcome<WholeReply>,
@@ -128,17 +124,15 @@
             Outcome::Unknown { kind: ErrorKind::Deadline | ErrorKind::Cancelled } => false,
             Outcome::Unknown { .. } => route.is_idempotent(),
         };
-        let now = self.clock.now();
         may_repeat
             && spent.offers < route.attempts
             && spent.refusals < REFUSALS_MAX
-            && now < taken.deadline
-            && (spent.offers == 0 || self.may_resend(now, service, &route.name))
+            && self.clock.now() < taken.deadline
     }
 
-    fn may_resend(&self, now: Moment, service: &Name, route: &Name) -> bool {
-        let internal = self.graph.is_internal(route);
-        self.resends().spend(now, service, self.roster.len(), internal)
+    fn may_resend(&self, service: &Name, standing: &Standing) -> bool {
+        let now = self.clock.now();
+        self.resends().spend(now, service, self.roster.len(), standing.begun)
     }
 
     fn resends(&self) -> MutexGuard<'_, ResendBudget> {
@@ -150,6 +144,7 @@
         &self,
         service: &Name,
         chosen: &Chosen,
+        standing: &Standing,
         call: Call,
     ) -> Result<CallAnswer, ErrorKind> {
         let route = call.route.clone();
@@ -170,7 +165,7 @@
         });
         match answer {
             Ok(answer) => {
-                self.graph.learn(service, &chosen.instance, &route, &answer);
+                self.graph.learn(service, &chosen.instance, &route, standing, &answer);
                 self.roster.reported(service, &chosen.instance, answer.load);
                 Ok(answer)
             }
@@ -182,7 +177,7 @@
         }
     }
 
-    fn call(&self, route: &RouteRule, taken: &Taken, chosen: &Chosen, rank: Rank) -> Call {
+    fn call(&self, route: &RouteRule, taken: &Taken, chosen: &Chosen, standing: &Standing) -> Call {
         Call {
             request: taken.request.clone(),
             route: route.name.clone(),
@@ -191,8 +186,9 @@
             method: taken.method.clone(),
             path: taken.path.clone(),
             fields: taken.fields.clone(),
-            rank: Level::at(rank).0,
-            mix: self.graph.mix(route),
+            rank: Level::at(standing.rank).0,
+            mix: standing.mix.clone(),
+            begun: standing.begun,
             left: taken.deadline.since(self.clock.now()),
             body: taken.body.clone(),
         }
