Tell refused callers to return while their answer has its full value

Now the mean time to come back is at most half of the objective. A caller gains nothing by waiting beyond it; the spread and the rise with the length of the shortage stay for those with time. Ruled out: a chance of its own for those who return (nothing tells them from others).

--- a/core/src/spell.rs
+++ b/core/src/spell.rs
@@ -3,7 +3,8 @@
 //! The pattern that this answers: a surge that outlasts the patience of its callers. If each is
 //! told to come back after the same short time, they return into the same surge, again and again.
 //! Nothing tells how long a surge will last, but one that has lasted for a while is likely to last
-//! about as long again.
+//! about as long again. A caller whose answer would by then have lost its full value gains nothing
+//! by the wait, so it is never told to stay away for longer than leaves time to serve it.
 
 use std::time::Duration;
 
@@ -16,6 +17,10 @@
 /// Longest mean time to come back, so that no caller is sent away for good.
 const RETURN_MAX: Duration = Duration::from_secs(10);
 
+/// Part of the objective that is the longest mean time to come back, as a divisor; with the spread,
+/// a quarter of the objective or more is left for the run.
+const OBJECTIVE_PART: u32 = 2;
+
 /// Shortage of room at one service, from the first refusal on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Spell {
@@ -39,8 +44,11 @@
 
     /// Time after which a caller that is refused now should come back, spread by its `lot` between
     /// one half and three halves of what the shortage has lasted.
-    pub fn retry_after(&self, now: Moment, lot: u16) -> Duration {
-        let base = now.since(self.began).clamp(RETURN_MIN, RETURN_MAX);
+    ///
+    /// `objective` is the latency up to which the answer has its full value.
+    pub fn retry_after(&self, now: Moment, lot: u16, objective: Duration) -> Duration {
+        let lasted = now.since(self.began).clamp(RETURN_MIN, RETURN_MAX);
+        let base = lasted.min(objective / OBJECTIVE_PART);
         base / 2 + base.mul_f64(f64::from(lot) / f64::from(u16::MAX))
     }
 }
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -1,5 +1,6 @@
 //! Policies for the heaviest loads; each test names the pattern that it plays.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use poplar_core::{
@@ -149,6 +150,105 @@
     assert!((0.12..0.25).contains(&low), "what is left goes to the others: {low}");
 }
 
+/// Requests that make several calls of a deep service, one after the other.
+struct Chains {
+    surge: Surge,
+    /// Calls that each begun request has still to make, by when the next one starts.
+    thinking: Vec<(u64, u32, Mix)>,
+    /// Calls that wait, and the calls that their requests have still to make after them.
+    queue: VecDeque<(u32, Mix)>,
+    /// Calls that run, by when they end.
+    running: Vec<(u64, u32, Mix)>,
+    level: Level,
+    now: u64,
+    /// Calls that ran, and those of requests that failed later.
+    ran: u32,
+    wasted: u32,
+}
+
+/// Calls that each request makes.
+const CALLS: u32 = 5;
+/// Time between two calls of a request, in milliseconds.
+const THINK_MS: u64 = 10;
+/// Calls that may wait, in limits.
+const PLACES: usize = 4;
+
+impl Chains {
+    fn new() -> Self {
+        let surge = Surge::new(Moment::default(), &ImportanceScale::new([LOW, HIGH]));
+        Self {
+            surge,
+            thinking: Vec::new(),
+            queue: VecDeque::new(),
+            running: Vec::new(),
+            level: Level::OPEN,
+            now: 0,
+            ran: 0,
+            wasted: 0,
+        }
+    }
+
+    /// Plays `millis` with the given demand, in limits of the deep service.
+    fn play(&mut self, millis: u64, demand: f64) {
+        let route = Name::new("deep");
+        let mut due = 0.0;
+        for _ in 0..millis {
+            let now = Moment::from_millis(self.now);
+            due += demand * f64::from(LIMIT) / f64::from(RUN_MS * CALLS);
+            while due >= 1.0 {
+                due -= 1.0;
+                let lot = (self.now * 40_503 + (due * 1e6) as u64) as u16;
+                if self.level.admits(Rank::at(LOW, lot)) {
+                    let mix = Mix::sampled(LOW, self.level.visible(LOW));
+                    self.thinking.push((self.now + THINK_MS, CALLS, mix));
+                }
+            }
+            for (_, left, mix) in self.thinking.extract_if(.., |call| call.0 <= self.now) {
+                self.surge.arrived(&route, &mix);
+                if self.queue.len() < PLACES * LIMIT as usize {
+                    self.queue.push_back((left - 1, mix));
+                } else {
+                    self.wasted += CALLS - left;
+                }
+            }
+            for (_, left, mix) in self.running.extract_if(.., |call| call.0 <= self.now) {
+                self.surge.finished(now, &route, Duration::from_millis(u64::from(RUN_MS)));
+                if left > 0 {
+                    self.thinking.push((self.now + THINK_MS, left, mix));
+                }
+            }
+            while self.running.len() < LIMIT as usize
+                && let Some((left, mix)) = self.queue.pop_front()
+            {
+                self.ran += 1;
+                self.running.push((self.now + u64::from(RUN_MS), left, mix));
+            }
+            let (running, queued) = (self.running.len(), self.queue.len());
+            self.surge.observe(now, Occupancy { running, queued, limit: LIMIT });
+            // A level shows with the next answers.
+            self.level = self.surge.level();
+            self.now += 1;
+        }
+    }
+}
+
+/// Sudden burst of requests that make several calls each: they wait for every one, so that what
+/// arrives hides how many of them there are. Their backlog is worked off all the same.
+#[test]
+fn backlog_of_begun_requests_is_worked_off_under_a_lasting_burst() {
+    let mut chains = Chains::new();
+    chains.play(2_000, 0.6);
+    chains.play(3_000, 2.2);
+    let limits = chains.queue.len() as f64 / f64::from(LIMIT);
+    assert!(limits < 1.0, "{limits} limits wait three seconds after the burst set in");
+    (chains.ran, chains.wasted) = (0, 0);
+    chains.play(10_000, 2.2);
+    let wasted = f64::from(chains.wasted) / f64::from(chains.ran);
+    assert!(wasted < 0.03, "wasted {wasted}");
+    let used = f64::from(chains.ran * RUN_MS) / f64::from(LIMIT) / 10_000.0;
+    assert!(used > 0.9, "the service is kept busy: {used}");
+}
+
 /// Burst that sets in at once: the entries refuse what does not fit as soon as its first calls have
 /// come through the chain, and do not overshoot.
 #[test]
@@ -377,20 +477,33 @@
 /// Surge that outlasts its callers' patience: the longer it has lasted, the later they return.
 #[test]
 fn callers_return_later_the_longer_a_shortage_has_lasted() {
+    let patient = Duration::from_secs(60);
     let mut spell = Spell::begin(Moment::default());
-    assert_eq!(spell.retry_after(Moment::default(), 0), Duration::from_millis(200));
+    assert_eq!(spell.retry_after(Moment::default(), 0, patient), Duration::from_millis(200));
     for millis in (0..4_000).step_by(100) {
         spell.extend(Moment::from_millis(millis));
     }
-    let after = |lot| spell.retry_after(Moment::from_millis(4_000), lot);
+    let after = |lot| spell.retry_after(Moment::from_millis(4_000), lot, patient);
     assert_eq!(after(0), Duration::from_secs(2));
     assert_eq!(after(u16::MAX), Duration::from_secs(6));
     // A refusal long after the others is a new shortage.
     spell.extend(Moment::from_millis(9_000));
-    let again = spell.retry_after(Moment::from_millis(9_000), 0);
+    let again = spell.retry_after(Moment::from_millis(9_000), 0, patient);
     assert_eq!(again, Duration::from_millis(200));
 }
 
+/// Surge that lasts: callers are told to return while the answer still has its full value.
+#[test]
+fn callers_return_while_their_answer_has_its_full_value() {
+    let mut spell = Spell::begin(Moment::default());
+    (0..40).for_each(|step| spell.extend(Moment::from_millis(step * 100)));
+    let objective = Duration::from_millis(1_500);
+    for lot in [0, u16::MAX / 2, u16::MAX] {
+        let wait = spell.retry_after(Moment::from_millis(4_000), lot, objective);
+        assert!(wait <= objective * 3 / 4, "{wait:?}");
+    }
+}
+
 /// Unequal targets: three of one service, with speeds 0.6, 1.0 and 1.4, called by a few nodes.
 #[test]
 fn unequal_targets_are_filled_alike_by_many_nodes() {
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -109,7 +109,7 @@
                 let fresh = Spell::begin(now);
                 let spell = state.surges.entry(service.clone()).or_insert(fresh);
                 spell.extend(now);
-                Err(spell.retry_after(now, rank.lot()))
+                Err(spell.retry_after(now, rank.lot(), route.objective))
             }
         }
     }
