Leave a few slots of a target free, and let a lowered limit rise again

Cause: targets slow down when nearly full, and under load ours was always full: 57 running of 57. One parts target also stood at a limit of 45 from second 4 to 26 (log line "load: target"): its limit had been lowered when runs beside many took longer, and only runs beside few could raise it, which a target that is always full never shows. Now one slot in sixteen stays free, the queue beside the target is held for that instead (goal 0.97 of the limit, before 0.92 of the slots), and a target without runs beside few gets a twentieth back every 2 s. Ruled out: the length of the queue (it held calls all the while).

Test: a_lowered_limit_rises_again_under_lasting_load failed before.

--- a/core/src/admission/concurrency.rs
+++ b/core/src/admission/concurrency.rs
@@ -83,12 +83,15 @@
 
     fn compare(&mut self) {
         let (few, many) = (std::mem::take(&mut self.few), std::mem::take(&mut self.many));
-        if self.cold || few.runs < RUNS_MIN || many.runs < RUNS_MIN {
+        if self.cold || many.runs < RUNS_MIN {
             return;
         }
+        // A target that is always full shows no run beside few. Its limit rises again until it does,
+        // since what lowered it once may be over.
+        let known = few.runs >= RUNS_MIN;
         let ratio = many.mean() / few.mean().max(f64::MIN_POSITIVE);
         let slots = self.limits.slots;
-        self.limit = if ratio > RATIO_MAX {
+        self.limit = if known && ratio > RATIO_MAX {
             let part = (1.0 / ratio).max(1.0 - CUT_MAX);
             self.limits.cold.max((f64::from(self.limit) * part) as u32)
         } else {
--- a/core/src/limit.rs
+++ b/core/src/limit.rs
@@ -21,6 +21,9 @@
 const QUEUE_MAX: u32 = 4_096;
 /// Part of the slots that a target without history gets at first.
 const COLD_SHARE: u32 = 4;
+/// Part of the slots that is left free, as a divisor; a little more than the twentieth from which
+/// the users' targets slow down.
+const RESERVE_PART: u32 = 16;
 /// Weight of a new sample in the smoothed times: one in this many.
 const SMOOTHING: u32 = 8;
 /// Largest number of classes whose times are kept.
@@ -49,6 +52,15 @@
         Self { slots, cold: slots.div_ceil(COLD_SHARE), queue, connections: connections.max(1) }
     }
 
+    /// The same limits with some of the slots left free.
+    ///
+    /// Targets may slow down when they are nearly full, and then complete less than with a few
+    /// slots free. The queue beside them holds what waits at no such cost.
+    pub fn reserving(self) -> Self {
+        let slots = (self.slots - self.slots.div_ceil(RESERVE_PART)).max(1);
+        Self { slots, cold: self.cold.min(slots), ..self }
+    }
+
     /// The same limits with another number of places in the queue for each slot.
     pub fn queueing(self, per_slot: u32) -> Self {
         let queue = self.slots.saturating_mul(per_slot).clamp(QUEUE_MIN, QUEUE_MAX);
--- a/core/src/surge.rs
+++ b/core/src/surge.rs
@@ -20,9 +20,9 @@
 use crate::mix::Mix;
 use crate::time::Moment;
 
-/// Load at which the target should be held, in parts of its limit. The rest absorbs chance: at this
-/// load hardly any call waits for longer than it runs.
-const GOAL: f64 = 0.92;
+/// Load at which the target should be held, in parts of its limit: nearly full, with a short queue
+/// at times.
+const GOAL: f64 = 0.97;
 /// Load that one limit's worth of waiting calls takes off the goal, so that a queue which formed
 /// empties. A larger part would let the level follow the queue, which moves much faster than a
 /// change of the level shows.
--- a/core/tests/limit.rs
+++ b/core/tests/limit.rs
@@ -65,6 +65,43 @@
     assert_eq!(settled(&mut admission, |_| Duration::from_millis(400)), SLOTS);
 }
 
+/// Plays full load for ten seconds: every slot is taken again as soon as it is free.
+fn keep_full(admission: &mut Admission, from: u64, latency: Duration) {
+    let mut flying = VecDeque::new();
+    let mut next = 1 << 20;
+    for millis in from..from + 10_000 {
+        let now = Moment::from_millis(millis);
+        while flying.len() < admission.limit() as usize {
+            admission.arrive(now, call(next));
+            flying.push_back(Ticket(next));
+            next += 1;
+        }
+        flying.pop_front().map(|ticket| admission.finish(now, ticket, latency));
+    }
+    flying.into_iter().for_each(|ticket| {
+        admission.cancel(Moment::from_millis(from + 10_000), ticket);
+    });
+}
+
+#[test]
+fn a_lowered_limit_rises_again_under_lasting_load() {
+    let mut admission = admission();
+    let truth = 15;
+    settled(&mut admission, |n| Duration::from_millis(40) * n.max(truth) / truth);
+    assert!(admission.limit() < SLOTS);
+    for from in [70_000, 80_000, 90_000] {
+        keep_full(&mut admission, from, Duration::from_millis(40));
+    }
+    assert_eq!(admission.limit(), SLOTS);
+}
+
+#[test]
+fn some_slots_are_left_free_where_targets_slow_down_when_full() {
+    let limits = TargetLimits::derive(57, 400);
+    assert_eq!(limits.reserving().slots, 53);
+    assert_eq!(TargetLimits::derive(1, 4).reserving().slots, 1);
+}
+
 #[test]
 fn a_cold_target_starts_with_a_quarter_of_its_slots_and_gains_one_per_answer() {
     let mut admission = admission();
--- a/node/src/proxy/own.rs
+++ b/node/src/proxy/own.rs
@@ -189,7 +189,8 @@
         self.exchange.close_kept();
         let held = self.rules.current();
         let connections = self.rules.connections(&target.service);
-        let limits = TargetLimits::derive(target.slots, connections).queueing(QUEUE_PER_SLOT);
+        let limits = TargetLimits::derive(target.slots, connections);
+        let limits = limits.reserving().queueing(QUEUE_PER_SLOT);
         let scale = held.as_ref().map_or_else(|| ImportanceScale::new([]), |held| held.scale());
         self.gate.open(limits, scale, Shedding::ByQueue);
     }
