Count a long queue by the square when setting the level

Begun requests wait for each of their calls, so that arrivals show what is served rather than what is asked for, and a fifth taken off the goal cleared that only in seconds. Ruled out: a larger linear part (a short queue moves faster than the level shows).

--- a/core/src/surge.rs
+++ b/core/src/surge.rs
@@ -24,9 +24,10 @@
 /// at times.
 const GOAL: f64 = 0.97;
 /// Load that one limit's worth of waiting calls takes off the goal, so that a queue which formed
-/// empties. A larger part would let the level follow the queue, which moves much faster than a
-/// change of the level shows.
-const BACKLOG: f64 = 0.05;
+/// empties. It counts by the square: a short queue comes and goes much faster than a change of the
+/// level shows, a long one means that begun requests wait for each of their calls, which hides how
+/// many of them there are.
+const BACKLOG: f64 = 0.04;
 /// Limits' worth of waiting calls beyond which nothing more is taken off.
 const BACKLOG_MAX: f64 = 4.0;
 /// Smallest goal; whatever waits, what fits goes on being let in.
@@ -220,5 +221,5 @@
 /// Load to let in.
 fn goal(calls: Occupancy) -> f64 {
     let waiting = calls.queued as f64 / f64::from(calls.limit.max(1));
-    (GOAL - BACKLOG * waiting.min(BACKLOG_MAX)).max(GOAL_MIN)
+    (GOAL - BACKLOG * waiting.min(BACKLOG_MAX).powi(2)).max(GOAL_MIN)
 }
