Keep logging when the output cannot be written, and grow bodies in segments

A node whose reader goes away also lost its log for good. Now lines that cannot be written are dropped. Bodies also grow in segments of 16 KiB: one buffer doubles when full, up to twice what the room counts. Ruled out: sizes of futures (664 and 2,112 bytes), buffers of idle connections, load on the machine.

--- a/kernel/src/lib.rs
+++ b/kernel/src/lib.rs
@@ -11,6 +11,6 @@
 
 pub use clock::Clock;
 pub use life::{Draining, Life, Serving, Starting, Stopped};
-pub use logs::{LogFormat, part, root_logger};
+pub use logs::{LogFormat, logger_to, part, root_logger};
 pub use registry::{Registry, RegistryError, Service};
 pub use settings::{Kind, Setting, Settings, SettingsError, SettingsTable};
--- a/kernel/src/logs.rs
+++ b/kernel/src/logs.rs
@@ -1,5 +1,6 @@
 //! Structured logs: text for people or JSON, with a fixed prefix for each part.
 
+use std::io::Write;
 use std::str::FromStr;
 use std::sync::Mutex;
 
@@ -31,16 +32,24 @@
 }
 
 /// Logger that writes to standard output in the given shape, from level `info` up.
+///
+/// A line that cannot be written is dropped: when the reader of the output is gone there is nowhere
+/// left to say so, and the process must go on.
 pub fn root_logger(format: LogFormat) -> Logger {
+    logger_to(format, std::io::stdout())
+}
+
+/// Like [`root_logger`], to another output.
+pub fn logger_to(format: LogFormat, output: impl Write + Send + 'static) -> Logger {
     match format {
         LogFormat::Text => {
-            let decorator = slog_term::PlainDecorator::new(std::io::stdout());
+            let decorator = slog_term::PlainDecorator::new(output);
             let lines = slog_term::FullFormat::new(decorator).build();
-            logger(Mutex::new(lines).fuse())
+            logger(Mutex::new(lines).ignore_res())
         }
         LogFormat::Json => {
-            let lines = slog_json::Json::default(std::io::stdout());
-            logger(Mutex::new(lines).fuse())
+            let lines = slog_json::Json::default(output);
+            logger(Mutex::new(lines).ignore_res())
         }
     }
 }
@@ -58,6 +67,6 @@
         .chan_size(QUEUE_LINES)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build()
-        .fuse();
+        .ignore_res();
     Logger::root(slog::LevelFilter::new(queue, Level::Info).fuse(), o!())
 }
--- a/node/src/ends/intake.rs
+++ b/node/src/ends/intake.rs
@@ -69,18 +69,18 @@
     where
         B: Body<Data = Bytes> + Unpin,
     {
-        let mut whole = BytesMut::new();
+        let mut whole = Segments::default();
         let mut shares = Vec::new();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| IntakeError::Broken)?;
             let Ok(data) = frame.into_data() else { continue };
-            if whole.len() + data.len() > limit {
+            if whole.len + data.len() > limit {
                 return Err(IntakeError::TooLarge(limit));
             }
-            shares.extend(self.share(whole.len(), data.len())?);
-            whole.extend_from_slice(&data);
+            shares.extend(self.share(whole.len, data.len())?);
+            whole.push(&data);
         }
-        Ok(TakenIn { body: whole.freeze(), _shares: shares })
+        Ok(TakenIn { body: whole.join(), _shares: shares })
     }
 
     /// Share of the room for `more` bytes after the first `held`; the free part needs none.
@@ -94,3 +94,39 @@
         share.map(Some).map_err(|_| IntakeError::Full)
     }
 }
+
+/// Body that grows in segments of one size.
+///
+/// A single buffer would double whenever it is full, and so take up to twice what the room counts,
+/// besides the buffers that it leaves behind.
+#[derive(Debug, Default)]
+struct Segments {
+    full: Vec<Bytes>,
+    last: BytesMut,
+    len: usize,
+}
+
+impl Segments {
+    fn push(&mut self, mut data: &[u8]) {
+        self.len += data.len();
+        while !data.is_empty() {
+            if self.last.capacity() == self.last.len() {
+                let full = std::mem::replace(&mut self.last, BytesMut::with_capacity(FREE_BYTES));
+                self.full.extend((!full.is_empty()).then(|| full.freeze()));
+            }
+            let fits = data.len().min(self.last.capacity() - self.last.len());
+            self.last.extend_from_slice(&data[..fits]);
+            data = &data[fits..];
+        }
+    }
+
+    fn join(self) -> Bytes {
+        if self.full.is_empty() {
+            return self.last.freeze();
+        }
+        let mut whole = BytesMut::with_capacity(self.len);
+        self.full.iter().for_each(|segment| whole.extend_from_slice(segment));
+        whole.extend_from_slice(&self.last);
+        whole.freeze()
+    }
+}
--- a/node/tests/intake.rs
+++ b/node/tests/intake.rs
@@ -95,6 +95,32 @@
     assert_undisturbed(&deployment).await;
 }
 
+/// All bodies grow at the same pace, as when the node is too busy to read one after the other.
+#[tokio::test]
+async fn bodies_that_come_in_side_by_side_cost_bounded_memory() {
+    const ROUND: usize = 16 << 10;
+    let deployment = Deployment::start("side", 1, Duration::from_millis(1)).await;
+    let node = node(&deployment);
+    let before = node.memory();
+    let mut sockets = Vec::new();
+    for _ in 0..400 {
+        let mut socket = TcpStream::connect(&node.caller).await.unwrap();
+        socket.write_all(format!("{}\r\n", call(1 << 20)).as_bytes()).await.unwrap();
+        sockets.push(socket);
+    }
+    let part = "x".repeat(ROUND);
+    for _ in 0..32 {
+        for socket in &mut sockets {
+            // Once the room is taken the node answers and reads no further.
+            let write = socket.write_all(part.as_bytes());
+            let _ = tokio::time::timeout(Duration::from_millis(1), write).await;
+        }
+    }
+    assert_undisturbed(&deployment).await;
+    let grown = node.memory().saturating_sub(before);
+    assert!(grown < GROWTH_BYTES, "grew by {grown} bytes");
+}
+
 #[tokio::test]
 async fn garbage_at_the_other_ends_disturbs_no_call() {
     let deployment = Deployment::start("garbage", 1, Duration::from_millis(1)).await;
