Compare two different targets when loads are reported

Cause: two candidates were drawn with replacement, so that with three targets every third call went to the first one drawn, which for callers near a slow target is that one, however loaded it said it was. That is the listed red test: 150 callers, loads 1.21, 0.92, 0.73 of a bound of 1.1. Now the second draw leaves the first out where loads are reported. Without reports the comparison rests on own calls in flight and stays as it was (tests of choice).

Test: unequal_targets_are_filled_alike_by_150_nodes failed before and passes; it leaves KNOWN-RED.txt.

--- a/core/src/choice.rs
+++ b/core/src/choice.rs
@@ -190,8 +190,13 @@
             return Some(self.give(idx));
         }
         let first = near.or_else(|| self.draw(now, all.clone(), roll, tried))?;
-        let second = self.draw(now, all, (random >> 32) as u32, tried)?;
-        let mut best = self.better(now, rank, first, second);
+        let roll = (random >> 32) as u32;
+        let second = if self.targets[first].load(now).is_some() {
+            self.draw_other(now, all, roll, tried, first)
+        } else {
+            self.draw(now, all, roll, tried)
+        };
+        let mut best = second.map_or(first, |second| self.better(now, rank, first, second));
         if !self.targets[best].level(now).admits(rank) {
             best = self.best(now, rank, tried)?;
         }
@@ -266,6 +271,25 @@
         places.into_iter().find(|idx| self.targets[*idx].may_get(now, tried))
     }
 
+    /// Like [`Self::draw`], but not the target `first`: among few targets a second draw would often
+    /// give the same one, and the call would go there however loaded it is reported to be.
+    fn draw_other(
+        &self,
+        now: Moment,
+        range: std::ops::Range<usize>,
+        random: u32,
+        tried: &[InstanceId],
+        first: usize,
+    ) -> Option<usize> {
+        let others = range.len().checked_sub(1).filter(|others| *others > 0)?;
+        let start = ((u64::from(random) * others as u64) >> 32) as usize;
+        let places = (0..others).map(|step| {
+            let place = range.start + (start + step) % others;
+            place + usize::from(place >= first)
+        });
+        places.into_iter().find(|idx| self.targets[*idx].may_get(now, tried))
+    }
+
     /// Best target of all; taken when both that were drawn would refuse the call.
     fn best(&self, now: Moment, rank: Rank, tried: &[InstanceId]) -> Option<usize> {
         let eligible = (0..self.targets.len()).filter(|idx| self.targets[*idx].may_get(now, tried));
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -517,7 +517,7 @@
     assert_filled_alike(75);
 }
 
-/// The same with twice as many nodes; see KNOWN-RED.txt.
+/// The same with twice as many nodes.
 #[test]
 fn unequal_targets_are_filled_alike_by_150_nodes() {
     assert_filled_alike(150);
