--- a/node/src/proxy/ports.rs
+++ b/node/src/proxy/ports.rs
@@ -120,8 +120,10 @@
     pub target: Name,
     /// Address for callers and the target's own calls.
     pub outbound: SocketAddr,
-    /// Address for messages of other nodes.
+    /// Address at which other nodes reach this one.
     pub peer: SocketAddr,
+    /// Address on which their messages are listened for.
+    pub listened: SocketAddr,
     /// Address for metrics and the state dump.
     pub admin: SocketAddr,
     /// Memory that the process may use, in bytes.
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -78,7 +78,7 @@
         let (site, dialect) = (Arc::new(site), Arc::new(dialect));
         let life = Life::begin();
         let (outbound, peer, scrapes) =
-            (listen(site.outbound).await?, listen(site.peer).await?, listen(site.admin).await?);
+            (listen(site.outbound).await?, listen(site.listened).await?, listen(site.admin).await?);
         let registry = Arc::new(Registry::default());
         let rules = Arc::new(Rules::new());
         let gate = Arc::new(Gate::new(clock));
@@ -245,10 +245,11 @@
 async fn report(gate: Arc<Gate>, logger: Logger) {
     loop {
         tokio::time::sleep(REPORT_PAUSE).await;
-        let (load, (own, _)) = (gate.load(), gate.surge());
+        let (load, (own, weight)) = (gate.load(), gate.surge());
         if load.running + load.queued > 0 || own != Level::OPEN {
             info!(logger, "load: target"; "running" => load.running, "queued" => load.queued,
-                "limit" => load.limit, "admission" => load.level.0, "own" => own.0);
+                "limit" => load.limit, "admission" => load.level.0, "own" => own.0,
+                "weight" => weight);
         }
     }
 }
