Send again what a target turned away, avoid failing targets, and log what decided a refusal

A refusal of the target counted as one of the route's attempts and was sent again within a quarter of the bound, as if it might have run. A target that fails quickly also reported little load and drew more calls. Now only sends that may have run count as attempts; what was turned away is sent again up to 0.8 of the shared bound; calls of a run that may be a repeat count against the bound where they arrive, as they should have before; and the weight by which callers choose rises with the part that a target fails.

Tried and dropped: letting in only what the bound covers.

--- a/core/src/admission/map.rs
+++ b/core/src/admission/map.rs
@@ -159,6 +159,11 @@
         self.classes.get(class).map_or(Level::OPEN, |row| row.median(now, &self.scale))
     }
 
+    /// Time since `class` gave the newest level that is known of it; none if nothing is.
+    pub fn age(&self, now: Moment, class: &Name) -> Option<Duration> {
+        self.classes.get(class).map(|row| now.since(row.newest()))
+    }
+
     /// Level to send back with an answer: the node's own, or the one that a further call meets.
     pub fn joined<'a>(
         &self,
--- a/core/src/reach.rs
+++ b/core/src/reach.rs
@@ -17,6 +17,17 @@
 /// Largest number of routes that are followed.
 const ROUTES_MAX: usize = 4_096;
 
+/// Highest level that a request meets on its way.
+#[derive(Debug, Clone, Default)]
+pub struct Barrier {
+    /// Service that stands at it; none if no service is known.
+    pub service: Option<Name>,
+    /// The level.
+    pub level: Level,
+    /// Time since the service gave it; none if it never did.
+    pub age: Option<Duration>,
+}
+
 /// Services that each route was seen to reach beyond its first one.
 #[derive(Debug, Default, Serialize)]
 pub struct Reach {
@@ -43,16 +54,22 @@
         }
     }
 
-    /// Highest level that a request of `route` meets, which goes to one of `first`.
+    /// Highest level that a request of `route` meets, which goes to one of `first`, and the service
+    /// that it is the level of.
     pub fn barrier<'a>(
         &'a self,
         now: Moment,
         route: &Name,
         first: impl IntoIterator<Item = &'a Name>,
         levels: &LevelMap,
-    ) -> Level {
+    ) -> Barrier {
         let reached = first.into_iter().chain(self.of(now, route));
-        reached.map(|service| levels.median(now, service)).max().unwrap_or_default()
+        let met = reached.map(|service| Barrier {
+            service: Some(service.clone()),
+            level: levels.median(now, service),
+            age: levels.age(now, service),
+        });
+        met.max_by_key(|barrier| barrier.level).unwrap_or_default()
     }
 
     /// Services that requests of `route` reach.
--- a/core/src/resend.rs
+++ b/core/src/resend.rs
@@ -15,12 +15,15 @@
 
 /// Buckets in one window; a coarser count forgets too much at once.
 const BUCKETS: usize = 10;
-/// Part of the bound up to which calls of targets are sent again: a request that is sent again
+/// Part of the bound up to which calls of targets are sent again that may have run: such a run
 /// makes its calls again, so sends beyond the first add up along a chain.
 const CALLS_PART: f64 = 0.25;
-/// Part up to which requests of callers are: each saves a whole request, a call only one of many
-/// that its request needs.
+/// Part up to which requests of callers are that may have run: each saves a whole request, a call
+/// only one of many that its request needs.
 const REQUESTS_PART: f64 = 0.5;
+/// Part up to which anything is sent again that a target turned away: it has not run, so nothing
+/// adds up. The rest of the bound is left for what nodes cannot see of each other.
+const SHED_PART: f64 = 0.8;
 
 /// Bound on sends beyond the first.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -33,6 +36,28 @@
     pub window: Duration,
 }
 
+/// Why something is to be sent once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResendCause {
+    /// A call of a target may have run elsewhere.
+    Call,
+    /// A request of a caller may have run elsewhere.
+    Request,
+    /// A target turned it away without running it.
+    Shed,
+}
+
+impl ResendCause {
+    /// Part of the bound up to which it is sent.
+    fn part(self) -> f64 {
+        match self {
+            Self::Call => CALLS_PART,
+            Self::Request => REQUESTS_PART,
+            Self::Shed => SHED_PART,
+        }
+    }
+}
+
 /// Counts of one service in one part of the window.
 #[derive(Debug, Clone, Copy, Default)]
 struct Bucket {
@@ -66,16 +91,19 @@
         self.row(now, service).bucket().requests += 1;
     }
 
+    /// Counts a call that a run makes which is itself a repeat: it must go out, and counts as a
+    /// send beyond the first.
+    pub fn repeated(&mut self, now: Moment, service: &Name) {
+        self.row(now, service).bucket().resends += 1;
+    }
+
     /// Spends one send beyond the first, if the budget of one node among `nodes` allows it.
-    ///
-    /// `internal` says that a target made the call.
-    pub fn spend(&mut self, now: Moment, service: &Name, nodes: usize, internal: bool) -> bool {
+    pub fn spend(&mut self, now: Moment, service: &Name, nodes: usize, cause: ResendCause) -> bool {
         let bound = self.bound;
         let row = self.row(now, service);
         let (requests, resends) = row.totals();
         let base = bound.base / nodes.max(1) as f64;
-        let part = if internal { CALLS_PART } else { REQUESTS_PART };
-        let allowed = part * (bound.ratio * f64::from(requests) + base);
+        let allowed = cause.part() * (bound.ratio * f64::from(requests) + base);
         if f64::from(resends) + 1.0 > allowed {
             return false;
         }
--- a/core/src/runs.rs
+++ b/core/src/runs.rs
@@ -22,6 +22,8 @@
     pub rank: Rank,
     /// Requests that the run stands for, by importance.
     pub mix: Mix,
+    /// Whether the request may have run before, or belongs to one that may have.
+    pub repeat: bool,
     /// Services that calls of this run have reached.
     reached: BTreeSet<Name>,
 }
@@ -35,9 +37,9 @@
 
 impl Runs {
     /// Takes in a run that begins; a request that the target already runs is replaced.
-    pub fn begin(&mut self, id: &[u8], rank: Rank, mix: Mix) {
+    pub fn begin(&mut self, id: &[u8], rank: Rank, mix: Mix, repeat: bool) {
         self.sum.begin(&mix);
-        let run = RunningCall { rank, mix, reached: BTreeSet::new() };
+        let run = RunningCall { rank, mix, repeat, reached: BTreeSet::new() };
         if let Some(replaced) = self.running.insert(id.into(), run) {
             self.sum.end(&replaced.mix);
         }
--- a/core/src/surge.rs
+++ b/core/src/surge.rs
@@ -50,6 +50,8 @@
 const ROUTES_MAX: usize = 4_096;
 /// Part of the most important requests that passes at any level.
 const SPARED: f64 = 0.1;
+/// Weight of an answer in the smoothed part that the target turns away or fails.
+const FAILING_WEIGHT: f64 = 0.02;
 /// Lots in one importance.
 const LOTS: f64 = 65_536.0;
 
@@ -64,6 +66,17 @@
     pub limit: u32,
 }
 
+/// How a target treated a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Treatment {
+    /// It ran the call and gave its answer.
+    Served,
+    /// It failed the call, or gave no sound answer.
+    Failed,
+    /// It turned the call away without running it.
+    Shed,
+}
+
 /// Load that requests of one importance ask for.
 #[derive(Debug, Clone, Copy)]
 struct Class {
@@ -119,6 +132,8 @@
     opened: Moment,
     /// When a run last ended.
     finished: Moment,
+    /// Smoothed part of the calls that the target fails or turns away.
+    failing: f64,
 }
 
 impl Surge {
@@ -131,6 +146,7 @@
             level: Level::OPEN,
             opened: now,
             finished: now,
+            failing: 0.0,
         }
     }
 
@@ -165,6 +181,17 @@
         }
     }
 
+    /// Takes in how the target treated a call that it was handed.
+    pub fn treated(&mut self, treatment: Treatment) {
+        let failed = f64::from(u8::from(treatment != Treatment::Served));
+        self.failing += FAILING_WEIGHT * (failed - self.failing);
+    }
+
+    /// Smoothed part of the calls that the target fails or turns away.
+    pub fn failing(&self) -> f64 {
+        self.failing
+    }
+
     /// Sets the level to the load once a window is over.
     pub fn observe(&mut self, now: Moment, calls: Occupancy) {
         let span = now.since(self.opened);
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -5,8 +5,8 @@
 
 use poplar_core::{
     Chooser, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, MixSum, Moment, Name,
-    Observed, Occupancy, Origins, Rank, Reach, RequestId, ResendBound, ResendBudget, Runs, Spell,
-    Surge, TargetInfo, ToldLevel,
+    Observed, Occupancy, Origins, Rank, Reach, RequestId, ResendBound, ResendBudget, ResendCause,
+    Runs, Spell, Surge, TargetInfo, ToldLevel, Treatment,
 };
 
 const RATIO: f64 = 0.2;
@@ -29,8 +29,8 @@
         for node in nodes.iter_mut().filter(|_| busy) {
             node.sent(now, &service);
             requests += 1;
-            resends += u32::from(node.spend(now, &service, NODES, false));
-            resends += u32::from(node.spend(now, &service, NODES, true));
+            resends += u32::from(node.spend(now, &service, NODES, ResendCause::Request));
+            resends += u32::from(node.spend(now, &service, NODES, ResendCause::Shed));
         }
         sends.push((millis, requests, resends));
     }
@@ -249,6 +249,37 @@
     assert!(used > 0.9, "the service is kept busy: {used}");
 }
 
+/// Target that fails half of what it gets, quickly: it shows as such, and no longer once it is sound.
+#[test]
+fn quick_failures_do_not_look_like_room() {
+    let mut surge = Surge::new(Moment::default(), &ImportanceScale::new([LOW]));
+    for number in 0..200 {
+        surge.treated(if number % 2 == 0 { Treatment::Shed } else { Treatment::Served });
+    }
+    assert!((0.4..0.6).contains(&surge.failing()), "{}", surge.failing());
+    (0..300).for_each(|_| surge.treated(Treatment::Served));
+    assert!(surge.failing() < 0.01, "{}", surge.failing());
+}
+
+/// Targets that turn requests away which have not run: as many as the shared bound allows are sent
+/// again, more than of those that may have run, and calls of repeated runs count.
+#[test]
+fn what_has_not_run_is_sent_again_up_to_most_of_the_bound() {
+    let window = Duration::from_secs(10);
+    let bound = ResendBound { ratio: RATIO, base: 0.0, window };
+    let (now, service) = (Moment::from_millis(1_000), Name::new("deep"));
+    let spend = |cause, repeated: usize| {
+        let mut budget = ResendBudget::new(bound);
+        (0..1_000).for_each(|_| budget.sent(now, &service));
+        (0..repeated).for_each(|_| budget.repeated(now, &service));
+        (0..1_000).filter(|_| budget.spend(now, &service, 1, cause)).count()
+    };
+    assert_eq!(spend(ResendCause::Shed, 0), 160);
+    assert_eq!(spend(ResendCause::Request, 0), 100);
+    assert_eq!(spend(ResendCause::Call, 0), 50);
+    assert_eq!(spend(ResendCause::Shed, 150), 10);
+}
+
 /// Burst that sets in at once: the entries refuse what does not fit as soon as its first calls have
 /// come through the chain, and do not overshoot.
 #[test]
@@ -396,9 +427,11 @@
     let mut reach = Reach::default();
     reach.learn(now, &direct, []);
     reach.learn(now, &chained, [&deep]);
-    assert_eq!(reach.barrier(now, &direct, [&first], &levels), Level::OPEN);
-    assert_eq!(reach.barrier(now, &chained, [&first], &levels), level);
-    assert_eq!(reach.barrier(now, &direct, [&deep], &levels), level);
+    let met = |route, first| reach.barrier(now, route, [first], &levels);
+    assert_eq!(met(&direct, &first).level, Level::OPEN);
+    assert_eq!(met(&chained, &first).level, level);
+    assert_eq!(met(&chained, &first).service, Some(deep.clone()));
+    assert_eq!(met(&direct, &deep).level, level);
 }
 
 /// Deep call graph: a call belongs to the request whose identifier it extends, and takes over that
@@ -407,8 +440,8 @@
 fn calls_are_put_down_to_the_request_that_they_extend() {
     let mut runs = Runs::default();
     let [low, high] = [LOW, HIGH].map(|importance| Rank::at(importance, 7));
-    runs.begin(b"aa", low, Mix::of(LOW));
-    runs.begin(b"aa.bb", high, Mix::of(HIGH));
+    runs.begin(b"aa", low, Mix::of(LOW), false);
+    runs.begin(b"aa.bb", high, Mix::of(HIGH), true);
     let rank = |id: &'static [u8]| runs.parent(id).map(|(parent, run)| (parent, run.rank));
     assert_eq!(rank(b"aa.cc"), Some((&b"aa"[..], low)));
     assert_eq!(rank(b"aa.bb.cc"), Some((&b"aa.bb"[..], high)));
--- a/node/src/announce.rs
+++ b/node/src/announce.rs
@@ -69,7 +69,8 @@
         let limits = TargetLimits::derive(announcement.slots, announcement.connections);
         self.target.announce(now, announcement);
         if !known {
-            self.gate.open(limits, ImportanceScale::new([]), Shedding::ByLevel);
+            let scale = ImportanceScale::new([]);
+            self.gate.open(limits, scale, Shedding::ByLevel);
             self.tell(MemberState::Serving);
         }
     }
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -7,6 +7,7 @@
 use poplar_core::{
     Admission, AdmissionVerdict, Arrival, ErrorKind, ImportanceScale, Level, Mix, Moment, Name,
     Occupancy, Rank, Refusal, Release, Revision, RunTimes, Shedding, Surge, TargetLimits, Ticket,
+    Treatment,
 };
 use poplar_kernel::{Clock, Service};
 use poplar_wire::CallMeta;
@@ -15,6 +16,9 @@
 
 /// Pause between looks at the deadlines of queued calls, while any wait.
 const TICK: Duration = Duration::from_millis(10);
+/// Load that a target counts for which fails everything: more than any sound one shows in a queue
+/// of usual length.
+const FAILING_LOAD: f64 = 2.0;
 /// Time to come back that a call gets while no target has announced itself.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
 
@@ -160,8 +164,9 @@
         self.lock().admission.as_mut().map_or(Level::OPEN, |admission| admission.level(now))
     }
 
-    /// Level at which entries should refuse requests that lead here, and the calls that run or
-    /// wait, in parts of the limit.
+    /// Level at which entries should refuse requests that lead here, and the load by which callers
+    /// choose: the calls that run or wait, in parts of the limit, and more for a target that fails
+    /// what it gets, since quick failures would look like room.
     pub(crate) fn surge(&self) -> (Level, f64) {
         let now = self.clock.now();
         let mut state = self.lock();
@@ -171,7 +176,8 @@
             let calls = admission.in_flight() + admission.queued();
             calls as f64 / f64::from(admission.limit().max(1))
         });
-        (level, load)
+        let failing = state.surge.as_ref().map_or(0.0, Surge::failing);
+        (level, load + FAILING_LOAD * failing)
     }
 
     fn arrive(
@@ -212,6 +218,13 @@
         }
     }
 
+    /// Takes in how the target treated a call that it was handed.
+    pub(crate) fn treated(&self, treatment: Treatment) {
+        if let Some(surge) = self.lock().surge.as_mut() {
+            surge.treated(treatment);
+        }
+    }
+
     fn finish(&self, ticket: Ticket, class: &Name, took: Duration) {
         let now = self.clock.now();
         let mut state = self.lock();
--- a/node/src/proxy/decisions.rs
+++ b/node/src/proxy/decisions.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use poplar_core::{Moment, Name, Outcome};
+use poplar_core::{Barrier, Level, Moment, Name, Outcome};
 use poplar_kernel::Clock;
 use prometheus_client::metrics::counter::Counter;
 use slog::{Logger, info, warn};
@@ -35,8 +35,8 @@
     pub(crate) revision: u64,
     /// Instances that were tried, in order.
     pub(crate) tried: String,
-    /// Level of the service as known here.
-    pub(crate) level: u32,
+    /// Level that decided, or the one beside the target.
+    pub(crate) barrier: Barrier,
     /// Time since the request came in.
     pub(crate) took: Duration,
 }
@@ -108,10 +108,19 @@
             Outcome::NotRun { kind, .. } => ("not run", kind.label(), 0),
             Outcome::Unknown { kind } => ("unknown", kind.label(), 0),
         };
+        let retry_after = match outcome {
+            Outcome::NotRun { retry_after, .. } => Some(*retry_after),
+            Outcome::Done(_) | Outcome::Unknown { .. } => None,
+        };
+        let barrier = &decision.barrier;
+        let short = barrier.service.as_ref().filter(|_| barrier.level > Level::OPEN);
+        let short = short.map(|service| service.as_str());
         let id = String::from_utf8_lossy(&decision.request);
         info!(self.logger, "request: {word}"; "id" => %id, "route" => %decision.route,
             "place" => decision.place, "reason" => reason, "status" => status,
-            "revision" => decision.revision, "tried" => &decision.tried, "level" => decision.level,
+            "revision" => decision.revision, "tried" => &decision.tried, "level" => barrier.level.0,
+            "short" => short, "level_age_ms" => barrier.age.map(|age| age.as_millis() as u64),
+            "retry_after_ms" => retry_after.map(|time| time.as_millis() as u64),
             "took_ms" => decision.took.as_millis() as u64);
     }
 }
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -77,6 +77,8 @@
     pub(crate) mix: Mix,
     /// Whether work was already done for the request that it belongs to.
     pub(crate) begun: bool,
+    /// Whether it may have run before, or belongs to a request that may have.
+    pub(crate) repeat: bool,
     /// Time left until the answer is of no use.
     pub(crate) left: Duration,
     /// Body.
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, Moment, Name, Origins, Rank,
-    Reach, RequestId, RouteRule, Runs, Sighting, Spell, ToldLevel,
+    Barrier, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, Moment, Name, Origins,
+    Rank, Reach, RequestId, RouteRule, Runs, Sighting, Spell, ToldLevel,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -55,6 +55,8 @@
     pub(crate) mix: Mix,
     /// Whether it is a call of a request for which work was done already.
     pub(crate) begun: bool,
+    /// Whether it belongs to a request that may have run before.
+    pub(crate) repeat: bool,
     /// Request of the target beside this node that it belongs to.
     parent: Option<Bytes>,
 }
@@ -103,7 +105,7 @@
         match state.passed(now, route, rank) {
             Some(passed) => {
                 let mix = Mix::sampled(route.importance, passed);
-                Ok(Standing { rank, mix, begun: false, parent: None })
+                Ok(Standing { rank, mix, begun: false, repeat: false, parent: None })
             }
             None => {
                 let fresh = Spell::begin(now);
@@ -154,7 +156,7 @@
 
     /// Counts a call that the target beside this node runs until the result is ended or dropped.
     pub(crate) fn begin(&self, call: &Call) -> Running<'_> {
-        self.lock().runs.begin(&call.request, call.rank(), call.mix.clone());
+        self.lock().runs.begin(&call.request, call.rank(), call.mix.clone(), call.repeat);
         Running { graph: self, id: call.request.clone() }
     }
 
@@ -168,7 +170,7 @@
     }
 
     /// Highest level that a request of `route` meets, as this node knows it.
-    pub(crate) fn barrier(&self, route: &RouteRule) -> Level {
+    pub(crate) fn barrier(&self, route: &RouteRule) -> Barrier {
         let now = self.clock.now();
         self.lock().barrier(now, route)
     }
@@ -189,22 +191,24 @@
     ) -> Option<Standing> {
         if let Some((parent, run)) = self.runs.parent(request) {
             let parent = Some(request.slice(..parent.len()));
-            return Some(Standing { rank: run.rank, mix: run.mix.clone(), begun: true, parent });
+            let (mix, repeat) = (run.mix.clone(), run.repeat);
+            return Some(Standing { rank: run.rank, mix, begun: true, repeat, parent });
         }
         if self.origins.is_internal(now, &route.name, self.services) != Some(true) {
             return None;
         }
         let mix = self.runs.mean().unwrap_or_else(|| Mix::of(route.importance));
-        Some(Standing { rank: Rank::at(BEGUN, rank.lot()), mix, begun: true, parent: None })
+        let rank = Rank::at(BEGUN, rank.lot());
+        Some(Standing { rank, mix, begun: true, repeat: false, parent: None })
     }
 
     /// Part of the requests of `route` that is let in, if this one is among it.
     fn passed(&self, now: Moment, route: &RouteRule, rank: Rank) -> Option<f64> {
-        let level = self.barrier(now, route);
+        let level = self.barrier(now, route).level;
         level.admits(rank).then(|| level.visible(route.importance))
     }
 
-    fn barrier(&self, now: Moment, route: &RouteRule) -> Level {
+    fn barrier(&self, now: Moment, route: &RouteRule) -> Barrier {
         let first = route.shares.iter().map(|share| &share.service);
         self.reach.barrier(now, &route.name, first, &self.levels)
     }
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -4,14 +4,14 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use poplar_core::{ErrorKind, InstanceId, Moment, Outcome, Stage, TargetEnd};
+use poplar_core::{Barrier, ErrorKind, InstanceId, Moment, Outcome, Stage, TargetEnd, Treatment};
 use poplar_kernel::Clock;
 
 use crate::gate::{Entrant, Gate};
 
 use super::decisions::{Decision, Decisions};
 use super::exchange::Exchange;
-use super::frame::{Call, CallAnswer};
+use super::frame::{Call, CallAnswer, WholeReply};
 use super::graph::Graph;
 use super::own::Own;
 use super::rules::Rules;
@@ -76,7 +76,7 @@
             place: "target",
             revision: self.rules.revision().0,
             tried: call.instance.to_string(),
-            level: level.0,
+            barrier: Barrier { service: None, level, age: Some(Duration::ZERO) },
             took: self.clock.now().since(began),
         });
         answer
@@ -100,6 +100,9 @@
         let end = tokio::time::timeout(left + LAST_WORD, run).await.unwrap_or(TargetEnd::Deadline);
         let offered = !matches!(end, TargetEnd::NotConnected);
         let outcome = end.outcome(SHED_RETRY);
+        if offered {
+            self.gate.treated(treatment(&outcome));
+        }
         if matches!(outcome, Outcome::Done(_)) {
             permit.finish();
         }
@@ -120,6 +123,15 @@
     }
 }
 
+/// How the target treated a call that it was handed.
+fn treatment(outcome: &Outcome<WholeReply>) -> Treatment {
+    match outcome {
+        Outcome::Done(whole) if whole.status < 500 => Treatment::Served,
+        Outcome::NotRun { .. } => Treatment::Shed,
+        Outcome::Done(_) | Outcome::Unknown { .. } => Treatment::Failed,
+    }
+}
+
 /// Call as admission takes it.
 fn entrant(call: &Call) -> Entrant {
     Entrant {
--- a/node/src/proxy/serve.rs
+++ b/node/src/proxy/serve.rs
@@ -166,7 +166,7 @@
             place: "entry",
             revision: revision.0,
             tried: spent.tried.iter().map(ToString::to_string).collect::<Vec<_>>().join(" "),
-            level: self.trips.graph.barrier(route).0,
+            barrier: self.trips.graph.barrier(route),
             took,
         });
         reply::from_outcome(outcome)
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -6,7 +6,8 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    ErrorKind, InstanceId, Level, Moment, Name, Observed, Outcome, ResendBudget, RouteRule,
+    ErrorKind, InstanceId, Level, Moment, Name, Observed, Outcome, ResendBudget, ResendCause,
+    RouteRule,
 };
 use poplar_kernel::Clock;
 
@@ -53,8 +54,10 @@
 /// What a trip has spent so far.
 #[derive(Debug, Default)]
 pub(crate) struct Spent {
-    /// Targets that may have been handed the request.
-    offers: u32,
+    /// Targets that may have run the request.
+    runs: u32,
+    /// Targets that turned it away.
+    sheds: u32,
     /// Nodes that refused it.
     refusals: u32,
     /// Why it may have run somewhere already; a later refusal does not undo that.
@@ -63,6 +66,21 @@
     pub(crate) tried: Vec<InstanceId>,
 }
 
+impl Spent {
+    /// Targets that were handed the request, as far as is known.
+    fn offers(&self) -> u32 {
+        self.runs + self.sheds
+    }
+
+    fn count(&mut self, answer: &Result<CallAnswer, ErrorKind>) {
+        match answer {
+            Ok(answer) if !answer.offered => self.refusals += 1,
+            Ok(CallAnswer { outcome: Outcome::NotRun { .. }, .. }) => self.sheds += 1,
+            Ok(_) | Err(_) => self.runs += 1,
+        }
+    }
+}
+
 impl Trips {
     /// Brings a request to a target and its answer back.
     ///
@@ -84,13 +102,11 @@
         while let Some(chosen) = self.roster.choose(service, standing.rank, &spent.tried) {
             spent.tried.push(chosen.instance.clone());
             if spent.tried.len() == 1 {
-                self.resends().sent(self.clock.now(), service);
+                self.count_first(service, &standing);
             }
-            let call = self.call(route, taken, &chosen, &standing);
+            let call = self.call(route, taken, &chosen, &standing, spent);
             let answer = self.send(service, &chosen, &standing, call).await;
-            let offered = answer.as_ref().map_or(true, |answer| answer.offered);
-            spent.offers += u32::from(offered);
-            spent.refusals += u32::from(!offered);
+            spent.count(&answer);
             last = match answer {
                 Ok(answer) => answer.outcome,
                 Err(kind) => Outcome::Unknown { kind },
@@ -99,7 +115,7 @@
                 spent.unknown = Some(*kind);
             }
             let again = self.may_repeat(route, taken, spent, &last);
-            if !(again && (spent.offers == 0 || self.may_resend(service, &standing))) {
+            if !(again && self.may_resend(service, &standing, spent, &last)) {
                 break;
             }
         }
@@ -125,14 +141,36 @@
             Outcome::Unknown { .. } => route.is_idempotent(),
         };
         may_repeat
-            && spent.offers < route.attempts
+            && spent.runs < route.attempts
             && spent.refusals < REFUSALS_MAX
             && self.clock.now() < taken.deadline
     }
 
-    fn may_resend(&self, service: &Name, standing: &Standing) -> bool {
-        let now = self.clock.now();
-        self.resends().spend(now, service, self.roster.len(), standing.begun)
+    /// Whether the shared bound allows a further target to be handed the request.
+    fn may_resend(
+        &self,
+        service: &Name,
+        standing: &Standing,
+        spent: &Spent,
+        last: &Outcome<WholeReply>,
+    ) -> bool {
+        if spent.offers() == 0 {
+            return true;
+        }
+        let cause = match last {
+            Outcome::NotRun { .. } if spent.runs == 0 => ResendCause::Shed,
+            _ if standing.begun => ResendCause::Call,
+            _ => ResendCause::Request,
+        };
+        self.resends().spend(self.clock.now(), service, self.roster.len(), cause)
+    }
+
+    fn count_first(&self, service: &Name, standing: &Standing) {
+        let (now, mut resends) = (self.clock.now(), self.resends());
+        resends.sent(now, service);
+        if standing.repeat {
+            resends.repeated(now, service);
+        }
     }
 
     fn resends(&self) -> MutexGuard<'_, ResendBudget> {
@@ -177,7 +215,14 @@
         }
     }
 
-    fn call(&self, route: &RouteRule, taken: &Taken, chosen: &Chosen, standing: &Standing) -> Call {
+    fn call(
+        &self,
+        route: &RouteRule,
+        taken: &Taken,
+        chosen: &Chosen,
+        standing: &Standing,
+        spent: &Spent,
+    ) -> Call {
         Call {
             request: taken.request.clone(),
             route: route.name.clone(),
@@ -189,6 +234,7 @@
             rank: Level::at(standing.rank).0,
             mix: standing.mix.clone(),
             begun: standing.begun,
+            repeat: standing.repeat || spent.offers() > 0,
             left: taken.deadline.since(self.clock.now()),
             body: taken.body.clone(),
         }
