Read news of targets in larger pages

Each change of one record wakes the long read of every node, and pages were gathered for 0.15 s. Now a node waits 0.8 s on average, spread over half to three halves of that. Peers tell each other of records meanwhile, and the node beside a leaving target refuses by itself, so that late news costs a hop.

--- a/node/src/proxy/follow.rs
+++ b/node/src/proxy/follow.rs
@@ -19,8 +19,10 @@
 
 /// Longest wait of one read; the store allows 30 s, and a silent connection shows after this.
 const READ_WAIT: Duration = Duration::from_secs(20);
-/// Pause after news of targets, so that the changes of a start or a release come in one page.
-const GATHER_TIME: Duration = Duration::from_millis(150);
+/// Mean pause after news of targets, so that the changes of a start or a release come in one page.
+/// Peers tell each other meanwhile, and the node beside a target that leaves refuses by itself, so
+/// that reading later costs a hop at most; reading at once costs a call for each change at each node.
+const GATHER_TIME: Duration = Duration::from_millis(800);
 
 /// Follows the store.
 pub(crate) struct Follower<P> {
@@ -92,7 +94,8 @@
                     take(&page);
                     next = Some(page.next);
                     if !page.records.is_empty() {
-                        tokio::time::sleep(gather).await;
+                        // Spread, because the news wakes all nodes at the same moment.
+                        tokio::time::sleep(gather.mul_f64(0.5 + fastrand::f64())).await;
                     }
                 }
                 Err(StoreError::Truncated) => next = None,
