Count calls that fail together as one failure of their target

Each call in flight to a stopping node fails at the same moment and doubled the time for which its target is left alone, so that one restart of a second shut it out for the longest time, 5 s, and two restarts left nobody to choose. Now failures within that time do not lengthen it. It begins at 0.2 s in place of 0.1 s, which keeps the bound of a_target_that_claims_health_but_cannot_be_reached_is_left_alone: two calls in 0.15 s. Ruled out: the store (all records were read), levels (0 at the time), the stop itself (calls under way ended).

Test: calls_that_fail_together_count_as_one_failure failed before.

--- a/core/src/choice.rs
+++ b/core/src/choice.rs
@@ -22,7 +22,7 @@
 /// Cost of a probe, which a target needs before it is trusted again.
 const PROBE_COST: Duration = Duration::from_millis(6);
 /// First time for which a target is left alone after a failed connection.
-const BACKOFF_MIN: Duration = Duration::from_millis(100);
+const BACKOFF_MIN: Duration = Duration::from_millis(200);
 /// Longest such time.
 const BACKOFF_MAX: Duration = Duration::from_secs(5);
 /// Time for which a reported load counts; without answers nothing is known of a target.
@@ -379,6 +379,10 @@
     }
 
     fn failed(&mut self, now: Moment) {
+        // Calls that were in flight together fail together and say the same.
+        if now < self.shunned {
+            return;
+        }
         self.backoff = (self.backoff * 2).clamp(BACKOFF_MIN, BACKOFF_MAX);
         self.shunned = now + self.backoff;
         self.open = self.in_flight;
--- a/core/tests/choice.rs
+++ b/core/tests/choice.rs
@@ -90,6 +90,20 @@
     assert!(count <= 4, "{count} calls went to the target that refuses them");
 }
 
+/// A node restarts: all calls that are in flight to its target fail at the same moment.
+#[test]
+fn calls_that_fail_together_count_as_one_failure() {
+    let mut chooser = chooser(&PAIR[..1]);
+    let id = InstanceId::from("a");
+    (0..20).for_each(|_| chooser.observe(Moment::default(), &id, DONE));
+    let at = |millis| Moment::from_millis(millis);
+    let taken = (0..8).filter(|_| chooser.choose(at(1_000), RANK, 0, &[]).is_some()).count();
+    assert!(taken > 3, "{taken} calls are in flight");
+    (0..taken).for_each(|_| chooser.observe(at(1_010), &id, Observed::Unreachable));
+    assert_eq!(chooser.choose(at(1_200), RANK, 0, &[]), None);
+    assert!(chooser.choose(at(1_250), RANK, 0, &[]).is_some(), "it is tried again after 0.2 s");
+}
+
 #[test]
 fn calls_stay_within_the_announced_connections_and_avoid_what_was_tried() {
     let mut chooser = chooser(&PAIR[..1]);
