--- a/core/src/limit.rs
+++ b/core/src/limit.rs
@@ -21,8 +21,8 @@
 const QUEUE_MAX: u32 = 4_096;
 /// Part of the slots that a target without history gets at first.
 const COLD_SHARE: u32 = 4;
-/// Part of the slots that is left free, as a divisor; a little more than the twentieth from which
-/// the users' targets slow down.
+/// Part of the slots that is left free, as a divisor: enough that chance does not fill a target up,
+/// little enough that one which does not slow down loses hardly anything.
 const RESERVE_PART: u32 = 16;
 /// Weight of a new sample in the smoothed times: one in this many.
 const SMOOTHING: u32 = 8;
