Bound the targets that a request is sent to, whether they run it or not

Found on reading the diff: counted only sends that may have run as attempts, but the operator's figure bounds the targets that a request is sent to. A request that targets turn away went to one target more than its route allows.

--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -141,7 +141,7 @@
             Outcome::Unknown { .. } => route.is_idempotent(),
         };
         may_repeat
-            && spent.runs < route.attempts
+            && spent.offers() < route.attempts
             && spent.refusals < REFUSALS_MAX
             && self.clock.now() < taken.deadline
     }
