--- a/core/src/admission/map.rs
+++ b/core/src/admission/map.rs
@@ -115,7 +115,7 @@
     /// circle dies out, and older words never replace newer ones.
     pub fn heard(&mut self, now: Moment, instance: &InstanceId, told: &ToldLevel) {
         let age = Duration::from_millis(u64::from(told.age));
-        let at = Moment::default() + now.since(Moment::default()).saturating_sub(age);
+        let at = now.before(age);
         let rows = self.classes.get(&told.service).map_or(&[][..], |row| &row.learnt);
         let newer = rows.iter().any(|known| known.instance == *instance && known.at > at);
         if !newer {
--- a/core/src/choice.rs
+++ b/core/src/choice.rs
@@ -184,18 +184,15 @@
         tried: &[InstanceId],
     ) -> Option<Choice> {
         let (all, roll) = (0..self.targets.len(), random as u32);
-        let near = self.draw(now, 0..self.near_count(), roll, tried);
+        let near = self.draw(now, 0..self.near_count(), roll, tried, None);
         let near = near.filter(|idx| self.targets[*idx].level(now) == Level::OPEN);
         if let Some(idx) = near.filter(|idx| self.targets[*idx].has_room(now)) {
             return Some(self.give(idx));
         }
-        let first = near.or_else(|| self.draw(now, all.clone(), roll, tried))?;
+        let first = near.or_else(|| self.draw(now, all.clone(), roll, tried, None))?;
         let roll = (random >> 32) as u32;
-        let second = if self.targets[first].load(now).is_some() {
-            self.draw_other(now, all, roll, tried, first)
-        } else {
-            self.draw(now, all, roll, tried)
-        };
+        let besides = self.targets[first].load(now).map(|_| first);
+        let second = self.draw(now, all, roll, tried, besides);
         let mut best = second.map_or(first, |second| self.better(now, rank, first, second));
         if !self.targets[best].level(now).admits(rank) {
             best = self.best(now, rank, tried)?;
@@ -258,34 +255,23 @@
     }
 
     /// First target of the range that may get a call, from a random place onwards.
+    ///
+    /// The target `besides` is left out: among few targets a second draw would often give the same
+    /// one, and the call would go there however loaded it is reported to be.
     fn draw(
         &self,
         now: Moment,
         range: std::ops::Range<usize>,
         random: u32,
         tried: &[InstanceId],
+        besides: Option<usize>,
     ) -> Option<usize> {
-        let len = range.len();
+        let besides = besides.filter(|idx| range.contains(idx));
+        let len = range.len() - usize::from(besides.is_some());
         let start = ((u64::from(random) * len as u64) >> 32) as usize;
-        let places = (0..len).map(|step| range.start + (start + step) % len);
-        places.into_iter().find(|idx| self.targets[*idx].may_get(now, tried))
-    }
-
-    /// Like [`Self::draw`], but not the target `first`: among few targets a second draw would often
-    /// give the same one, and the call would go there however loaded it is reported to be.
-    fn draw_other(
-        &self,
-        now: Moment,
-        range: std::ops::Range<usize>,
-        random: u32,
-        tried: &[InstanceId],
-        first: usize,
-    ) -> Option<usize> {
-        let others = range.len().checked_sub(1).filter(|others| *others > 0)?;
-        let start = ((u64::from(random) * others as u64) >> 32) as usize;
-        let places = (0..others).map(|step| {
-            let place = range.start + (start + step) % others;
-            place + usize::from(place >= first)
+        let places = (0..len).map(|step| {
+            let place = range.start + (start + step) % len;
+            place + usize::from(besides.is_some_and(|idx| place >= idx))
         });
         places.into_iter().find(|idx| self.targets[*idx].may_get(now, tried))
     }
--- a/core/src/limit.rs
+++ b/core/src/limit.rs
@@ -48,8 +48,9 @@
     /// An announcement of zero slots counts as one: the target asked for work by announcing.
     pub fn derive(slots: u32, connections: u32) -> Self {
         let slots = slots.max(1);
-        let queue = slots.saturating_mul(QUEUE_PER_SLOT).clamp(QUEUE_MIN, QUEUE_MAX);
-        Self { slots, cold: slots.div_ceil(COLD_SHARE), queue, connections: connections.max(1) }
+        let cold = slots.div_ceil(COLD_SHARE);
+        let limits = Self { slots, cold, queue: QUEUE_MIN, connections: connections.max(1) };
+        limits.queueing(QUEUE_PER_SLOT)
     }
 
     /// The same limits with some of the slots left free.
--- a/core/src/origin.rs
+++ b/core/src/origin.rs
@@ -70,7 +70,7 @@
     pub fn merge(&mut self, now: Moment, told: &[Sighting]) {
         for sighting in told {
             let age = Duration::from_secs(u64::from(sighting.age));
-            let at = Moment::default() + now.since(Moment::default()).saturating_sub(age);
+            let at = now.before(age);
             self.note(at, sighting.route, sighting.service);
         }
     }
--- a/core/src/reach.rs
+++ b/core/src/reach.rs
@@ -64,12 +64,11 @@
         levels: &LevelMap,
     ) -> Barrier {
         let reached = first.into_iter().chain(self.of(now, route));
-        let met = reached.map(|service| Barrier {
-            service: Some(service.clone()),
-            level: levels.median(now, service),
-            age: levels.age(now, service),
-        });
-        met.max_by_key(|barrier| barrier.level).unwrap_or_default()
+        let met = reached.map(|service| (levels.median(now, service), service));
+        let Some((level, service)) = met.max_by_key(|(level, _)| *level) else {
+            return Barrier::default();
+        };
+        Barrier { service: Some(service.clone()), level, age: levels.age(now, service) }
     }
 
     /// Services that requests of `route` reach.
--- a/core/src/surge.rs
+++ b/core/src/surge.rs
@@ -71,10 +71,8 @@
 pub enum Treatment {
     /// It ran the call and gave its answer.
     Served,
-    /// It failed the call, or gave no sound answer.
+    /// It failed the call, gave no sound answer, or turned the call away.
     Failed,
-    /// It turned the call away without running it.
-    Shed,
 }
 
 /// Load that requests of one importance ask for.
@@ -183,7 +181,7 @@
 
     /// Takes in how the target treated a call that it was handed.
     pub fn treated(&mut self, treatment: Treatment) {
-        let failed = f64::from(u8::from(treatment != Treatment::Served));
+        let failed = f64::from(u8::from(treatment == Treatment::Failed));
         self.failing += FAILING_WEIGHT * (failed - self.failing);
     }
 
--- a/core/src/time.rs
+++ b/core/src/time.rs
@@ -32,6 +32,11 @@
     pub const fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Moment that lies `span` before this one, and the origin if that would lie before it.
+    pub const fn before(self, span: Duration) -> Self {
+        Self(self.0.saturating_sub(span.as_micros() as u64))
+    }
 }
 
 impl Add<Duration> for Moment {
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -254,7 +254,7 @@
 fn quick_failures_do_not_look_like_room() {
     let mut surge = Surge::new(Moment::default(), &ImportanceScale::new([LOW]));
     for number in 0..200 {
-        surge.treated(if number % 2 == 0 { Treatment::Shed } else { Treatment::Served });
+        surge.treated(if number % 2 == 0 { Treatment::Failed } else { Treatment::Served });
     }
     assert!((0.4..0.6).contains(&surge.failing()), "{}", surge.failing());
     (0..300).for_each(|_| surge.treated(Treatment::Served));
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -127,8 +127,7 @@
 fn treatment(outcome: &Outcome<WholeReply>) -> Treatment {
     match outcome {
         Outcome::Done(whole) if whole.status < 500 => Treatment::Served,
-        Outcome::NotRun { .. } => Treatment::Shed,
-        Outcome::Done(_) | Outcome::Unknown { .. } => Treatment::Failed,
+        Outcome::Done(_) | Outcome::NotRun { .. } | Outcome::Unknown { .. } => Treatment::Failed,
     }
 }
 
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -54,10 +54,8 @@
 /// What a trip has spent so far.
 #[derive(Debug, Default)]
 pub(crate) struct Spent {
-    /// Targets that may have run the request.
-    runs: u32,
-    /// Targets that turned it away.
-    sheds: u32,
+    /// Targets that may have been handed the request.
+    offers: u32,
     /// Nodes that refused it.
     refusals: u32,
     /// Why it may have run somewhere already; a later refusal does not undo that.
@@ -66,21 +64,6 @@
     pub(crate) tried: Vec<InstanceId>,
 }
 
-impl Spent {
-    /// Targets that were handed the request, as far as is known.
-    fn offers(&self) -> u32 {
-        self.runs + self.sheds
-    }
-
-    fn count(&mut self, answer: &Result<CallAnswer, ErrorKind>) {
-        match answer {
-            Ok(answer) if !answer.offered => self.refusals += 1,
-            Ok(CallAnswer { outcome: Outcome::NotRun { .. }, .. }) => self.sheds += 1,
-            Ok(_) | Err(_) => self.runs += 1,
-        }
-    }
-}
-
 impl Trips {
     /// Brings a request to a target and its answer back.
     ///
@@ -106,7 +89,9 @@
             }
             let call = self.call(route, taken, &chosen, &standing, spent);
             let answer = self.send(service, &chosen, &standing, call).await;
-            spent.count(&answer);
+            let offered = answer.as_ref().map_or(true, |answer| answer.offered);
+            spent.offers += u32::from(offered);
+            spent.refusals += u32::from(!offered);
             last = match answer {
                 Ok(answer) => answer.outcome,
                 Err(kind) => Outcome::Unknown { kind },
@@ -141,7 +126,7 @@
             Outcome::Unknown { .. } => route.is_idempotent(),
         };
         may_repeat
-            && spent.offers() < route.attempts
+            && spent.offers < route.attempts
             && spent.refusals < REFUSALS_MAX
             && self.clock.now() < taken.deadline
     }
@@ -154,11 +139,11 @@
         spent: &Spent,
         last: &Outcome<WholeReply>,
     ) -> bool {
-        if spent.offers() == 0 {
+        if spent.offers == 0 {
             return true;
         }
         let cause = match last {
-            Outcome::NotRun { .. } if spent.runs == 0 => ResendCause::Shed,
+            Outcome::NotRun { .. } if spent.unknown.is_none() => ResendCause::Shed,
             _ if standing.begun => ResendCause::Call,
             _ => ResendCause::Request,
         };
@@ -234,7 +219,7 @@
             rank: Level::at(standing.rank).0,
             mix: standing.mix.clone(),
             begun: standing.begun,
-            repeat: standing.repeat || spent.offers() > 0,
+            repeat: standing.repeat || spent.offers > 0,
             left: taken.deadline.since(self.clock.now()),
             body: taken.body.clone(),
         }
