--- a/bench/src/footprint.rs
+++ b/bench/src/footprint.rs
@@ -3,11 +3,10 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
+use poplar_standins::Usage;
 
 use crate::deployment::{ARMOR, Deployment, DeploymentError, Plan, VATUVALE};
 
-/// Clock ticks a second in which the kernel counts processor time.
-const TICKS: f64 = 100.0;
 /// Time for which a new deployment settles before it is measured.
 const SETTLE: Duration = Duration::from_secs(5);
 
@@ -22,13 +21,6 @@
     seconds: u64,
 }
 
-/// What the kernel says of one process.
-#[derive(Debug, Clone, Copy, Default)]
-struct Usage {
-    cpu_seconds: f64,
-    resident_kib: u64,
-}
-
 /// Runs the measure and prints its result.
 pub(crate) fn run(options: &Options) {
     let plan = if options.deployment == "vatuvale" { VATUVALE } else { ARMOR };
@@ -46,7 +38,7 @@
     tokio::time::sleep(Duration::from_secs(seconds)).await;
     let after = usages(&deployment);
     let share = |(before, after): (&Usage, &Usage)| {
-        100.0 * (after.cpu_seconds - before.cpu_seconds) / seconds as f64
+        100.0 * (after.processor.saturating_sub(before.processor)).as_secs_f64() / seconds as f64
     };
     let shares: Vec<f64> = before.iter().zip(&after).map(share).collect();
     let mean = shares.iter().sum::<f64>() / shares.len().max(1) as f64;
@@ -61,16 +53,5 @@
 
 fn usages(deployment: &Deployment) -> Vec<Usage> {
     let pids = deployment.instances.iter().map(|instance| instance.node.id());
-    pids.map(|pid| usage(pid).unwrap_or_default()).collect()
-}
-
-fn usage(pid: u32) -> Option<Usage> {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-    // The name in brackets may hold spaces; the fields behind it do not.
-    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
-    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-    let resident_kib = line.split_whitespace().next()?.parse().ok()?;
-    Some(Usage { cpu_seconds: ticks / TICKS, resident_kib })
+    pids.map(|pid| Usage::of(pid).unwrap_or_default()).collect()
 }
--- a/node/tests/support/mod.rs
+++ b/node/tests/support/mod.rs
@@ -8,7 +8,7 @@
 
 use poplar_client::{Answer, Call, Client, Outcome};
 use poplar_core::Name;
-use poplar_standins::{Graph, HttpClient, LogServer, TargetServer, TargetSettings};
+use poplar_standins::{Graph, HttpClient, LogServer, TargetServer, TargetSettings, Usage};
 use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, Command};
@@ -142,10 +142,7 @@
     /// Memory that the process holds, in bytes.
     pub(crate) fn memory(&self) -> u64 {
         let id = self.process.id().expect("a running process");
-        let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("its status");
-        let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("its memory");
-        let kib = line.split_whitespace().nth(1).and_then(|text| text.parse::<u64>().ok());
-        kib.expect("a number") << 10
+        Usage::of(id).expect("its usage").resident_kib << 10
     }
 
     /// Tells the process to stop and returns its exit code.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,6 +10,7 @@
 mod log;
 mod relay;
 mod target;
+mod usage;
 
 pub use caller::{CallerSettings, ClassLoad, Report, run_caller};
 pub use contract::{ContractOptionError, read_contract};
@@ -18,3 +19,4 @@
 pub use log::{LogFaults, LogServer, LoseAcks};
 pub use relay::Relay;
 pub use target::{Switches, TargetServer, TargetSettings};
+pub use usage::Usage;
