Log and count the work spent on requests that fail

The node beside a target sees the run, the entry alone learns how the request ended, and nothing joined the two. Answers now carry the slot time of the run and of the calls below it, in place of the bare names of the services reached; what the names are used for is as before. The entry adds it up by service for requests that completed and others: line load: entry, metric poplar_work_seconds_total. load: target comes every second and tells what arrived, was refused, failed and ended since the last line. No decision changes.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -28,6 +28,7 @@
 mod surge;
 mod suspects;
 mod time;
+mod work;
 
 pub use admission::{
     Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Shedding, Ticket, ToldLevel,
@@ -76,3 +77,4 @@
 pub use surge::{Occupancy, Surge, Treatment};
 pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
 pub use time::Moment;
+pub use work::{ServiceWork, WorkSum};
--- a/core/src/runs.rs
+++ b/core/src/runs.rs
@@ -6,14 +6,13 @@
 //! services it reaches. Where identifiers say nothing, a call counts as one of an average run. See
 //! [overload](../../docs/design/overload.md).
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
+use std::time::Duration;
 
 use crate::admission::Rank;
 use crate::ids::Name;
 use crate::mix::{Mix, MixSum};
-
-/// Largest number of services that one run is noted to reach; bounds the size of answers.
-const REACHED_MAX: usize = 16;
+use crate::work::{ServiceWork, WorkSum};
 
 /// Request that a target runs.
 #[derive(Debug, Clone, PartialEq)]
@@ -24,8 +23,8 @@
     pub mix: Mix,
     /// Whether the request may have run before, or belongs to one that may have.
     pub repeat: bool,
-    /// Services that calls of this run have reached.
-    reached: BTreeSet<Name>,
+    /// Work of the calls of this run.
+    work: WorkSum,
 }
 
 /// Runs at one target, by the identifier of their request.
@@ -39,17 +38,17 @@
     /// Takes in a run that begins; a request that the target already runs is replaced.
     pub fn begin(&mut self, id: &[u8], rank: Rank, mix: Mix, repeat: bool) {
         self.sum.begin(&mix);
-        let run = RunningCall { rank, mix, repeat, reached: BTreeSet::new() };
+        let run = RunningCall { rank, mix, repeat, work: WorkSum::default() };
         if let Some(replaced) = self.running.insert(id.into(), run) {
             self.sum.end(&replaced.mix);
         }
     }
 
-    /// Ends a run; returns the services that it reached.
-    pub fn end(&mut self, id: &[u8]) -> BTreeSet<Name> {
-        let Some(run) = self.running.remove(id) else { return BTreeSet::new() };
+    /// Ends a run; returns the work of its calls.
+    pub fn end(&mut self, id: &[u8]) -> WorkSum {
+        let Some(run) = self.running.remove(id) else { return WorkSum::default() };
         self.sum.end(&run.mix);
-        run.reached
+        run.work
     }
 
     /// Run that the call `id` belongs to, with the identifier of its request.
@@ -64,9 +63,14 @@
     pub fn reach<'a>(&mut self, id: &[u8], services: impl IntoIterator<Item = &'a Name>) {
         let Some(run) = self.running.get_mut(id) else { return };
         for service in services {
-            if run.reached.len() < REACHED_MAX {
-                run.reached.insert(service.clone());
-            }
+            run.work.add(service, Duration::ZERO);
+        }
+    }
+
+    /// Adds the work of a call of the run `id`.
+    pub fn spend(&mut self, id: &[u8], work: &[ServiceWork]) {
+        if let Some(run) = self.running.get_mut(id) {
+            run.work.merge(work);
         }
     }
 
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -70,6 +70,7 @@
     revision: Revision,
     times: RunTimes,
     waiting: HashMap<Ticket, oneshot::Sender<Turn>>,
+    tally: Tally,
     next: u64,
     ticking: bool,
 }
@@ -97,6 +98,31 @@
     pub(crate) level: Level,
 }
 
+/// What became of the calls at the target since the last look.
+#[derive(Debug, Default)]
+pub(crate) struct Tally {
+    /// Calls that came.
+    pub(crate) arrived: u32,
+    /// Calls that were refused.
+    pub(crate) refused: u32,
+    /// Calls that the target failed or turned away.
+    pub(crate) failed: u32,
+    /// Runs that gave an answer.
+    pub(crate) ended: u32,
+    /// Slot time of these.
+    pub(crate) busy: Duration,
+    /// Runs that gave none.
+    pub(crate) cancelled: u32,
+    /// Slot time of these.
+    pub(crate) lost: Duration,
+}
+
+impl Tally {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.arrived + self.ended + self.cancelled == 0
+    }
+}
+
 /// Place of a call that has arrived and is not running yet; cancelled on drop.
 struct Place {
     gate: Arc<Gate>,
@@ -180,6 +206,11 @@
         (level, load + FAILING_LOAD * failing)
     }
 
+    /// What became of calls since the last call of this.
+    pub(crate) fn take_tally(&self) -> Tally {
+        std::mem::take(&mut self.lock().tally)
+    }
+
     fn arrive(
         self: &Arc<Self>,
         entrant: &Entrant,
@@ -188,6 +219,7 @@
         let mut state = self.lock();
         state.next += 1;
         let ticket = Ticket(state.next);
+        state.tally.arrived += 1;
         if let Some(surge) = state.surge.as_mut() {
             surge.arrived(&entrant.class, &entrant.mix);
         }
@@ -204,6 +236,7 @@
         match admission.arrive(now, arrival) {
             AdmissionVerdict::Admit => Ok((place, None)),
             AdmissionVerdict::Refuse(refusal) => {
+                state.tally.refused += 1;
                 drop(state);
                 Err(refusal)
             }
@@ -220,7 +253,9 @@
 
     /// Takes in how the target treated a call that it was handed.
     pub(crate) fn treated(&self, treatment: Treatment) {
-        if let Some(surge) = self.lock().surge.as_mut() {
+        let mut state = self.lock();
+        state.tally.failed += u32::from(treatment == Treatment::Failed);
+        if let Some(surge) = state.surge.as_mut() {
             surge.treated(treatment);
         }
     }
@@ -229,6 +264,8 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.times.observe(class, took);
+        state.tally.ended += 1;
+        state.tally.busy += took;
         if let Some(surge) = state.surge.as_mut() {
             surge.finished(now, class, took);
         }
@@ -245,6 +282,16 @@
         state.tell(release.unwrap_or_default());
     }
 
+    /// Ends a run that gave no answer.
+    fn abandon(&self, ticket: Ticket, ran: Duration) {
+        {
+            let mut state = self.lock();
+            state.tally.cancelled += 1;
+            state.tally.lost += ran;
+        }
+        self.cancel(ticket);
+    }
+
     /// Starts the task that drops late calls from the queue, unless it runs already.
     fn start_ticking(self: &Arc<Self>, state: &mut State) {
         if std::mem::replace(&mut state.ticking, true) {
@@ -297,6 +344,7 @@
     }
 
     fn refuse(&mut self, refusal: Refusal) {
+        self.tally.refused += 1;
         if let Some(sender) = self.waiting.remove(&refusal.ticket) {
             // A receiver that is gone needs no refusal.
             let _ = sender.send(Err(refusal));
@@ -332,7 +380,8 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         if !self.finished {
-            self.gate.cancel(self.ticket);
+            let ran = self.gate.clock.now().since(self.since);
+            self.gate.abandon(self.ticket, ran);
         }
     }
 }
--- /dev/null
+++ b/node/src/proxy/account.rs
@@ -0,0 +1,91 @@
+//! What became of the requests that entered at this node, and of the work done for them.
+//!
+//! The node beside a target knows how long a call held a slot, but only the entry learns whether
+//! the request completed. Targets that are busy with requests that fail look the same as targets
+//! that are short of room; this account tells the two apart. See
+//! [operations](../../../docs/OPERATIONS.md).
+
+use std::fmt::Write;
+use std::sync::atomic::AtomicU64;
+use std::sync::{Mutex, PoisonError};
+
+use poplar_core::{Outcome, WorkSum};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+
+use super::frame::WholeReply;
+
+/// Labels of slot time.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Work {
+    service: String,
+    /// Whether the request completed.
+    completed: &'static str,
+}
+
+/// Slot time by service and fate of the request.
+pub(crate) type WorkFamily = Family<Work, Counter<f64, AtomicU64>>;
+
+/// Requests that ended since the last look.
+#[derive(Debug, Default)]
+pub(crate) struct Ended {
+    /// Requests that completed.
+    pub(crate) served: u32,
+    /// Requests that were refused before any target ran them.
+    pub(crate) refused: u32,
+    /// Requests that failed in another way.
+    pub(crate) failed: u32,
+    /// Work of the requests that completed.
+    pub(crate) useful: WorkSum,
+    /// Work of the others.
+    pub(crate) wasted: WorkSum,
+}
+
+/// Account of one entry.
+#[derive(Debug, Default)]
+pub(crate) struct Account {
+    since: Mutex<Ended>,
+    work: WorkFamily,
+}
+
+impl Account {
+    /// Counters of slot time.
+    pub(crate) fn work(&self) -> WorkFamily {
+        self.work.clone()
+    }
+
+    /// Takes in the end of a request that took `work`.
+    pub(crate) fn ended(&self, outcome: &Outcome<WholeReply>, work: &WorkSum) {
+        let mut since = self.since.lock().unwrap_or_else(PoisonError::into_inner);
+        match outcome {
+            Outcome::Done(whole) if whole.status < 500 => since.served += 1,
+            Outcome::NotRun { .. } => since.refused += 1,
+            Outcome::Done(_) | Outcome::Unknown { .. } => since.failed += 1,
+        }
+        let served = matches!(outcome, Outcome::Done(whole) if whole.status < 500);
+        let (sum, completed) =
+            if served { (&mut since.useful, "yes") } else { (&mut since.wasted, "no") };
+        for (service, time) in work.iter() {
+            sum.add(service, time);
+            let labels = Work { service: service.to_string(), completed };
+            self.work.get_or_create(&labels).inc_by(time.as_secs_f64());
+        }
+    }
+
+    /// What ended since the last call.
+    pub(crate) fn take(&self) -> Ended {
+        std::mem::take(&mut *self.since.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// Text of slot times for a log line, in milliseconds.
+pub(crate) fn millis(work: &WorkSum) -> String {
+    let mut text = String::new();
+    for (service, time) in work.iter() {
+        // Writing into a string cannot fail.
+        let _ = write!(text, "{service}={} ", time.as_millis());
+    }
+    text.truncate(text.trim_end().len());
+    text
+}
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -7,8 +7,8 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use poplar_core::{
-    ErrorKind, InstanceId, Level, Mix, Name, Rank, Revision, RuleSet, Sighting, TargetRecord,
-    ToldLevel,
+    ErrorKind, InstanceId, Level, Mix, Name, Rank, Revision, RuleSet, ServiceWork, Sighting,
+    TargetRecord, ToldLevel,
 };
 use serde::{Deserialize, Serialize};
 
@@ -112,8 +112,8 @@
     pub(crate) offered: bool,
     /// Levels of the target's service and of others that are short of room.
     pub(crate) levels: Vec<ToldLevel>,
-    /// Services that the run reached by its calls.
-    pub(crate) reached: Vec<Name>,
+    /// Work of the run and of the calls below it, by service.
+    pub(crate) work: Vec<ServiceWork>,
     /// Calls that run or wait at the target, in parts of its limit.
     pub(crate) load: f32,
 }
@@ -122,7 +122,7 @@
     /// Refusal of a call that the target has not seen.
     pub(crate) fn refused(kind: ErrorKind, retry_after: Duration) -> Self {
         let outcome = poplar_core::Outcome::NotRun { kind, retry_after };
-        Self { outcome, offered: false, levels: Vec::new(), reached: Vec::new(), load: 0.0 }
+        Self { outcome, offered: false, levels: Vec::new(), work: Vec::new(), load: 0.0 }
     }
 }
 
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -4,14 +4,14 @@
 //! tell which services a request reached and at which levels these stand, so that a request which
 //! would fail deeper down is refused before any work. See [overload](../../../docs/design/overload.md).
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use poplar_core::{
     Barrier, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, Moment, Name, Origins,
-    Rank, Reach, RequestId, RouteRule, Runs, Sighting, Spell, ToldLevel,
+    Rank, Reach, RequestId, RouteRule, Runs, ServiceWork, Sighting, Spell, ToldLevel, WorkSum,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -142,14 +142,16 @@
         for told in &answer.levels {
             state.levels.heard(now, instance, told);
         }
+        let reached = answer.work.iter().map(|row| &row.service);
         if !standing.begun {
-            state.reach.learn(now, route, &answer.reached);
+            state.reach.learn(now, route, reached.filter(|reached| *reached != service));
             return;
         }
-        let reached = answer.reached.iter().chain([service]);
         if let Some(parent) = &standing.parent {
-            state.runs.reach(parent, reached);
+            state.runs.reach(parent, [service]);
+            state.runs.spend(parent, &answer.work);
         } else {
+            let reached = reached.chain([service]);
             state.unknown.extend(reached.map(|service| (service.clone(), now)));
         }
     }
@@ -157,7 +159,7 @@
     /// Counts a call that the target beside this node runs until the result is ended or dropped.
     pub(crate) fn begin(&self, call: &Call) -> Running<'_> {
         self.lock().runs.begin(&call.request, call.rank(), call.mix.clone(), call.repeat);
-        Running { graph: self, id: call.request.clone() }
+        Running { graph: self, id: call.request.clone(), began: self.clock.now() }
     }
 
     /// Levels to send back with an answer: the target's own and those that are known of others.
@@ -213,12 +215,12 @@
         self.reach.barrier(now, &route.name, first, &self.levels)
     }
 
-    /// Services that a run has reached by its own calls or may have by those of unknown requests.
-    fn end(&mut self, now: Moment, id: &[u8]) -> BTreeSet<Name> {
-        let mut reached = self.runs.end(id);
+    /// Work of a run's own calls; services that calls of unknown requests reached count as reached.
+    fn end(&mut self, now: Moment, id: &[u8]) -> WorkSum {
+        let mut work = self.runs.end(id);
         self.unknown.retain(|_, at| now.since(*at) < Reach::MEMORY);
-        reached.extend(self.unknown.keys().cloned());
-        reached
+        self.unknown.keys().for_each(|service| work.add(service, Duration::ZERO));
+        work
     }
 }
 
@@ -226,13 +228,16 @@
 pub(crate) struct Running<'a> {
     graph: &'a Graph,
     id: Bytes,
+    began: Moment,
 }
 
 impl Running<'_> {
-    /// Ends the run; returns the services that it reached.
-    pub(crate) fn end(self) -> Vec<Name> {
+    /// Ends the run; returns its work and that of its calls.
+    pub(crate) fn end(self) -> Vec<ServiceWork> {
         let now = self.graph.clock.now();
-        self.graph.lock().end(now, &self.id).into_iter().collect()
+        let mut work = self.graph.lock().end(now, &self.id);
+        work.add(&self.graph.own, now.since(self.began));
+        work.rows()
     }
 }
 
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -15,6 +15,7 @@
 
 use crate::gate::Gate;
 
+use super::account::Account;
 use super::decisions::Decisions;
 use super::roster::Roster;
 use super::rules::Rules;
@@ -65,6 +66,7 @@
         roster: Arc<Roster>,
         rules: Arc<Rules>,
         decisions: &Decisions,
+        account: &Account,
     ) -> Self {
         let mut registry = Registry::with_prefix("poplar");
         let answered = Family::<Answered, Counter>::default();
@@ -76,6 +78,8 @@
         registry.register_with_unit("request", help, Unit::Seconds, latency.clone());
         let help = "Log lines about requests that the bound left out";
         registry.register("log_lines_dropped", help, decisions.dropped());
+        let help = "Slot time of requests that ended here, with that of their calls";
+        registry.register_with_unit("work", help, Unit::Seconds, account.work());
         gauges.register(&mut registry);
         let registry = Mutex::new(registry);
         Self { registry, answered, latency, gauges, gate, roster, rules }
--- a/node/src/proxy/mod.rs
+++ b/node/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 //! reads and writes through the ports. See [platform](../../../docs/design/platform.md).
 
 mod accept;
+mod account;
 mod admin;
 mod decisions;
 mod exchange;
@@ -20,6 +21,7 @@
 mod ports;
 mod process;
 mod reply;
+mod report;
 mod roster;
 mod rules;
 mod run;
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use poplar_core::{ErrorKind, Level, Moment, ResendBudget};
+use poplar_core::{ErrorKind, Moment, ResendBudget};
 use poplar_kernel::{Clock, Life, Registry, Serving, part};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
@@ -13,6 +13,7 @@
 use crate::gate::Gate;
 
 use super::accept::accept;
+use super::account::Account;
 use super::admin::{self, Admin};
 use super::decisions::Decisions;
 use super::exchange::Exchange;
@@ -22,6 +23,7 @@
 use super::own::Own;
 use super::peers::{CHECK_PAUSE, Peers};
 use super::ports::{Dialect, Platform, Site};
+use super::report;
 use super::roster::Roster;
 use super::rules::Rules;
 use super::run::Runner;
@@ -38,8 +40,6 @@
 const GRACE_PART: f64 = 0.88;
 /// Pause between looks at the calls in flight while draining.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
-/// Pause between two lines on the load of the target; short against the length of a surge.
-const REPORT_PAUSE: Duration = Duration::from_secs(2);
 
 /// Why the data plane could not start.
 #[derive(Debug, thiserror::Error)]
@@ -116,8 +116,10 @@
             part(root, "link"),
         );
         let peers = Arc::new(peers);
+        let account = Arc::new(Account::default());
         let metrics =
-            Arc::new(Metrics::new(gate.clone(), roster.clone(), rules.clone(), &decisions));
+            Metrics::new(gate.clone(), roster.clone(), rules.clone(), &decisions, &account);
+        let metrics = Arc::new(metrics);
         let trips = Trips {
             clock,
             caller: site.service.clone(),
@@ -132,6 +134,7 @@
             rules: rules.clone(),
             trips,
             metrics: metrics.clone(),
+            account: account.clone(),
             decisions,
             intake: Callers::intake(site.memory),
             closing: AtomicBool::new(false),
@@ -158,7 +161,7 @@
         });
         tokio::spawn(revise(rules.clone(), gate.clone(), graph.clone()));
         tokio::spawn(check(peers.clone()));
-        tokio::spawn(report(gate.clone(), part(root, "load")));
+        tokio::spawn(report::run(gate.clone(), account.clone(), part(root, "load")));
         let ends = part(root, "listen");
         tokio::spawn(accept(peer, peers, Peers::serve, ends.clone()));
         tokio::spawn(accept(outbound, callers.clone(), Callers::serve, ends));
@@ -241,19 +244,6 @@
     }
 }
 
-/// Writes what the target is busy with, for those who look at a failure later.
-async fn report(gate: Arc<Gate>, logger: Logger) {
-    loop {
-        tokio::time::sleep(REPORT_PAUSE).await;
-        let (load, (own, weight)) = (gate.load(), gate.surge());
-        if load.running + load.queued > 0 || own != Level::OPEN {
-            info!(logger, "load: target"; "running" => load.running, "queued" => load.queued,
-                "limit" => load.limit, "admission" => load.level.0, "own" => own.0,
-                "weight" => weight);
-        }
-    }
-}
-
 async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(|error| StartError::Listen(address, error))
 }
--- /dev/null
+++ b/node/src/proxy/report.rs
@@ -0,0 +1,47 @@
+//! Lines on the load of the target and of the entry, for those who look at a failure later.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use poplar_core::Level;
+use slog::{Logger, info};
+
+use crate::gate::Gate;
+
+use super::account::{Account, millis};
+
+/// Pause between two lines; short against the length of a surge.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// Writes the lines for as long as the process lives.
+pub(crate) async fn run(gate: Arc<Gate>, account: Arc<Account>, logger: Logger) {
+    loop {
+        tokio::time::sleep(PAUSE).await;
+        target(&gate, &logger);
+        entry(&account, &logger);
+    }
+}
+
+/// What the target is busy with, and what it did since the last line.
+fn target(gate: &Gate, logger: &Logger) {
+    let (load, (own, weight), tally) = (gate.load(), gate.surge(), gate.take_tally());
+    if load.running + load.queued == 0 && own == Level::OPEN && tally.is_empty() {
+        return;
+    }
+    info!(logger, "load: target"; "running" => load.running, "queued" => load.queued,
+        "limit" => load.limit, "admission" => load.level.0, "own" => own.0, "weight" => weight,
+        "arrived" => tally.arrived, "refused" => tally.refused, "failed" => tally.failed,
+        "ended" => tally.ended, "ended_ms" => tally.busy.as_millis() as u64,
+        "cancelled" => tally.cancelled, "cancelled_ms" => tally.lost.as_millis() as u64);
+}
+
+/// What became of the requests that entered here, and of the work done for them.
+fn entry(account: &Account, logger: &Logger) {
+    let ended = account.take();
+    if ended.served + ended.refused + ended.failed == 0 {
+        return;
+    }
+    info!(logger, "load: entry"; "served" => ended.served, "refused" => ended.refused,
+        "failed" => ended.failed, "useful_ms" => millis(&ended.useful),
+        "wasted_ms" => millis(&ended.wasted));
+}
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -106,7 +106,7 @@
         if matches!(outcome, Outcome::Done(_)) {
             permit.finish();
         }
-        CallAnswer { outcome, offered, levels: Vec::new(), reached: running.end(), load: 0.0 }
+        CallAnswer { outcome, offered, levels: Vec::new(), work: running.end(), load: 0.0 }
     }
 
     /// Why the target beside this node cannot run a call that was meant for `instance`.
--- a/node/src/proxy/serve.rs
+++ b/node/src/proxy/serve.rs
@@ -19,6 +19,7 @@
 
 use crate::ends::intake::{Intake, IntakeError};
 
+use super::account::Account;
 use super::decisions::{Decision, Decisions};
 use super::fields;
 use super::metrics::Metrics;
@@ -58,6 +59,7 @@
     pub(crate) rules: Arc<Rules>,
     pub(crate) trips: Trips,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) account: Arc<Account>,
     pub(crate) decisions: Arc<Decisions>,
     pub(crate) intake: Intake,
     /// Set when the process stops: each answer then asks the caller to leave the connection.
@@ -160,6 +162,9 @@
             .unwrap_or(poplar_core::Outcome::Unknown { kind: ErrorKind::Deadline });
         let took = self.clock.now().since(began);
         self.metrics.answered(&route.name, &outcome, took);
+        if !spent.begun {
+            self.account.ended(&outcome, &spent.work);
+        }
         self.decisions.write(&outcome, || Decision {
             request: taken.request.clone(),
             route: route.name.clone(),
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use poplar_core::{
     ErrorKind, InstanceId, Level, Moment, Name, Observed, Outcome, ResendBudget, ResendCause,
-    RouteRule,
+    RouteRule, WorkSum,
 };
 use poplar_kernel::Clock;
 
@@ -62,6 +62,10 @@
     unknown: Option<ErrorKind>,
     /// Instances that were chosen, in order.
     pub(crate) tried: Vec<InstanceId>,
+    /// Whether it is a call of a request for which work was done already.
+    pub(crate) begun: bool,
+    /// Work that answers told of.
+    pub(crate) work: WorkSum,
 }
 
 impl Trips {
@@ -81,6 +85,7 @@
             Ok(standing) => standing,
             Err(retry_after) => return not_run(ErrorKind::Overload, retry_after),
         };
+        spent.begun = standing.begun;
         let mut last = not_run(ErrorKind::NoTarget, NO_TARGET_RETRY);
         while let Some(chosen) = self.roster.choose(service, standing.rank, &spent.tried) {
             spent.tried.push(chosen.instance.clone());
@@ -93,7 +98,10 @@
             spent.offers += u32::from(offered);
             spent.refusals += u32::from(!offered);
             last = match answer {
-                Ok(answer) => answer.outcome,
+                Ok(answer) => {
+                    spent.work.merge(&answer.work);
+                    answer.outcome
+                }
                 Err(kind) => Outcome::Unknown { kind },
             };
             if let Outcome::Unknown { kind } = &last {
