--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -308,6 +308,26 @@
     assert!(high > 0.9 && low < 0.1, "{low} {high}");
 }
 
+/// Lasting shortage: what is left would not do for the most important requests alone. The others are
+/// served less often, but never less than a quarter as often.
+#[test]
+fn no_importance_is_starved_by_a_lasting_shortage() {
+    for demand in [[1.2, 0.9], [2.0, 1.1], [0.5, 1.4], [3.0, 0.3]] {
+        let mut deep = Deep::new();
+        deep.play(5, demand);
+        deep.passed();
+        deep.play(10, demand);
+        let [low, high] = deep.passed();
+        // A tenth of tolerance for what the lots of the drawn requests leave to chance.
+        assert!(low > 0.9 * 0.25 * high, "{demand:?}: the others get their part: {low} of {high}");
+        assert!(high > low, "{demand:?}: the important ones come first: {low} {high}");
+        let used = low * demand[0] + high * demand[1];
+        assert!((0.85..1.1).contains(&used), "{demand:?}: the service is used: {used}");
+        // Beyond their part, the others get only what the important ones leave.
+        assert!(high > 0.93 || low < 1.2 * 0.25 * high, "{demand:?}: {low} {high}");
+    }
+}
+
 /// The same burst on a service that refuses nothing itself: its queue stays short, although the
 /// entries alone keep it so.
 #[test]
@@ -413,6 +433,35 @@
     assert_eq!(maps[0].median(now, &service), Level::OPEN);
 }
 
+/// Deep call graph with a single target left at its end: nodes hear of its level mostly from each
+/// other, and still follow it, however many of them repeat an earlier one.
+#[test]
+fn a_targets_level_outweighs_what_nodes_repeat_of_it() {
+    const NODES: usize = 12;
+    let (service, target) = (Name::new("deep"), InstanceId::from("target"));
+    let ids: Vec<_> = (0..NODES).map(|n| InstanceId::from(format!("n{n}").as_str())).collect();
+    let mut maps: Vec<_> =
+        (0..NODES).map(|_| LevelMap::new(ImportanceScale::new([LOW, HIGH]))).collect();
+    let phases = [(LOW, 12_000), (HIGH, 40_000), (HIGH, 20_000), (LOW, 50_000)];
+    for (phase, (importance, lot)) in phases.into_iter().enumerate() {
+        let level = Level::at(Rank::at(importance, lot));
+        let from = 10_000 + phase as u64 * 1_000;
+        for millis in (from..from + 1_000).step_by(5) {
+            let now = Moment::from_millis(millis);
+            let told = ToldLevel { service: service.clone(), level, age: 0 };
+            maps[millis as usize / 5 % 3].heard(now, &target, &told);
+            for (teller, id) in ids.iter().enumerate() {
+                let told = maps[teller].tell(now);
+                let hearer = (teller + 1 + millis as usize / 5 % (NODES - 1)) % NODES;
+                told.iter().for_each(|told| maps[hearer].heard(now, id, told));
+            }
+        }
+        let now = Moment::from_millis(from + 1_000);
+        let held: Vec<_> = maps.iter().map(|map| map.median(now, &service)).collect();
+        assert!(held.iter().all(|held| *held == level), "phase {phase}: {level:?}, {held:?}");
+    }
+}
+
 /// Deep call graph: requests that share their first service with others, but never reach the one
 /// that is short of room, are let in.
 #[test]
