Count a level once, however many nodes repeat it

Cause: a node kept one level for each node that told it one, took their median, and passed the median on with the age of the newest. Where one target is left, its own word is one among a dozen repetitions of what it said earlier, the median is that of the repetitions, and each pass makes it look new. The class is evidence counted more than once. Now a level names the instance that gave it and when, by a hash of four bytes; nodes pass on the words of at most three instances of a service unchanged, and the median is over instances. Ruled out: that entries do not know what their requests reach (their lines name the service, at level 0 and an age of 0 ms).

--- a/core/src/admission/map.rs
+++ b/core/src/admission/map.rs
@@ -1,9 +1,11 @@
 //! Levels that a caller learnt from answers, so that a doomed call is refused where it enters.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::{InstanceId, Name};
 use crate::limit::ImportanceScale;
@@ -25,14 +27,35 @@
 /// Largest number of instances kept per class.
 const INSTANCES_MAX: usize = 16;
 
-/// Level of a service as one node tells it to another.
+/// Largest number of instances of one service that a node tells of: enough for a median, few enough
+/// to travel with every answer.
+const TOLD_MAX: usize = 3;
+
+/// Instance that gave a level, by hash, to keep messages small.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Origin(u32);
+
+impl Origin {
+    /// Origin of what `instance` says of itself.
+    pub fn of(instance: &InstanceId) -> Self {
+        Self(xxh3_64(instance.0.as_str().as_bytes()) as u32)
+    }
+}
+
+/// Level of one instance as nodes pass it on.
+///
+/// It names the instance that gave it, however many nodes it passed, so that what many nodes
+/// repeat still counts once.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToldLevel {
     /// Service.
     pub service: Name,
+    /// Instance of the service that gave the level.
+    pub origin: Origin,
     /// Level below which requests that reach the service should be refused.
     pub level: Level,
-    /// Milliseconds since the service itself gave it.
+    /// Milliseconds since the instance itself gave it.
     pub age: u16,
 }
 
@@ -58,7 +81,7 @@
 
 #[derive(Debug)]
 struct Learnt {
-    instance: InstanceId,
+    origin: Origin,
     level: Level,
     at: Moment,
 }
@@ -80,67 +103,53 @@
     /// does, while others would let a lesser call give way.
     pub fn meet(&mut self, class: &Name, instance: &InstanceId) {
         let known = self.classes.get(class).map_or(&[][..], |row| &row.learnt);
-        let full = known.len() >= INSTANCES_MAX;
-        if !full && known.iter().all(|known| known.instance != *instance) {
+        let (full, origin) = (known.len() >= INSTANCES_MAX, Origin::of(instance));
+        if !full && known.iter().all(|known| known.origin != origin) {
             self.learn(Moment::default(), class, instance, Level::OPEN);
         }
     }
 
     /// Takes in the level that came with an answer of `instance` to a call of `class`.
     pub fn learn(&mut self, now: Moment, class: &Name, instance: &InstanceId, level: Level) {
-        if !self.classes.contains_key(class) && self.classes.len() >= CLASSES_MAX {
-            return;
-        }
-        let row = self.classes.entry(class.clone()).or_default();
-        if level > Level::OPEN {
-            row.pressed = row.pressed.max(now);
-        }
-        let row = &mut row.learnt;
-        if let Some(known) = row.iter_mut().find(|known| known.instance == *instance) {
-            known.level = level;
-            known.at = now;
-            return;
-        }
-        if row.len() >= INSTANCES_MAX
-            && let Some(oldest) = (0..row.len()).min_by_key(|idx| row[*idx].at)
-        {
-            row.swap_remove(oldest);
-        }
-        row.push(Learnt { instance: instance.clone(), level, at: now });
+        self.note(now, class, Origin::of(instance), level);
     }
 
-    /// Takes in a level that `instance` tells of a service behind it.
+    /// Takes in a level that another node passes on.
     ///
-    /// It counts from when the service gave it, so that a level which nodes tell each other in a
+    /// It counts from when its origin gave it, so that a level which nodes tell each other in a
     /// circle dies out, and older words never replace newer ones.
-    pub fn heard(&mut self, now: Moment, instance: &InstanceId, told: &ToldLevel) {
-        let age = Duration::from_millis(u64::from(told.age));
-        let at = now.before(age);
+    pub fn heard(&mut self, now: Moment, told: &ToldLevel) {
+        let at = now.before(Duration::from_millis(u64::from(told.age)));
         let rows = self.classes.get(&told.service).map_or(&[][..], |row| &row.learnt);
-        let newer = rows.iter().any(|known| known.instance == *instance && known.at > at);
+        let newer = rows.iter().any(|known| known.origin == told.origin && known.at > at);
         if !newer {
-            self.learn(at, &told.service, instance, told.level);
+            self.note(at, &told.service, told.origin, told.level);
         }
     }
 
     /// What to tell other nodes: fresh levels, and for a while that a service is open again.
     pub fn tell(&self, now: Moment) -> Vec<ToldLevel> {
-        let fresh = self.classes.iter().filter_map(|(service, row)| {
-            let age = now.since(row.newest());
+        let mut told = Vec::new();
+        for (service, row) in &self.classes {
             let pressed = row.pressed > Moment::default() && now.since(row.pressed) < TELL_TIME;
-            (age < HOLD_TIME && pressed).then(|| ToldLevel {
+            let fresh = row.learnt.iter().filter(|known| now.since(known.at) < HOLD_TIME);
+            let mut fresh: Vec<_> = fresh.filter(|_| pressed).collect();
+            fresh.sort_unstable_by_key(|known| Reverse(known.at));
+            told.extend(fresh.into_iter().take(TOLD_MAX).map(|known| ToldLevel {
                 service: service.clone(),
-                level: row.middle(),
-                age: age.as_millis() as u16,
-            })
-        });
-        fresh.collect()
+                origin: known.origin,
+                level: known.level,
+                age: now.since(known.at).as_millis() as u16,
+            }));
+        }
+        told
     }
 
     /// Drops what came from an instance that has left.
     pub fn forget(&mut self, instance: &InstanceId) {
+        let origin = Origin::of(instance);
         for row in self.classes.values_mut() {
-            row.learnt.retain(|known| known.instance != *instance);
+            row.learnt.retain(|known| known.origin != origin);
         }
     }
 
@@ -175,6 +184,28 @@
         deeper.max().unwrap_or_default().max(own)
     }
 
+    fn note(&mut self, at: Moment, class: &Name, origin: Origin, level: Level) {
+        if !self.classes.contains_key(class) && self.classes.len() >= CLASSES_MAX {
+            return;
+        }
+        let row = self.classes.entry(class.clone()).or_default();
+        if level > Level::OPEN {
+            row.pressed = row.pressed.max(at);
+        }
+        let row = &mut row.learnt;
+        if let Some(known) = row.iter_mut().find(|known| known.origin == origin) {
+            known.level = level;
+            known.at = at;
+            return;
+        }
+        if row.len() >= INSTANCES_MAX
+            && let Some(oldest) = (0..row.len()).min_by_key(|idx| row[*idx].at)
+        {
+            row.swap_remove(oldest);
+        }
+        row.push(Learnt { origin, level, at });
+    }
+
     /// Whether a call of this rank would be refused by `class` or by one of the classes it calls.
     ///
     /// Where only levels that have grown old stand against it, one call in a while is let through,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -31,8 +31,8 @@
 mod work;
 
 pub use admission::{
-    Admission, Arrival, Level, LevelMap, Rank, Refusal, Release, Shedding, Ticket, ToldLevel,
-    Verdict as AdmissionVerdict,
+    Admission, Arrival, Level, LevelMap, Origin, Rank, Refusal, Release, Shedding, Ticket,
+    ToldLevel, Verdict as AdmissionVerdict,
 };
 pub use answer::{AnswerError, AnswerHead, Exchange, Expected, Idle, Waiting, WholeAnswer};
 pub use binding::{
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -5,8 +5,8 @@
 
 use poplar_core::{
     Chooser, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, MixSum, Moment, Name,
-    Observed, Occupancy, Origins, Rank, Reach, RequestId, ResendBound, ResendBudget, ResendCause,
-    Runs, Spell, Surge, TargetInfo, ToldLevel, Treatment,
+    Observed, Occupancy, Origin, Origins, Rank, Reach, RequestId, ResendBound, ResendBudget,
+    ResendCause, Runs, Spell, Surge, TargetInfo, ToldLevel, Treatment,
 };
 
 const RATIO: f64 = 0.2;
@@ -415,21 +415,22 @@
 fn told_levels_age_on_their_way() {
     let (service, peer) = (Name::new("s"), InstanceId::from("a"));
     let high = Level::at(Rank::at(HIGH, 30_000));
-    let told = ToldLevel { service: service.clone(), level: high, age: 0 };
+    let told =
+        ToldLevel { service: service.clone(), origin: Origin::of(&peer), level: high, age: 0 };
     let mut maps = [(); 2].map(|()| LevelMap::new(ImportanceScale::new([LOW, HIGH])));
-    maps[0].heard(Moment::from_millis(10_000), &peer, &told);
+    maps[0].heard(Moment::from_millis(10_000), &told);
     for millis in (10_000..12_000).step_by(10) {
         let now = Moment::from_millis(millis);
         let (from, to) = if millis % 20 == 0 { (0, 1) } else { (1, 0) };
         for told in maps[from].tell(now) {
-            maps[to].heard(now, &peer, &told);
+            maps[to].heard(now, &told);
         }
     }
     let now = Moment::from_millis(12_000);
     assert!(maps.iter().all(|map| map.median(now, &service) == Level::OPEN));
     let open = ToldLevel { level: Level::OPEN, ..told.clone() };
-    maps[0].heard(now, &peer, &open);
-    maps[0].heard(now, &peer, &ToldLevel { age: 200, ..told });
+    maps[0].heard(now, &open);
+    maps[0].heard(now, &ToldLevel { age: 200, ..told });
     assert_eq!(maps[0].median(now, &service), Level::OPEN);
 }
 
@@ -439,7 +440,6 @@
 fn a_targets_level_outweighs_what_nodes_repeat_of_it() {
     const NODES: usize = 12;
     let (service, target) = (Name::new("deep"), InstanceId::from("target"));
-    let ids: Vec<_> = (0..NODES).map(|n| InstanceId::from(format!("n{n}").as_str())).collect();
     let mut maps: Vec<_> =
         (0..NODES).map(|_| LevelMap::new(ImportanceScale::new([LOW, HIGH]))).collect();
     let phases = [(LOW, 12_000), (HIGH, 40_000), (HIGH, 20_000), (LOW, 50_000)];
@@ -448,12 +448,13 @@
         let from = 10_000 + phase as u64 * 1_000;
         for millis in (from..from + 1_000).step_by(5) {
             let now = Moment::from_millis(millis);
-            let told = ToldLevel { service: service.clone(), level, age: 0 };
-            maps[millis as usize / 5 % 3].heard(now, &target, &told);
-            for (teller, id) in ids.iter().enumerate() {
+            let origin = Origin::of(&target);
+            let told = ToldLevel { service: service.clone(), origin, level, age: 0 };
+            maps[millis as usize / 5 % 3].heard(now, &told);
+            for teller in 0..NODES {
                 let told = maps[teller].tell(now);
                 let hearer = (teller + 1 + millis as usize / 5 % (NODES - 1)) % NODES;
-                told.iter().for_each(|told| maps[hearer].heard(now, id, told));
+                told.iter().for_each(|told| maps[hearer].heard(now, told));
             }
         }
         let now = Moment::from_millis(from + 1_000);
@@ -471,8 +472,8 @@
     let now = Moment::from_millis(1_000);
     let mut levels = LevelMap::new(ImportanceScale::new([LOW, HIGH]));
     let level = Level::at(Rank::at(HIGH, 0));
-    let told = ToldLevel { service: deep.clone(), level, age: 0 };
-    levels.heard(now, &InstanceId::from("a"), &told);
+    let origin = Origin::of(&InstanceId::from("a"));
+    levels.heard(now, &ToldLevel { service: deep.clone(), origin, level, age: 0 });
     let mut reach = Reach::default();
     reach.learn(now, &direct, []);
     reach.learn(now, &chained, [&deep]);
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -10,8 +10,9 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    Barrier, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, Moment, Name, Origins,
-    Rank, Reach, RequestId, RouteRule, Runs, ServiceWork, Sighting, Spell, ToldLevel, WorkSum,
+    Barrier, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, Moment, Name, Origin,
+    Origins, Rank, Reach, RequestId, RouteRule, Runs, ServiceWork, Sighting, Spell, ToldLevel,
+    WorkSum,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -128,11 +129,10 @@
         self.lock().origins.merge(now, told);
     }
 
-    /// Takes in what came with an answer of `instance` to a request of `route` to `service`.
+    /// Takes in what came with an answer to a request of `route` to `service`.
     pub(crate) fn learn(
         &self,
         service: &Name,
-        instance: &InstanceId,
         route: &Name,
         standing: &Standing,
         answer: &CallAnswer,
@@ -140,7 +140,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         for told in &answer.levels {
-            state.levels.heard(now, instance, told);
+            state.levels.heard(now, told);
         }
         let reached = answer.work.iter().map(|row| &row.service);
         if !standing.begun {
@@ -162,12 +162,14 @@
         Running { graph: self, id: call.request.clone(), began: self.clock.now() }
     }
 
-    /// Levels to send back with an answer: the target's own and those that are known of others.
-    pub(crate) fn tell(&self, own: Level) -> Vec<ToldLevel> {
+    /// Levels to send back with an answer: that of `instance`, the own target, and those that are
+    /// known of other services.
+    pub(crate) fn tell(&self, instance: &InstanceId, own: Level) -> Vec<ToldLevel> {
         let now = self.clock.now();
         let mut told = self.lock().levels.tell(now);
         told.retain(|told| told.service != self.own);
-        told.push(ToldLevel { service: self.own.clone(), level: own, age: 0 });
+        let (service, origin) = (self.own.clone(), Origin::of(instance));
+        told.push(ToldLevel { service, origin, level: own, age: 0 });
         told
     }
 
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -68,7 +68,7 @@
         let began = self.clock.now();
         let answer = self.admit(&call, began).await;
         let (level, load) = self.gate.surge();
-        let levels = self.graph.tell(level);
+        let levels = self.graph.tell(&call.instance, level);
         let answer = CallAnswer { levels, load: load as f32, ..answer };
         self.decisions.write(&answer.outcome, || Decision {
             request: call.request.clone(),
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -196,7 +196,7 @@
         });
         match answer {
             Ok(answer) => {
-                self.graph.learn(service, &chosen.instance, &route, standing, &answer);
+                self.graph.learn(service, &route, standing, &answer);
                 self.roster.reported(service, &chosen.instance, answer.load);
                 Ok(answer)
             }
