Do not bound calls to a target by a limit that was read too early

Nodes read records and rules side by side; where the record came first the bound was a default of 64 and stayed. With one target left, 64 calls of a node were soon in flight. The class is a value derived from a configuration that is not there yet and never derived again. The same default went into the limits of the own target, where nothing read it; it is gone there too. Importances are derived again with each revision. The bound said nothing here anyway: nodes share one link, and only the node beside a target connects to it. Ruled out: backing off from the target (no call to it had failed), levels (all open).

--- a/node/src/proxy/own.rs
+++ b/node/src/proxy/own.rs
@@ -188,8 +188,8 @@
     fn admit(&self, target: &Announcement) {
         self.exchange.close_kept();
         let held = self.rules.current();
-        let connections = self.rules.connections(&target.service);
-        let limits = TargetLimits::derive(target.slots, connections);
+        // A connection carries one request at a time, so no more are open than slots are used.
+        let limits = TargetLimits::derive(target.slots, target.slots);
         let limits = limits.reserving().queueing(QUEUE_PER_SLOT);
         let scale = held.as_ref().map_or_else(|| ImportanceScale::new([]), |held| held.scale());
         self.gate.open(limits, scale, Shedding::ByQueue);
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -82,7 +82,7 @@
         let registry = Arc::new(Registry::default());
         let rules = Arc::new(Rules::new());
         let gate = Arc::new(Gate::new(clock));
-        let roster = Arc::new(Roster::new(clock, site.zone.clone(), rules.clone()));
+        let roster = Arc::new(Roster::new(clock, site.zone.clone()));
         let target = part(root, "target");
         let exchange = Exchange::new(clock, dialect.clone(), site.target.clone());
         let exchange = Arc::new(exchange);
--- a/node/src/proxy/roster.rs
+++ b/node/src/proxy/roster.rs
@@ -1,7 +1,7 @@
 //! Targets that this node knows, and the choice among those of one service.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use poplar_core::{
     Chooser, InstanceId, Moment, Name, Observed, Rank, Roster as Records, Stage, TargetInfo,
@@ -11,8 +11,6 @@
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::rules::Rules;
-
 /// Target that was chosen for a call.
 #[derive(Debug, Clone)]
 pub(crate) struct Chosen {
@@ -26,7 +24,6 @@
 pub(crate) struct Roster {
     clock: Clock,
     zone: Name,
-    rules: Arc<Rules>,
     state: Mutex<State>,
 }
 
@@ -40,8 +37,8 @@
 }
 
 impl Roster {
-    pub(crate) fn new(clock: Clock, zone: Name, rules: Arc<Rules>) -> Self {
-        Self { clock, zone, rules, state: Mutex::default() }
+    pub(crate) fn new(clock: Clock, zone: Name) -> Self {
+        Self { clock, zone, state: Mutex::default() }
     }
 
     /// Takes a record in; says whether it was news.
@@ -51,10 +48,9 @@
         if !state.records.merge(record.clone()) {
             return false;
         }
-        let connections = self.rules.connections(&record.service);
         state.checksum = state.checksum.wrapping_sub(before.as_ref().map_or(0, checksum));
         state.checksum = state.checksum.wrapping_add(checksum(&record));
-        state.replace(&self.zone, before, record, connections);
+        state.replace(&self.zone, before, record);
         true
     }
 
@@ -126,13 +122,7 @@
 
 impl State {
     /// Carries a change of one record over to the choosers.
-    fn replace(
-        &mut self,
-        zone: &Name,
-        before: Option<TargetRecord>,
-        record: TargetRecord,
-        connections: u32,
-    ) {
+    fn replace(&mut self, zone: &Name, before: Option<TargetRecord>, record: TargetRecord) {
         let same = before.as_ref().is_some_and(|before| {
             before.instance == record.instance
                 && before.age.born == record.age.born
@@ -155,7 +145,8 @@
             instance: record.instance,
             zone: record.zone,
             slots: record.slots,
-            connections,
+            // Calls go over one link to the node beside the target, which alone connects to it.
+            connections: u32::MAX,
         });
     }
 
--- a/node/src/proxy/rules.rs
+++ b/node/src/proxy/rules.rs
@@ -2,16 +2,11 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use poplar_core::{
-    Importance, ImportanceScale, Moment, Name, Revision, RouteIndex, RouteRule, RuleSet,
-};
+use poplar_core::{Importance, ImportanceScale, Moment, Revision, RouteIndex, RouteRule, RuleSet};
 use poplar_kernel::Service;
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
-/// Connections assumed of a target whose service the rules do not name; few enough for any.
-const CONNECTIONS_DEFAULT: u32 = 64;
-
 /// Rules with the index over their routes.
 #[derive(Debug)]
 pub(crate) struct InForce {
@@ -74,13 +69,6 @@
         taken
     }
 
-    /// Connections that each target of `service` takes.
-    pub(crate) fn connections(&self, service: &Name) -> u32 {
-        let held = self.current();
-        let known = held.as_ref().and_then(|held| held.rules.services.get(service));
-        known.map_or(CONNECTIONS_DEFAULT, |rule| rule.connections)
-    }
-
     /// Channel on which a change of the rules shows.
     pub(crate) fn watch(&self) -> watch::Receiver<Option<Arc<InForce>>> {
         self.current.subscribe()
