Keep two fifths of a scarce service for less important requests

Cause: room went strictly by importance. One target of three left runs 1,700 calls a second; payouts alone ask for 2,000. Ruled out: room that was refused (no free slots), wasted room (under 0.03 outside the seconds after a change). Now each importance leaves two fifths of the room to those below it if they ask for as much, and none passes a larger part than a more important one, so the more important is still refused last. A level carries the parts that pass below it.

--- a/core/src/admission/level.rs
+++ b/core/src/admission/level.rs
@@ -1,5 +1,6 @@
 //! Admission levels: the rank below which a service refuses calls.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -15,11 +16,14 @@
 
 /// Lots in one importance.
 const LOTS: u64 = 1 << 16;
+/// Importances below a level that it tells apart.
+const SPARED_LEN: usize = 3;
 
 /// Place of a call in the order of survival: importance first, then the lot of its root request.
 ///
 /// It is the same at every hop, so that whole requests survive rather than parts of them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct Rank(u32);
 
 impl Rank {
@@ -44,65 +48,119 @@
     }
 }
 
-impl From<Level> for Rank {
-    fn from(level: Level) -> Self {
-        Self(level.0)
+impl From<Rank> for u32 {
+    fn from(rank: Rank) -> Self {
+        rank.0
     }
 }
 
-/// Rank below which calls are refused; zero refuses nothing.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct Level(pub u32);
+/// Rank below which calls are refused, and the parts of the less important calls that pass all the
+/// same.
+///
+/// Spared are those with the highest lots, so that they are the same requests at every hop. Of two
+/// levels the one that stands at the higher rank is the greater.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Level {
+    rank: u32,
+    /// Parts that pass of the calls whose importance is one, two, and three or more below that of the
+    /// rank, in steps of 1/255.
+    spared: [u8; SPARED_LEN],
+}
 
 impl Level {
     /// Level that refuses nothing.
-    pub const OPEN: Self = Self(0);
+    pub const OPEN: Self = Self { rank: 0, spared: [0; SPARED_LEN] };
 
     /// Level that just admits `rank`.
     pub const fn at(rank: Rank) -> Self {
-        Self(rank.0)
+        Self { rank: rank.0, ..Self::OPEN }
+    }
+
+    /// The same level, which lets the part `passed` of the calls of `importance` pass.
+    ///
+    /// Of importances that it does not tell apart the smallest part counts, if it is given last.
+    pub fn sparing(mut self, importance: Importance, passed: f64) -> Self {
+        if let Some(place) = self.place(importance) {
+            self.spared[place] = (passed.clamp(0.0, 1.0) * f64::from(u8::MAX)) as u8;
+        }
+        self
+    }
+
+    /// Rank at which it stands.
+    pub const fn rank(self) -> Rank {
+        Rank(self.rank)
     }
 
     /// Importance of the rank.
     pub(crate) const fn importance(self) -> Importance {
-        Rank(self.0).importance()
+        self.rank().importance()
     }
 
     /// Level that passes all of the importance at which this one stands.
     pub(crate) const fn whole(self) -> Self {
-        Self::at(Rank::at(self.importance(), 0))
+        Self { rank: Rank::at(self.importance(), 0).0, ..self }
     }
 
     /// Whether a call of this rank passes.
-    pub const fn admits(self, rank: Rank) -> bool {
-        rank.0 >= self.0
+    pub fn admits(self, rank: Rank) -> bool {
+        rank.0 >= self.rank || self.spares(rank)
     }
 
     /// Part of the calls of one importance that passes.
     pub fn visible(self, importance: Importance) -> f64 {
+        if let Some(place) = self.place(importance) {
+            return f64::from(self.spared[place]) / f64::from(u8::MAX);
+        }
         let base = Rank::at(importance, 0).0;
-        let hidden = u64::from(self.0.saturating_sub(base)).min(LOTS);
+        let hidden = u64::from(self.rank.saturating_sub(base)).min(LOTS);
         1.0 - hidden as f64 / LOTS as f64
     }
 
+    /// Whether a call passes although it is less important than the level.
+    fn spares(self, rank: Rank) -> bool {
+        let spared = self.place(rank.importance()).map_or(0, |place| self.spared[place]);
+        let refused = u32::from(u8::MAX - spared);
+        u32::from(rank.lot()) * u32::from(u8::MAX) >= refused << 16
+    }
+
+    /// Place of an importance among those that are spared in part; none if it is not below the level.
+    fn place(self, importance: Importance) -> Option<usize> {
+        let below = usize::from(self.importance().0).checked_sub(usize::from(importance.0))?;
+        Some(below.checked_sub(1)?.min(SPARED_LEN - 1))
+    }
+
     /// Level after falling for `span`, skipping importances that the contract does not have.
     pub(crate) fn fallen(self, span: Duration, scale: &ImportanceScale) -> Self {
         let micros = span.min(FALL_TIME * 256).as_micros() as u64;
         let mut steps = LOTS * micros / FALL_TIME.as_micros() as u64;
         let mut level = self;
         while level > Self::OPEN {
-            let lot = u64::from(level.0 & 0xffff);
+            let lot = u64::from(level.rank().lot());
             if steps <= lot {
-                return Self(level.0 - steps as u32);
+                return Self { rank: level.rank - steps as u32, ..level };
             }
             steps -= lot + 1;
-            let importance = Importance((level.0 >> 16).min(255) as u8);
-            let Some(next) = scale.below(importance) else { return Self::OPEN };
-            level = Self::at(Rank::at(next, u16::MAX));
+            let Some(next) = scale.below(level.importance()) else { return Self::OPEN };
+            level = Self { rank: Rank::at(next, u16::MAX).0, ..level };
         }
         level
     }
 }
+
+impl Default for Level {
+    fn default() -> Self {
+        Self::OPEN
+    }
+}
+
+impl Ord for Level {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.rank, Reverse(self.spared)).cmp(&(other.rank, Reverse(other.spared)))
+    }
+}
+
+impl PartialOrd for Level {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
--- a/core/src/surge.rs
+++ b/core/src/surge.rs
@@ -48,6 +48,8 @@
 const RUN_WEIGHT: f64 = 0.02;
 /// Largest number of routes whose latency is kept.
 const ROUTES_MAX: usize = 4_096;
+/// Part of the room that each importance leaves to those below it when all ask for more than there is.
+const KEPT: f64 = 0.4;
 /// Part of the most important requests that passes at any level.
 const SPARED: f64 = 0.1;
 /// Weight of an answer in the smoothed part that the target turns away or fails.
@@ -226,20 +228,35 @@
         (now.since(self.finished).as_secs_f64() / self.any.secs).max(1.0)
     }
 
-    /// Level down to which what is asked for fits.
-    fn fitting(&self, goal: f64) -> Level {
-        let mut left = goal;
+    /// Level at which what is asked for fits into `room`.
+    ///
+    /// Each importance takes what it asks for, but for the part that is [`KEPT`] for those below it,
+    /// and none passes a larger part than a more important one. So the more important is refused
+    /// last, and a lasting shortage starves nobody.
+    fn fitting(&self, mut room: f64) -> Level {
+        let mut asked: f64 = self.classes.iter().map(|class| class.load).sum();
+        let mut level = Level::OPEN;
+        let mut above = 1.0;
         for (idx, class) in self.classes.iter().enumerate().rev() {
-            if class.load > left {
-                let top = idx + 1 == self.classes.len();
-                let most = if top { 1.0 - SPARED } else { 1.0 };
-                let refused = (1.0 - left.max(0.0) / class.load).min(most);
-                let lot = (LOTS * refused).min(LOTS - 1.0) as u16;
-                return Level::at(Rank::at(class.importance, lot));
+            let alike = room / asked.max(f64::MIN_POSITIVE);
+            let first = if idx == 0 {
+                alike
+            } else {
+                (1.0 - KEPT) * room / class.load.max(f64::MIN_POSITIVE)
+            };
+            let least = if idx + 1 == self.classes.len() { SPARED } else { 0.0 };
+            let passed = alike.max(first).clamp(least, above);
+            if level > Level::OPEN {
+                level = level.sparing(class.importance, passed);
+            } else if passed < 1.0 {
+                let lot = (LOTS * (1.0 - passed)).min(LOTS - 1.0) as u16;
+                level = Level::at(Rank::at(class.importance, lot));
             }
-            left -= class.load;
+            room = (room - passed * class.load).max(0.0);
+            asked = (asked - class.load).max(0.0);
+            above = passed;
         }
-        Level::OPEN
+        level
     }
 }
 
--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -103,7 +103,7 @@
         self.gauges.in_flight.set(i64::from(self.work.in_flight()));
         self.gauges.queued.set(load.queued as i64);
         self.gauges.limit.set(i64::from(load.limit));
-        self.gauges.level.set(i64::from(load.level.0));
+        self.gauges.level.set(u32::from(load.level.rank()).into());
         self.gauges.revision.set(self.contracts.revision(customer).0 as i64);
         self.gauges.stale.set(self.contracts.staleness().as_secs_f64());
         for (state, count) in self.directory.counts() {
--- a/node/src/proxy/decisions.rs
+++ b/node/src/proxy/decisions.rs
@@ -118,7 +118,7 @@
         let id = String::from_utf8_lossy(&decision.request);
         info!(self.logger, "request: {word}"; "id" => %id, "route" => %decision.route,
             "place" => decision.place, "reason" => reason, "status" => status,
-            "revision" => decision.revision, "tried" => &decision.tried, "level" => barrier.level.0,
+            "revision" => decision.revision, "tried" => &decision.tried, "level" => u32::from(barrier.level.rank()),
             "short" => short, "level_age_ms" => barrier.age.map(|age| age.as_millis() as u64),
             "retry_after_ms" => retry_after.map(|time| time.as_millis() as u64),
             "took_ms" => decision.took.as_millis() as u64);
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -7,8 +7,8 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use poplar_core::{
-    ErrorKind, InstanceId, Level, Mix, Name, Rank, Revision, RuleSet, ServiceWork, Sighting,
-    TargetRecord, ToldLevel,
+    ErrorKind, InstanceId, Mix, Name, Rank, Revision, RuleSet, ServiceWork, Sighting, TargetRecord,
+    ToldLevel,
 };
 use serde::{Deserialize, Serialize};
 
@@ -72,7 +72,7 @@
     /// Header fields that travel from end to end.
     pub(crate) fields: Vec<Field>,
     /// Place in the order of survival.
-    pub(crate) rank: u32,
+    pub(crate) rank: Rank,
     /// Requests that it stands for.
     pub(crate) mix: Mix,
     /// Whether work was already done for the request that it belongs to.
@@ -85,13 +85,6 @@
     pub(crate) body: Bytes,
 }
 
-impl Call {
-    /// Rank as admission compares it.
-    pub(crate) fn rank(&self) -> Rank {
-        Rank::from(Level(self.rank))
-    }
-}
-
 /// Whole answer of a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct WholeReply {
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -158,7 +158,7 @@
 
     /// Counts a call that the target beside this node runs until the result is ended or dropped.
     pub(crate) fn begin(&self, call: &Call) -> Running<'_> {
-        self.lock().runs.begin(&call.request, call.rank(), call.mix.clone(), call.repeat);
+        self.lock().runs.begin(&call.request, call.rank, call.mix.clone(), call.repeat);
         Running { graph: self, id: call.request.clone(), began: self.clock.now() }
     }
 
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -99,7 +99,7 @@
         let load = self.gate.load();
         self.gauges.queued.set(load.queued as i64);
         self.gauges.limit.set(i64::from(load.limit));
-        self.gauges.level.set(i64::from(load.level.0));
+        self.gauges.level.set(u32::from(load.level.rank()).into());
         self.gauges.targets.set(self.roster.len() as i64);
         self.gauges.revision.set(self.rules.revision().0 as i64);
         let mut text = String::new();
--- a/node/src/proxy/report.rs
+++ b/node/src/proxy/report.rs
@@ -29,7 +29,8 @@
         return;
     }
     info!(logger, "load: target"; "running" => load.running, "queued" => load.queued,
-        "limit" => load.limit, "admission" => load.level.0, "own" => own.0, "weight" => weight,
+        "limit" => load.limit, "admission" => u32::from(load.level.rank()),
+        "own" => u32::from(own.rank()), "weight" => weight,
         "arrived" => tally.arrived, "refused" => tally.refused, "failed" => tally.failed,
         "ended" => tally.ended, "ended_ms" => tally.busy.as_millis() as u64,
         "cancelled" => tally.cancelled, "cancelled_ms" => tally.lost.as_millis() as u64);
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -135,7 +135,7 @@
 fn entrant(call: &Call) -> Entrant {
     Entrant {
         class: call.route.clone(),
-        rank: call.rank(),
+        rank: call.rank,
         age: Duration::ZERO,
         left: call.left,
         paid: call.begun,
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -224,7 +224,7 @@
             method: taken.method.clone(),
             path: taken.path.clone(),
             fields: taken.fields.clone(),
-            rank: Level::at(standing.rank).0,
+            rank: standing.rank,
             mix: standing.mix.clone(),
             begun: standing.begun,
             repeat: standing.repeat || spent.offers > 0,
