Throttle routes of which nearly all requests fail

Who books or is paid must not repeat after a failure, so those requests were lost. Cause: entries learn of a lack of room (levels), not of failures without one. Now an entry keeps for each route the smoothed part of its requests that completes. Below one in ten it lets in in proportion, a tenth at least, the highest lots as with levels, and one every 250 ms in any case. The log says which part passes. Ruled out: throttling from one half on, since a grey target fails requests whatever the load and each that completes counts. Tests: route_whose_requests_nearly_all_fail_is_throttled_until_they_complete, rare_route_is_tried_again_while_it_is_throttled.

--- /dev/null
+++ b/core/src/breaker.rs
@@ -0,0 +1,70 @@
+//! Entry that stops taking in requests of a route of which nearly all fail.
+//!
+//! The pattern that this answers: something on the way of a route's requests fails them whatever
+//! the load, a deep service that turns most calls away, or one so slow that chains of calls miss
+//! their time limit. No level tells of it, since nothing is short of room; each request is worked
+//! for and then fails, and a caller that may not repeat it gets no second chance. Refused before any
+//! work, it does. See [overload](../../docs/design/overload.md).
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::ids::Name;
+use crate::time::Moment;
+
+/// Weight of one request in the smoothed part that completes.
+const WEIGHT: f64 = 0.1;
+/// Part that completes, as a divisor, below which a route is throttled: one in ten that completes
+/// is worth the work for the other nine, as refusing all alike would lose it too.
+const WORTHWHILE: f64 = 10.0;
+/// Part of a throttled route's requests that is let in to learn when they complete again.
+const TRIAL: f64 = 0.1;
+/// Time after which a request is let in whatever its lot, if none was, so that rare routes learn too.
+const TRIAL_PAUSE: Duration = Duration::from_millis(250);
+/// Largest number of routes that are followed.
+const ROUTES_MAX: usize = 4_096;
+
+/// What became of the requests of one route.
+#[derive(Debug, Clone, Copy)]
+struct Route {
+    /// Smoothed part that completes.
+    completed: f64,
+    /// When one was last let in.
+    entered: Moment,
+}
+
+/// Circuit breaker of one entry, with a state for each route.
+#[derive(Debug, Default)]
+pub struct Breaker {
+    routes: HashMap<Name, Route>,
+}
+
+impl Breaker {
+    /// Takes in whether a request of `route` that was let in completed.
+    pub fn ended(&mut self, now: Moment, route: &Name, completed: bool) {
+        if !self.routes.contains_key(route) && self.routes.len() >= ROUTES_MAX {
+            return;
+        }
+        let fresh = Route { completed: 1.0, entered: now };
+        let known = self.routes.entry(route.clone()).or_insert(fresh);
+        known.completed += WEIGHT * (f64::from(u8::from(completed)) - known.completed);
+    }
+
+    /// Part of the requests of `route` that is let in; those with the highest lots.
+    pub fn passing(&self, route: &Name) -> f64 {
+        let known = self.routes.get(route);
+        known.map_or(1.0, |known| (WORTHWHILE * known.completed).clamp(TRIAL, 1.0))
+    }
+
+    /// Whether a request of `route` with this lot is let in.
+    pub fn admits(&mut self, now: Moment, route: &Name, lot: u16) -> bool {
+        let refused = 1.0 - self.passing(route);
+        let Some(known) = self.routes.get_mut(route) else { return true };
+        let passes = f64::from(lot) >= refused * f64::from(u16::MAX);
+        if !passes && now.since(known.entered) < TRIAL_PAUSE {
+            return false;
+        }
+        known.entered = now;
+        true
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod answer;
 mod binding;
+mod breaker;
 mod budget;
 mod choice;
 mod contract;
@@ -41,6 +42,7 @@
     RunVerdict, SealedTable, SenderId, Successor, SuccessorFull, Unbound, WindowView, bound_resend,
     call_rule,
 };
+pub use breaker::Breaker;
 pub use budget::{
     Budget, Call, CallTerms, Grant, Ledger, LedgerError, Loan, Next, OpenRequest, Opening,
     RetriesSpent, Run, come_back_after, keeper, next_step,
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Chooser, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, MixSum, Moment, Name,
-    Observed, Occupancy, Origin, Origins, Rank, Reach, RequestId, ResendBound, ResendBudget,
-    ResendCause, Runs, Spell, Surge, TargetInfo, ToldLevel, Treatment,
+    Breaker, Chooser, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, MixSum,
+    Moment, Name, Observed, Occupancy, Origin, Origins, Rank, Reach, RequestId, ResendBound,
+    ResendBudget, ResendCause, Runs, Spell, Surge, TargetInfo, ToldLevel, Treatment,
 };
 
 const RATIO: f64 = 0.2;
@@ -666,3 +666,39 @@
     }
     chooser
 }
+
+/// Deep service that turns most calls away whatever the load, so that nearly every chain of calls
+/// fails: the entry takes in few requests, and all soon after they complete again.
+#[test]
+fn route_whose_requests_nearly_all_fail_is_throttled_until_they_complete() {
+    let (route, mut breaker) = (Name::new("chained"), Breaker::default());
+    let mut let_in = |from: u64, completes: fn(u64) -> bool| {
+        let count = (from..from + 2_000).step_by(20).filter(|millis| {
+            let now = Moment::from_millis(*millis);
+            let admitted = breaker.admits(now, &route, (millis * 40_503) as u16);
+            if admitted {
+                breaker.ended(now, &route, completes(*millis));
+            }
+            admitted
+        });
+        count.count()
+    };
+    assert_eq!(let_in(0, |_| true), 100);
+    // One in five that completes is worth the work for the others.
+    assert_eq!(let_in(2_000, |millis| millis % 100 == 0), 100);
+    let_in(4_000, |_| false);
+    assert!(let_in(6_000, |_| false) < 25);
+    let_in(8_000, |_| true);
+    assert_eq!(let_in(10_000, |_| true), 100);
+}
+
+/// The same for a route with one request a second: it learns that its requests complete again.
+#[test]
+fn rare_route_is_tried_again_while_it_is_throttled() {
+    let (route, mut breaker) = (Name::new("rare"), Breaker::default());
+    (0..60).for_each(|_| breaker.ended(Moment::from_millis(1_000), &route, false));
+    assert!(breaker.admits(Moment::from_millis(2_000), &route, 0));
+    assert!(!breaker.admits(Moment::from_millis(2_100), &route, 0));
+    breaker.ended(Moment::from_millis(2_200), &route, true);
+    assert!(breaker.admits(Moment::from_millis(2_300), &route, 10_000));
+}
--- a/node/src/proxy/decisions.rs
+++ b/node/src/proxy/decisions.rs
@@ -37,6 +37,8 @@
     pub(crate) tried: String,
     /// Level that decided, or the one beside the target.
     pub(crate) barrier: Barrier,
+    /// Part of the route's requests that is let in here.
+    pub(crate) passing: f64,
     /// Time since the request came in.
     pub(crate) took: Duration,
 }
@@ -119,7 +121,8 @@
         info!(self.logger, "request: {word}"; "id" => %id, "route" => %decision.route,
             "place" => decision.place, "reason" => reason, "status" => status,
             "revision" => decision.revision, "tried" => &decision.tried, "level" => u32::from(barrier.level.rank()),
-            "short" => short, "level_age_ms" => barrier.age.map(|age| age.as_millis() as u64),
+            "short" => short,
+            "passing" => decision.passing, "level_age_ms" => barrier.age.map(|age| age.as_millis() as u64),
             "retry_after_ms" => retry_after.map(|time| time.as_millis() as u64),
             "took_ms" => decision.took.as_millis() as u64);
     }
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -10,9 +10,9 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    Barrier, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, Moment, Name, Origin,
-    Origins, Rank, Reach, RequestId, RouteRule, Runs, ServiceWork, Sighting, Spell, ToldLevel,
-    WorkSum,
+    Barrier, Breaker, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, Moment, Name,
+    Origin, Origins, Rank, Reach, RequestId, RouteRule, Runs, ServiceWork, Sighting, Spell,
+    ToldLevel, WorkSum,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -36,6 +36,7 @@
 struct State {
     origins: Origins,
     levels: LevelMap,
+    breaker: Breaker,
     reach: Reach,
     /// Requests that the target beside this node runs.
     runs: Runs,
@@ -67,6 +68,7 @@
         let state = State {
             origins: Origins::default(),
             levels: LevelMap::new(ImportanceScale::new([])),
+            breaker: Breaker::default(),
             reach: Reach::default(),
             runs: Runs::default(),
             unknown: HashMap::new(),
@@ -173,6 +175,18 @@
         told
     }
 
+    /// Takes in whether a request of `route` that was let in here completed.
+    pub(crate) fn ended(&self, route: &Name, completed: bool) {
+        let now = self.clock.now();
+        self.lock().breaker.ended(now, route, completed);
+    }
+
+    /// Part of the requests of `route` that is let in.
+    pub(crate) fn passing(&self, route: &RouteRule) -> f64 {
+        let now = self.clock.now();
+        self.lock().passing(now, route)
+    }
+
     /// Highest level that a request of `route` meets, as this node knows it.
     pub(crate) fn barrier(&self, route: &RouteRule) -> Barrier {
         let now = self.clock.now();
@@ -207,9 +221,17 @@
     }
 
     /// Part of the requests of `route` that is let in, if this one is among it.
-    fn passed(&self, now: Moment, route: &RouteRule, rank: Rank) -> Option<f64> {
-        let level = self.barrier(now, route).level;
-        level.admits(rank).then(|| level.visible(route.importance))
+    fn passed(&mut self, now: Moment, route: &RouteRule, rank: Rank) -> Option<f64> {
+        let admitted = self.barrier(now, route).level.admits(rank)
+            && self.breaker.admits(now, &route.name, rank.lot());
+        admitted.then(|| self.passing(now, route))
+    }
+
+    /// Part of the requests of `route` that is let in. Levels and the breaker both let in the highest
+    /// lots, so together they pass the smaller part.
+    fn passing(&self, now: Moment, route: &RouteRule) -> f64 {
+        let visible = self.barrier(now, route).level.visible(route.importance);
+        visible.min(self.breaker.passing(&route.name))
     }
 
     fn barrier(&self, now: Moment, route: &RouteRule) -> Barrier {
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -77,6 +77,7 @@
             revision: self.rules.revision().0,
             tried: call.instance.to_string(),
             barrier: Barrier { service: None, level, age: Some(Duration::ZERO) },
+            passing: 1.0,
             took: self.clock.now().since(began),
         });
         answer
--- a/node/src/proxy/serve.rs
+++ b/node/src/proxy/serve.rs
@@ -13,7 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use poplar_core::{CallerLimits, ErrorKind, Moment, Revision, RouteRule};
+use poplar_core::{CallerLimits, ErrorKind, Moment, Outcome, Revision, RouteRule};
 use poplar_kernel::Clock;
 use tokio::net::TcpStream;
 
@@ -22,6 +22,7 @@
 use super::account::Account;
 use super::decisions::{Decision, Decisions};
 use super::fields;
+use super::frame::WholeReply;
 use super::metrics::Metrics;
 use super::ports::Dialect;
 use super::reply::{self, Reply};
@@ -159,11 +160,12 @@
         let trip = self.trips.travel(route, taken, &mut spent);
         let outcome = tokio::time::timeout(left, trip)
             .await
-            .unwrap_or(poplar_core::Outcome::Unknown { kind: ErrorKind::Deadline });
+            .unwrap_or(Outcome::Unknown { kind: ErrorKind::Deadline });
         let took = self.clock.now().since(began);
         self.metrics.answered(&route.name, &outcome, took);
         if !spent.begun {
             self.account.ended(&outcome, &spent.work);
+            self.learn(route, &outcome);
         }
         self.decisions.write(&outcome, || Decision {
             request: taken.request.clone(),
@@ -172,11 +174,21 @@
             revision: revision.0,
             tried: spent.tried.iter().map(ToString::to_string).collect::<Vec<_>>().join(" "),
             barrier: self.trips.graph.barrier(route),
+            passing: self.trips.graph.passing(route),
             took,
         });
         reply::from_outcome(outcome)
     }
 
+    /// Has the entry learn how a request ended that targets may have worked for.
+    fn learn(&self, route: &RouteRule, outcome: &Outcome<WholeReply>) {
+        match outcome {
+            Outcome::Done(whole) => self.trips.graph.ended(&route.name, whole.status < 500),
+            Outcome::Unknown { .. } => self.trips.graph.ended(&route.name, false),
+            Outcome::NotRun { .. } => {}
+        }
+    }
+
     fn taken(&self, head: Parts, request: Bytes, body: Bytes, deadline: Moment) -> Taken {
         let dialect = &self.dialect;
         let set_anew = [&dialect.request, &dialect.deadline, &dialect.instance, &dialect.caller];
