Leave out of answers what their receiver knows

Answers named their own service twice, with its level and with its work, and a level came as a list of numbers. Now the own level and slot time come without names, and a level is one number. Only levels and work of other services are named.

--- a/core/src/admission/level.rs
+++ b/core/src/admission/level.rs
@@ -60,6 +60,7 @@
 /// Spared are those with the highest lots, so that they are the same requests at every hop. Of two
 /// levels the one that stands at the higher rank is the greater.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(from = "u64", into = "u64")]
 pub struct Level {
     rank: u32,
     /// Parts that pass of the calls whose importance is one, two, and three or more below that of the
@@ -147,6 +148,22 @@
     }
 }
 
+/// One number in messages, since a level comes with every answer.
+impl From<Level> for u64 {
+    fn from(level: Level) -> Self {
+        let [one, two, more] = level.spared;
+        let rank = level.rank.to_be_bytes();
+        Self::from_be_bytes([0, rank[0], rank[1], rank[2], rank[3], one, two, more])
+    }
+}
+
+impl From<u64> for Level {
+    fn from(packed: u64) -> Self {
+        let [_, a, b, c, d, one, two, more] = packed.to_be_bytes();
+        Self { rank: u32::from_be_bytes([a, b, c, d]), spared: [one, two, more] }
+    }
+}
+
 impl Default for Level {
     fn default() -> Self {
         Self::OPEN
--- a/core/src/runs.rs
+++ b/core/src/runs.rs
@@ -67,8 +67,15 @@
         }
     }
 
-    /// Adds the work of a call of the run `id`.
-    pub fn spend(&mut self, id: &[u8], work: &[ServiceWork]) {
+    /// Adds the slot time of a call of the run `id` at `service`.
+    pub fn spend(&mut self, id: &[u8], service: &Name, time: Duration) {
+        if let Some(run) = self.running.get_mut(id) {
+            run.work.add(service, time);
+        }
+    }
+
+    /// Adds the work below a call of the run `id`.
+    pub fn merge(&mut self, id: &[u8], work: &[ServiceWork]) {
         if let Some(run) = self.running.get_mut(id) {
             run.work.merge(work);
         }
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -7,8 +7,8 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use poplar_core::{
-    ErrorKind, InstanceId, Mix, Name, Rank, Revision, RuleSet, ServiceWork, Sighting, TargetRecord,
-    ToldLevel,
+    ErrorKind, InstanceId, Level, Mix, Name, Rank, Revision, RuleSet, ServiceWork, Sighting,
+    TargetRecord, ToldLevel,
 };
 use serde::{Deserialize, Serialize};
 
@@ -103,9 +103,13 @@
     pub(crate) outcome: poplar_core::Outcome<WholeReply>,
     /// Whether any of the request was handed to the target.
     pub(crate) offered: bool,
-    /// Levels of the target's service and of others that are short of room.
-    pub(crate) levels: Vec<ToldLevel>,
-    /// Work of the run and of the calls below it, by service.
+    /// Level of the target.
+    pub(crate) level: Level,
+    /// Levels of instances of other services that are short of room.
+    pub(crate) told: Vec<ToldLevel>,
+    /// Slot time of the run.
+    pub(crate) ran: Duration,
+    /// Work of the calls of the run, by service.
     pub(crate) work: Vec<ServiceWork>,
     /// Calls that run or wait at the target, in parts of its limit.
     pub(crate) load: f32,
@@ -115,7 +119,15 @@
     /// Refusal of a call that the target has not seen.
     pub(crate) fn refused(kind: ErrorKind, retry_after: Duration) -> Self {
         let outcome = poplar_core::Outcome::NotRun { kind, retry_after };
-        Self { outcome, offered: false, levels: Vec::new(), work: Vec::new(), load: 0.0 }
+        Self {
+            outcome,
+            offered: false,
+            level: Level::OPEN,
+            told: Vec::new(),
+            ran: Duration::ZERO,
+            work: Vec::new(),
+            load: 0.0,
+        }
     }
 }
 
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -10,9 +10,9 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    Barrier, Breaker, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, Moment, Name,
-    Origin, Origins, Rank, Reach, RequestId, RouteRule, Runs, ServiceWork, Sighting, Spell,
-    ToldLevel, WorkSum,
+    Barrier, Breaker, Importance, ImportanceScale, InstanceId, LevelMap, Mix, Moment, Name,
+    Origins, Rank, Reach, RequestId, RouteRule, Runs, ServiceWork, Sighting, Spell, ToldLevel,
+    WorkSum,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -131,17 +131,19 @@
         self.lock().origins.merge(now, told);
     }
 
-    /// Takes in what came with an answer to a request of `route` to `service`.
+    /// Takes in what came with an answer of `instance` to a request of `route` to `service`.
     pub(crate) fn learn(
         &self,
         service: &Name,
+        instance: &InstanceId,
         route: &Name,
         standing: &Standing,
         answer: &CallAnswer,
     ) {
         let now = self.clock.now();
         let mut state = self.lock();
-        for told in &answer.levels {
+        state.levels.learn(now, service, instance, answer.level);
+        for told in &answer.told {
             state.levels.heard(now, told);
         }
         let reached = answer.work.iter().map(|row| &row.service);
@@ -150,8 +152,8 @@
             return;
         }
         if let Some(parent) = &standing.parent {
-            state.runs.reach(parent, [service]);
-            state.runs.spend(parent, &answer.work);
+            state.runs.spend(parent, service, answer.ran);
+            state.runs.merge(parent, &answer.work);
         } else {
             let reached = reached.chain([service]);
             state.unknown.extend(reached.map(|service| (service.clone(), now)));
@@ -164,14 +166,11 @@
         Running { graph: self, id: call.request.clone(), began: self.clock.now() }
     }
 
-    /// Levels to send back with an answer: that of `instance`, the own target, and those that are
-    /// known of other services.
-    pub(crate) fn tell(&self, instance: &InstanceId, own: Level) -> Vec<ToldLevel> {
+    /// Levels of other services to send back with an answer.
+    pub(crate) fn tell(&self) -> Vec<ToldLevel> {
         let now = self.clock.now();
         let mut told = self.lock().levels.tell(now);
         told.retain(|told| told.service != self.own);
-        let (service, origin) = (self.own.clone(), Origin::of(instance));
-        told.push(ToldLevel { service, origin, level: own, age: 0 });
         told
     }
 
@@ -256,12 +255,11 @@
 }
 
 impl Running<'_> {
-    /// Ends the run; returns its work and that of its calls.
-    pub(crate) fn end(self) -> Vec<ServiceWork> {
+    /// Ends the run; returns its slot time and the work of its calls.
+    pub(crate) fn end(self) -> (Duration, Vec<ServiceWork>) {
         let now = self.graph.clock.now();
-        let mut work = self.graph.lock().end(now, &self.id);
-        work.add(&self.graph.own, now.since(self.began));
-        work.rows()
+        let work = self.graph.lock().end(now, &self.id);
+        (now.since(self.began), work.rows())
     }
 }
 
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use poplar_core::{Barrier, ErrorKind, InstanceId, Moment, Outcome, Stage, TargetEnd, Treatment};
+use poplar_core::{
+    Barrier, ErrorKind, InstanceId, Level, Moment, Outcome, Stage, TargetEnd, Treatment,
+};
 use poplar_kernel::Clock;
 
 use crate::gate::{Entrant, Gate};
@@ -68,8 +70,8 @@
         let began = self.clock.now();
         let answer = self.admit(&call, began).await;
         let (level, load) = self.gate.surge();
-        let levels = self.graph.tell(&call.instance, level);
-        let answer = CallAnswer { levels, load: load as f32, ..answer };
+        let told = self.graph.tell();
+        let answer = CallAnswer { level, told, load: load as f32, ..answer };
         self.decisions.write(&answer.outcome, || Decision {
             request: call.request.clone(),
             route: call.route.clone(),
@@ -107,7 +109,9 @@
         if matches!(outcome, Outcome::Done(_)) {
             permit.finish();
         }
-        CallAnswer { outcome, offered, levels: Vec::new(), work: running.end(), load: 0.0 }
+        let (ran, work) = running.end();
+        let (level, told) = (Level::OPEN, Vec::new());
+        CallAnswer { outcome, offered, level, told, ran, work, load: 0.0 }
     }
 
     /// Why the target beside this node cannot run a call that was meant for `instance`.
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -99,6 +99,7 @@
             spent.refusals += u32::from(!offered);
             last = match answer {
                 Ok(answer) => {
+                    spent.work.add(service, answer.ran);
                     spent.work.merge(&answer.work);
                     answer.outcome
                 }
@@ -196,7 +197,7 @@
         });
         match answer {
             Ok(answer) => {
-                self.graph.learn(service, &route, standing, &answer);
+                self.graph.learn(service, &chosen.instance, &route, standing, &answer);
                 self.roster.reported(service, &chosen.instance, answer.load);
                 Ok(answer)
             }
