--- a/core/src/surge.rs
+++ b/core/src/surge.rs
@@ -49,7 +49,7 @@
 /// Largest number of routes whose latency is kept.
 const ROUTES_MAX: usize = 4_096;
 /// Part of the room that each importance leaves to those below it when all ask for more than there is.
-const KEPT: f64 = 0.4;
+const KEPT: f64 = 0.45;
 /// Part of the most important requests that passes at any level.
 const SPARED: f64 = 0.1;
 /// Weight of an answer in the smoothed part that the target turns away or fails.
