Do not keep connections that have no limits of the operator

The limits of a caller's connection (head, idle time) are set when it is accepted; one accepted by a node that had no rules yet kept the built-in ones for good. It is now closed with its first answer. Others looked at and sound: importances of admission and levels (derived again with each revision), body limits (read with each request), bounds on re-sends (from the settings). Test: connection_opened_before_the_rules_is_left_with_its_first_answer, failed before.

--- a/node/src/proxy/serve.rs
+++ b/node/src/proxy/serve.rs
@@ -102,16 +102,19 @@
     pub(crate) async fn serve(self: Arc<Self>, socket: TcpStream) {
         let held = self.rules.current();
         let limits = held.as_ref().map(|held| held.rules.limits);
+        // The limits of a connection are set once, so one without the operator's is not kept.
+        let provisional = limits.is_none();
         let callers = self.clone();
         let service = service_fn(move |req| {
             let callers = callers.clone();
-            async move { Ok::<_, Infallible>(callers.answer(req).await) }
+            async move { Ok::<_, Infallible>(callers.answer(req, provisional).await) }
         });
         // How a caller's connection ends is of no consequence here: a call under way is dropped.
         let _ = builder(limits).serve_connection(TokioIo::new(socket), service).await;
     }
 
-    async fn answer(&self, req: Request<Incoming>) -> Reply {
+    /// Answers a request; a `provisional` connection ends with its answer.
+    async fn answer(&self, req: Request<Incoming>, provisional: bool) -> Reply {
         let began = self.clock.now();
         let _in_flight = InFlight::begin(&self.in_flight);
         let mut reply = if self.sealed.load(Ordering::Acquire) {
@@ -119,7 +122,7 @@
         } else {
             self.route(began, req).await
         };
-        if self.closing.load(Ordering::Acquire) {
+        if provisional || self.closing.load(Ordering::Acquire) {
             reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         reply
