--- a/core/src/admission/level.rs
+++ b/core/src/admission/level.rs
@@ -16,7 +16,7 @@
 
 /// Lots in one importance.
 const LOTS: u64 = 1 << 16;
-/// Importances below a level that it tells apart.
+/// Importances below a level that it tells apart; the last one stands for all further ones.
 const SPARED_LEN: usize = 3;
 
 /// Place of a call in the order of survival: importance first, then the lot of its root request.
@@ -79,7 +79,7 @@
 
     /// The same level, which lets the part `passed` of the calls of `importance` pass.
     ///
-    /// Of importances that it does not tell apart the smallest part counts, if it is given last.
+    /// Of importances that it does not tell apart, the one given last decides.
     pub fn sparing(mut self, importance: Importance, passed: f64) -> Self {
         if let Some(place) = self.place(importance) {
             self.spared[place] = (passed.clamp(0.0, 1.0) * f64::from(u8::MAX)) as u8;
--- a/core/src/breaker.rs
+++ b/core/src/breaker.rs
@@ -14,9 +14,9 @@
 
 /// Weight of one request in the smoothed part that completes.
 const WEIGHT: f64 = 0.1;
-/// Part that completes, as a divisor, below which a route is throttled: one in ten that completes
-/// is worth the work for the other nine, as refusing all alike would lose it too.
-const WORTHWHILE: f64 = 10.0;
+/// Part that completes below which a route is throttled; above it, refusals would lose more requests
+/// that complete than they save work.
+const COMPLETED_MIN: f64 = 0.1;
 /// Part of a throttled route's requests that is let in to learn when they complete again.
 const TRIAL: f64 = 0.1;
 /// Time after which a request is let in whatever its lot, if none was, so that rare routes learn too.
@@ -33,6 +33,12 @@
     entered: Moment,
 }
 
+impl Route {
+    fn passing(&self) -> f64 {
+        (self.completed / COMPLETED_MIN).clamp(TRIAL, 1.0)
+    }
+}
+
 /// Circuit breaker of one entry, with a state for each route.
 #[derive(Debug, Default)]
 pub struct Breaker {
@@ -53,7 +59,13 @@
     /// Part of the requests of `route` that is let in; those with the highest lots.
     pub fn passing(&self, route: &Name) -> f64 {
         let known = self.routes.get(route);
-        known.map_or(1.0, |known| (WORTHWHILE * known.completed).clamp(TRIAL, 1.0))
+        known.map_or(1.0, Route::passing)
+    }
+
+    /// Routes that are throttled, and the part of their requests that is let in.
+    pub fn throttled(&self) -> impl Iterator<Item = (&Name, f64)> {
+        let passing = self.routes.iter().map(|(route, known)| (route, known.passing()));
+        passing.filter(|(_, passing)| *passing < 1.0)
     }
 
     /// Whether a request of `route` with this lot is let in.
--- a/core/src/surge.rs
+++ b/core/src/surge.rs
@@ -238,13 +238,11 @@
         let mut level = Level::OPEN;
         let mut above = 1.0;
         for (idx, class) in self.classes.iter().enumerate().rev() {
-            let alike = room / asked.max(f64::MIN_POSITIVE);
-            let first = if idx == 0 {
-                alike
-            } else {
-                (1.0 - KEPT) * room / class.load.max(f64::MIN_POSITIVE)
-            };
-            let least = if idx + 1 == self.classes.len() { SPARED } else { 0.0 };
+            let (top, last) = (idx + 1 == self.classes.len(), idx == 0);
+            let part = |room: f64, load: f64| room / load.max(f64::MIN_POSITIVE);
+            let alike = part(room, asked);
+            let first = if last { alike } else { part((1.0 - KEPT) * room, class.load) };
+            let least = if top { SPARED } else { 0.0 };
             let passed = alike.max(first).clamp(least, above);
             if level > Level::OPEN {
                 level = level.sparing(class.importance, passed);
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -180,6 +180,12 @@
         self.lock().breaker.ended(now, route, completed);
     }
 
+    /// Routes of which nearly all requests fail, and the part of them that is let in.
+    pub(crate) fn throttled(&self) -> Vec<(Name, f64)> {
+        let state = self.lock();
+        state.breaker.throttled().map(|(route, passing)| (route.clone(), passing)).collect()
+    }
+
     /// Part of the requests of `route` that is let in.
     pub(crate) fn passing(&self, route: &RouteRule) -> f64 {
         let now = self.clock.now();
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -161,7 +161,7 @@
         });
         tokio::spawn(revise(rules.clone(), gate.clone(), graph.clone()));
         tokio::spawn(check(peers.clone()));
-        tokio::spawn(report::run(gate.clone(), account.clone(), part(root, "load")));
+        tokio::spawn(report::run(gate.clone(), graph.clone(), account.clone(), part(root, "load")));
         let ends = part(root, "listen");
         tokio::spawn(accept(peer, peers, Peers::serve, ends.clone()));
         tokio::spawn(accept(outbound, callers.clone(), Callers::serve, ends));
--- a/node/src/proxy/report.rs
+++ b/node/src/proxy/report.rs
@@ -9,16 +9,18 @@
 use crate::gate::Gate;
 
 use super::account::{Account, millis};
+use super::graph::Graph;
 
 /// Pause between two lines; short against the length of a surge.
 const PAUSE: Duration = Duration::from_secs(1);
 
 /// Writes the lines for as long as the process lives.
-pub(crate) async fn run(gate: Arc<Gate>, account: Arc<Account>, logger: Logger) {
+pub(crate) async fn run(gate: Arc<Gate>, graph: Arc<Graph>, account: Arc<Account>, logger: Logger) {
     loop {
         tokio::time::sleep(PAUSE).await;
         target(&gate, &logger);
         entry(&account, &logger);
+        throttled(&graph, &logger);
     }
 }
 
@@ -46,3 +48,10 @@
         "failed" => ended.failed, "useful_ms" => millis(&ended.useful),
         "wasted_ms" => millis(&ended.wasted));
 }
+
+/// Which routes are throttled as nearly all of their requests fail.
+fn throttled(graph: &Graph, logger: &Logger) {
+    for (route, passing) in graph.throttled() {
+        info!(logger, "load: route throttled"; "route" => %route, "passing" => passing);
+    }
+}
