--- a/core/src/admission/level.rs
+++ b/core/src/admission/level.rs
@@ -22,7 +22,9 @@
 /// Place of a call in the order of survival: importance first, then the lot of its root request.
 ///
 /// It is the same at every hop, so that whole requests survive rather than parts of them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 #[serde(transparent)]
 pub struct Rank(u32);
 
@@ -59,10 +61,10 @@
 ///
 /// Spared are those with the highest lots, so that they are the same requests at every hop. Of two
 /// levels the one that stands at the higher rank is the greater.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(from = "u64", into = "u64")]
 pub struct Level {
-    rank: u32,
+    rank: Rank,
     /// Parts that pass of the calls whose importance is one, two, and three or more below that of the
     /// rank, in steps of 1/255.
     spared: [u8; SPARED_LEN],
@@ -70,11 +72,11 @@
 
 impl Level {
     /// Level that refuses nothing.
-    pub const OPEN: Self = Self { rank: 0, spared: [0; SPARED_LEN] };
+    pub const OPEN: Self = Self::at(Rank(0));
 
     /// Level that just admits `rank`.
     pub const fn at(rank: Rank) -> Self {
-        Self { rank: rank.0, ..Self::OPEN }
+        Self { rank, spared: [0; SPARED_LEN] }
     }
 
     /// The same level, which lets the part `passed` of the calls of `importance` pass.
@@ -89,22 +91,22 @@
 
     /// Rank at which it stands.
     pub const fn rank(self) -> Rank {
-        Rank(self.rank)
+        self.rank
     }
 
     /// Importance of the rank.
     pub(crate) const fn importance(self) -> Importance {
-        self.rank().importance()
+        self.rank.importance()
     }
 
     /// Level that passes all of the importance at which this one stands.
     pub(crate) const fn whole(self) -> Self {
-        Self { rank: Rank::at(self.importance(), 0).0, ..self }
+        Self { rank: Rank::at(self.importance(), 0), ..self }
     }
 
     /// Whether a call of this rank passes.
     pub fn admits(self, rank: Rank) -> bool {
-        rank.0 >= self.rank || self.spares(rank)
+        rank >= self.rank || self.spares(rank)
     }
 
     /// Part of the calls of one importance that passes.
@@ -113,7 +115,7 @@
             return f64::from(self.spared[place]) / f64::from(u8::MAX);
         }
         let base = Rank::at(importance, 0).0;
-        let hidden = u64::from(self.rank.saturating_sub(base)).min(LOTS);
+        let hidden = u64::from(self.rank.0.saturating_sub(base)).min(LOTS);
         1.0 - hidden as f64 / LOTS as f64
     }
 
@@ -136,13 +138,13 @@
         let mut steps = LOTS * micros / FALL_TIME.as_micros() as u64;
         let mut level = self;
         while level > Self::OPEN {
-            let lot = u64::from(level.rank().lot());
+            let lot = u64::from(level.rank.lot());
             if steps <= lot {
-                return Self { rank: level.rank - steps as u32, ..level };
+                return Self { rank: Rank(level.rank.0 - steps as u32), ..level };
             }
             steps -= lot + 1;
             let Some(next) = scale.below(level.importance()) else { return Self::OPEN };
-            level = Self { rank: Rank::at(next, u16::MAX).0, ..level };
+            level = Self { rank: Rank::at(next, u16::MAX), ..level };
         }
         level
     }
@@ -152,7 +154,7 @@
 impl From<Level> for u64 {
     fn from(level: Level) -> Self {
         let [one, two, more] = level.spared;
-        let rank = level.rank.to_be_bytes();
+        let rank = level.rank.0.to_be_bytes();
         Self::from_be_bytes([0, rank[0], rank[1], rank[2], rank[3], one, two, more])
     }
 }
@@ -160,13 +162,7 @@
 impl From<u64> for Level {
     fn from(packed: u64) -> Self {
         let [_, a, b, c, d, one, two, more] = packed.to_be_bytes();
-        Self { rank: u32::from_be_bytes([a, b, c, d]), spared: [one, two, more] }
-    }
-}
-
-impl Default for Level {
-    fn default() -> Self {
-        Self::OPEN
+        Self { rank: Rank(u32::from_be_bytes([a, b, c, d])), spared: [one, two, more] }
     }
 }
 
--- a/core/src/admission/map.rs
+++ b/core/src/admission/map.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::{InstanceId, Name};
 use crate::limit::ImportanceScale;
@@ -34,12 +33,12 @@
 /// Instance that gave a level, by hash, to keep messages small.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct Origin(u32);
+pub struct LevelSource(u32);
 
-impl Origin {
-    /// Origin of what `instance` says of itself.
+impl LevelSource {
+    /// Source of what `instance` says of itself.
     pub fn of(instance: &InstanceId) -> Self {
-        Self(xxh3_64(instance.0.as_str().as_bytes()) as u32)
+        Self(instance.0.short_hash())
     }
 }
 
@@ -52,7 +51,7 @@
     /// Service.
     pub service: Name,
     /// Instance of the service that gave the level.
-    pub origin: Origin,
+    pub source: LevelSource,
     /// Level below which requests that reach the service should be refused.
     pub level: Level,
     /// Milliseconds since the instance itself gave it.
@@ -81,7 +80,7 @@
 
 #[derive(Debug)]
 struct Learnt {
-    origin: Origin,
+    source: LevelSource,
     level: Level,
     at: Moment,
 }
@@ -103,28 +102,24 @@
     /// does, while others would let a lesser call give way.
     pub fn meet(&mut self, class: &Name, instance: &InstanceId) {
         let known = self.classes.get(class).map_or(&[][..], |row| &row.learnt);
-        let (full, origin) = (known.len() >= INSTANCES_MAX, Origin::of(instance));
-        if !full && known.iter().all(|known| known.origin != origin) {
-            self.learn(Moment::default(), class, instance, Level::OPEN);
+        let (full, source) = (known.len() >= INSTANCES_MAX, LevelSource::of(instance));
+        if !full && known.iter().all(|known| known.source != source) {
+            self.note(Moment::default(), class, source, Level::OPEN);
         }
     }
 
     /// Takes in the level that came with an answer of `instance` to a call of `class`.
     pub fn learn(&mut self, now: Moment, class: &Name, instance: &InstanceId, level: Level) {
-        self.note(now, class, Origin::of(instance), level);
+        self.note(now, class, LevelSource::of(instance), level);
     }
 
     /// Takes in a level that another node passes on.
     ///
-    /// It counts from when its origin gave it, so that a level which nodes tell each other in a
+    /// It counts from when its source gave it, so that a level which nodes tell each other in a
     /// circle dies out, and older words never replace newer ones.
     pub fn heard(&mut self, now: Moment, told: &ToldLevel) {
         let at = now.before(Duration::from_millis(u64::from(told.age)));
-        let rows = self.classes.get(&told.service).map_or(&[][..], |row| &row.learnt);
-        let newer = rows.iter().any(|known| known.origin == told.origin && known.at > at);
-        if !newer {
-            self.note(at, &told.service, told.origin, told.level);
-        }
+        self.note(at, &told.service, told.source, told.level);
     }
 
     /// What to tell other nodes: fresh levels, and for a while that a service is open again.
@@ -137,7 +132,7 @@
             fresh.sort_unstable_by_key(|known| Reverse(known.at));
             told.extend(fresh.into_iter().take(TOLD_MAX).map(|known| ToldLevel {
                 service: service.clone(),
-                origin: known.origin,
+                source: known.source,
                 level: known.level,
                 age: now.since(known.at).as_millis() as u16,
             }));
@@ -147,9 +142,9 @@
 
     /// Drops what came from an instance that has left.
     pub fn forget(&mut self, instance: &InstanceId) {
-        let origin = Origin::of(instance);
+        let source = LevelSource::of(instance);
         for row in self.classes.values_mut() {
-            row.learnt.retain(|known| known.origin != origin);
+            row.learnt.retain(|known| known.source != source);
         }
     }
 
@@ -184,26 +179,30 @@
         deeper.max().unwrap_or_default().max(own)
     }
 
-    fn note(&mut self, at: Moment, class: &Name, origin: Origin, level: Level) {
+    /// Takes in a level that `source` gave `at` a moment, unless a newer one of it is known.
+    fn note(&mut self, at: Moment, class: &Name, source: LevelSource, level: Level) {
         if !self.classes.contains_key(class) && self.classes.len() >= CLASSES_MAX {
             return;
         }
         let row = self.classes.entry(class.clone()).or_default();
+        let known = row.learnt.iter().position(|known| known.source == source);
+        if known.is_some_and(|idx| row.learnt[idx].at > at) {
+            return;
+        }
         if level > Level::OPEN {
             row.pressed = row.pressed.max(at);
         }
-        let row = &mut row.learnt;
-        if let Some(known) = row.iter_mut().find(|known| known.origin == origin) {
-            known.level = level;
-            known.at = at;
+        let noted = Learnt { source, level, at };
+        if let Some(idx) = known {
+            row.learnt[idx] = noted;
             return;
         }
-        if row.len() >= INSTANCES_MAX
-            && let Some(oldest) = (0..row.len()).min_by_key(|idx| row[*idx].at)
+        if row.learnt.len() >= INSTANCES_MAX
+            && let Some(oldest) = (0..row.learnt.len()).min_by_key(|idx| row.learnt[*idx].at)
         {
-            row.swap_remove(oldest);
+            row.learnt.swap_remove(oldest);
         }
-        row.push(Learnt { origin, level, at });
+        row.learnt.push(noted);
     }
 
     /// Whether a call of this rank would be refused by `class` or by one of the classes it calls.
--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -21,7 +21,7 @@
 
 use concurrency::{Concurrency, Crowd};
 pub use level::{Level, Rank};
-pub use map::{LevelMap, Origin, ToldLevel};
+pub use map::{LevelMap, LevelSource, ToldLevel};
 use pressure::{Load, Pressure};
 use queue::{Queue, Waiting};
 
--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64_with_seed, xxh3_128};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed, xxh3_128};
 
 /// Immutable string that is shared rather than copied; used for every name in the system.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -23,6 +23,11 @@
     pub fn as_str(&self) -> &str {
         &self.0
     }
+
+    /// Hash that stands for the name where messages must be small.
+    pub(crate) fn short_hash(&self) -> u32 {
+        xxh3_64(self.0.as_bytes()) as u32
+    }
 }
 
 impl Borrow<str> for Name {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -32,7 +32,7 @@
 mod work;
 
 pub use admission::{
-    Admission, Arrival, Level, LevelMap, Origin, Rank, Refusal, Release, Shedding, Ticket,
+    Admission, Arrival, Level, LevelMap, LevelSource, Rank, Refusal, Release, Shedding, Ticket,
     ToldLevel, Verdict as AdmissionVerdict,
 };
 pub use answer::{AnswerError, AnswerHead, Exchange, Expected, Idle, Waiting, WholeAnswer};
@@ -79,4 +79,4 @@
 pub use surge::{Occupancy, Surge, Treatment};
 pub use suspects::{Barred, Fingerprint, Permit, Standing, SuspectReport, Suspects, SuspectsError};
 pub use time::Moment;
-pub use work::{ServiceWork, WorkSum};
+pub use work::WorkSum;
--- a/core/src/origin.rs
+++ b/core/src/origin.rs
@@ -13,7 +13,6 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::Name;
 use crate::time::Moment;
@@ -58,11 +57,11 @@
 impl Origins {
     /// Takes in a request for `route` that begins at this node, an instance of `service`.
     pub fn saw(&mut self, now: Moment, route: &Name, service: &Name) {
-        let route = hash(route);
+        let route = route.short_hash();
         let count = self.own.entry(route).or_default();
         *count = count.saturating_add(1);
         if *count >= SIGHTINGS_MIN {
-            self.note(now, route, hash(service));
+            self.note(now, route, service.short_hash());
         }
     }
 
@@ -93,7 +92,7 @@
     ///
     /// That is so if at most half of the installation's `services` ask for it.
     pub fn is_internal(&self, now: Moment, route: &Name, services: usize) -> Option<bool> {
-        let known = self.routes.get(&hash(route))?;
+        let known = self.routes.get(&route.short_hash())?;
         if now.since(known.first) < SPREAD || services < SERVICES_MIN {
             return None;
         }
@@ -130,7 +129,3 @@
         }
     }
 }
-
-fn hash(name: &Name) -> u32 {
-    xxh3_64(name.as_str().as_bytes()) as u32
-}
--- a/core/src/runs.rs
+++ b/core/src/runs.rs
@@ -12,7 +12,7 @@
 use crate::admission::Rank;
 use crate::ids::Name;
 use crate::mix::{Mix, MixSum};
-use crate::work::{ServiceWork, WorkSum};
+use crate::work::WorkSum;
 
 /// Request that a target runs.
 #[derive(Debug, Clone, PartialEq)]
@@ -59,25 +59,11 @@
         ends.map(|end| &id[..end]).find_map(|prefix| Some((prefix, self.running.get(prefix)?)))
     }
 
-    /// Notes that a call of the run `id` reached `services`.
-    pub fn reach<'a>(&mut self, id: &[u8], services: impl IntoIterator<Item = &'a Name>) {
-        let Some(run) = self.running.get_mut(id) else { return };
-        for service in services {
-            run.work.add(service, Duration::ZERO);
-        }
-    }
-
-    /// Adds the slot time of a call of the run `id` at `service`.
-    pub fn spend(&mut self, id: &[u8], service: &Name, time: Duration) {
-        if let Some(run) = self.running.get_mut(id) {
-            run.work.add(service, time);
-        }
-    }
-
-    /// Adds the work below a call of the run `id`.
-    pub fn merge(&mut self, id: &[u8], work: &[ServiceWork]) {
+    /// Adds a call of the run `id` that ran at `service` for `time`, and the work of the calls
+    /// `below` it.
+    pub fn spend(&mut self, id: &[u8], service: &Name, time: Duration, below: &WorkSum) {
         if let Some(run) = self.running.get_mut(id) {
-            run.work.merge(work);
+            run.work.add_call(service, time, below);
         }
     }
 
--- a/core/src/surge.rs
+++ b/core/src/surge.rs
@@ -48,7 +48,8 @@
 const RUN_WEIGHT: f64 = 0.02;
 /// Largest number of routes whose latency is kept.
 const ROUTES_MAX: usize = 4_096;
-/// Part of the room that each importance leaves to those below it when all ask for more than there is.
+/// Part of the room that each importance leaves to those below it when all ask for more than there
+/// is; see [overload](../../docs/design/overload.md).
 const KEPT: f64 = 0.45;
 /// Part of the most important requests that passes at any level.
 const SPARED: f64 = 0.1;
@@ -238,11 +239,10 @@
         let mut level = Level::OPEN;
         let mut above = 1.0;
         for (idx, class) in self.classes.iter().enumerate().rev() {
-            let (top, last) = (idx + 1 == self.classes.len(), idx == 0);
             let part = |room: f64, load: f64| room / load.max(f64::MIN_POSITIVE);
             let alike = part(room, asked);
-            let first = if last { alike } else { part((1.0 - KEPT) * room, class.load) };
-            let least = if top { SPARED } else { 0.0 };
+            let first = part((1.0 - KEPT) * room, class.load);
+            let least = if idx + 1 == self.classes.len() { SPARED } else { 0.0 };
             let passed = alike.max(first).clamp(least, above);
             if level > Level::OPEN {
                 level = level.sparing(class.importance, passed);
--- a/core/src/work.rs
+++ b/core/src/work.rs
@@ -14,17 +14,9 @@
 /// Largest number of services of which the work of one request is kept; bounds the size of answers.
 const SERVICES_MAX: usize = 16;
 
-/// Slot time at one service, as answers carry it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServiceWork {
-    /// Service.
-    pub service: Name,
-    /// Slot time in microseconds; zero if calls reached the service but did not run.
-    pub micros: u64,
-}
-
 /// Slot time by service; at most 16 services are kept.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct WorkSum {
     services: BTreeMap<Name, Duration>,
 }
@@ -39,20 +31,10 @@
         }
     }
 
-    /// Adds what an answer brought.
-    pub fn merge(&mut self, rows: &[ServiceWork]) {
-        for row in rows {
-            self.add(&row.service, Duration::from_micros(row.micros));
-        }
-    }
-
-    /// Sums as answers carry them.
-    pub fn rows(&self) -> Vec<ServiceWork> {
-        let row = |(service, time): (&Name, &Duration)| ServiceWork {
-            service: service.clone(),
-            micros: u64::try_from(time.as_micros()).unwrap_or(u64::MAX),
-        };
-        self.services.iter().map(row).collect()
+    /// Adds a call that ran at `service` for `time`, and the work of the calls `below` it.
+    pub fn add_call(&mut self, service: &Name, time: Duration, below: &Self) {
+        self.add(service, time);
+        below.iter().for_each(|(service, time)| self.add(service, time));
     }
 
     /// Services and the slot time at each.
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Breaker, Chooser, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, MixSum,
-    Moment, Name, Observed, Occupancy, Origin, Origins, Rank, Reach, RequestId, ResendBound,
-    ResendBudget, ResendCause, Runs, Spell, Surge, TargetInfo, ToldLevel, Treatment,
+    Breaker, Chooser, Importance, ImportanceScale, InstanceId, Level, LevelMap, LevelSource, Mix,
+    MixSum, Moment, Name, Observed, Occupancy, Origins, Rank, Reach, RequestId, ResendBound,
+    ResendBudget, ResendCause, Runs, Spell, Surge, TargetInfo, ToldLevel, Treatment, WorkSum,
 };
 
 const RATIO: f64 = 0.2;
@@ -426,7 +426,7 @@
     let (service, peer) = (Name::new("s"), InstanceId::from("a"));
     let high = Level::at(Rank::at(HIGH, 30_000));
     let told =
-        ToldLevel { service: service.clone(), origin: Origin::of(&peer), level: high, age: 0 };
+        ToldLevel { service: service.clone(), source: LevelSource::of(&peer), level: high, age: 0 };
     let mut maps = [(); 2].map(|()| LevelMap::new(ImportanceScale::new([LOW, HIGH])));
     maps[0].heard(Moment::from_millis(10_000), &told);
     for millis in (10_000..12_000).step_by(10) {
@@ -458,8 +458,8 @@
         let from = 10_000 + phase as u64 * 1_000;
         for millis in (from..from + 1_000).step_by(5) {
             let now = Moment::from_millis(millis);
-            let origin = Origin::of(&target);
-            let told = ToldLevel { service: service.clone(), origin, level, age: 0 };
+            let source = LevelSource::of(&target);
+            let told = ToldLevel { service: service.clone(), source, level, age: 0 };
             maps[millis as usize / 5 % 3].heard(now, &told);
             for teller in 0..NODES {
                 let told = maps[teller].tell(now);
@@ -482,8 +482,8 @@
     let now = Moment::from_millis(1_000);
     let mut levels = LevelMap::new(ImportanceScale::new([LOW, HIGH]));
     let level = Level::at(Rank::at(HIGH, 0));
-    let origin = Origin::of(&InstanceId::from("a"));
-    levels.heard(now, &ToldLevel { service: deep.clone(), origin, level, age: 0 });
+    let source = LevelSource::of(&InstanceId::from("a"));
+    levels.heard(now, &ToldLevel { service: deep.clone(), source, level, age: 0 });
     let mut reach = Reach::default();
     reach.learn(now, &direct, []);
     reach.learn(now, &chained, [&deep]);
@@ -509,7 +509,7 @@
     assert_eq!(rank(b"aabb"), None);
     assert_eq!(rank(b"ab.cc"), None);
     let deep = Name::new("deep");
-    runs.reach(b"aa", [&deep]);
+    runs.spend(b"aa", &deep, Duration::ZERO, &WorkSum::default());
     assert!(runs.end(b"aa").contains(&deep));
     assert!(runs.end(b"aa").is_empty());
     assert_eq!(runs.mean(), Some(Mix::of(HIGH)));
--- a/node/src/gate.rs
+++ b/node/src/gate.rs
@@ -276,20 +276,16 @@
 
     fn cancel(&self, ticket: Ticket) {
         let now = self.clock.now();
-        let mut state = self.lock();
-        state.waiting.remove(&ticket);
-        let release = state.admission.as_mut().map(|a| a.cancel(now, ticket));
-        state.tell(release.unwrap_or_default());
+        self.lock().cancel(now, ticket);
     }
 
     /// Ends a run that gave no answer.
     fn abandon(&self, ticket: Ticket, ran: Duration) {
-        {
-            let mut state = self.lock();
-            state.tally.cancelled += 1;
-            state.tally.lost += ran;
-        }
-        self.cancel(ticket);
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.tally.cancelled += 1;
+        state.tally.lost += ran;
+        state.cancel(now, ticket);
     }
 
     /// Starts the task that drops late calls from the queue, unless it runs already.
@@ -333,6 +329,12 @@
         }
     }
 
+    fn cancel(&mut self, now: Moment, ticket: Ticket) {
+        self.waiting.remove(&ticket);
+        let release = self.admission.as_mut().map(|admission| admission.cancel(now, ticket));
+        self.tell(release.unwrap_or_default());
+    }
+
     fn tell(&mut self, release: Release) {
         for ticket in release.start {
             if let Some(sender) = self.waiting.remove(&ticket) {
--- a/node/src/proxy/account.rs
+++ b/node/src/proxy/account.rs
@@ -5,7 +5,6 @@
 //! that are short of room; this account tells the two apart. See
 //! [operations](../../../docs/OPERATIONS.md).
 
-use std::fmt::Write;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Mutex, PoisonError};
 
@@ -58,14 +57,17 @@
     /// Takes in the end of a request that took `work`.
     pub(crate) fn ended(&self, outcome: &Outcome<WholeReply>, work: &WorkSum) {
         let mut since = self.since.lock().unwrap_or_else(PoisonError::into_inner);
-        match outcome {
-            Outcome::Done(whole) if whole.status < 500 => since.served += 1,
-            Outcome::NotRun { .. } => since.refused += 1,
-            Outcome::Done(_) | Outcome::Unknown { .. } => since.failed += 1,
-        }
-        let served = matches!(outcome, Outcome::Done(whole) if whole.status < 500);
-        let (sum, completed) =
-            if served { (&mut since.useful, "yes") } else { (&mut since.wasted, "no") };
+        let since = &mut *since;
+        let (count, sum, completed) = match outcome {
+            Outcome::Done(whole) if !whole.is_failure() => {
+                (&mut since.served, &mut since.useful, "yes")
+            }
+            Outcome::NotRun { .. } => (&mut since.refused, &mut since.wasted, "no"),
+            Outcome::Done(_) | Outcome::Unknown { .. } => {
+                (&mut since.failed, &mut since.wasted, "no")
+            }
+        };
+        *count += 1;
         for (service, time) in work.iter() {
             sum.add(service, time);
             let labels = Work { service: service.to_string(), completed };
@@ -78,14 +80,3 @@
         std::mem::take(&mut *self.since.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
-
-/// Text of slot times for a log line, in milliseconds.
-pub(crate) fn millis(work: &WorkSum) -> String {
-    let mut text = String::new();
-    for (service, time) in work.iter() {
-        // Writing into a string cannot fail.
-        let _ = write!(text, "{service}={} ", time.as_millis());
-    }
-    text.truncate(text.trim_end().len());
-    text
-}
--- a/node/src/proxy/decisions.rs
+++ b/node/src/proxy/decisions.rs
@@ -73,7 +73,7 @@
     /// Writes the line of one decision, if the bound allows it.
     pub(crate) fn write(&self, outcome: &Outcome<WholeReply>, describe: impl FnOnce() -> Decision) {
         let failed = match outcome {
-            Outcome::Done(whole) => whole.status >= 500,
+            Outcome::Done(whole) => whole.is_failure(),
             Outcome::NotRun { .. } | Outcome::Unknown { .. } => true,
         };
         if self.admits(failed) {
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -7,8 +7,8 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use poplar_core::{
-    ErrorKind, InstanceId, Level, Mix, Name, Rank, Revision, RuleSet, ServiceWork, Sighting,
-    TargetRecord, ToldLevel,
+    ErrorKind, InstanceId, Level, Mix, Name, Outcome, Rank, Revision, RuleSet, Sighting,
+    TargetRecord, ToldLevel, WorkSum,
 };
 use serde::{Deserialize, Serialize};
 
@@ -96,11 +96,18 @@
     pub(crate) body: Bytes,
 }
 
+impl WholeReply {
+    /// Whether the target failed the request.
+    pub(crate) fn is_failure(&self) -> bool {
+        self.status >= 500
+    }
+}
+
 /// What became of a call at the node beside the target.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct CallAnswer {
     /// Outcome.
-    pub(crate) outcome: poplar_core::Outcome<WholeReply>,
+    pub(crate) outcome: Outcome<WholeReply>,
     /// Whether any of the request was handed to the target.
     pub(crate) offered: bool,
     /// Level of the target.
@@ -110,25 +117,29 @@
     /// Slot time of the run.
     pub(crate) ran: Duration,
     /// Work of the calls of the run, by service.
-    pub(crate) work: Vec<ServiceWork>,
+    pub(crate) work: WorkSum,
     /// Calls that run or wait at the target, in parts of its limit.
     pub(crate) load: f32,
 }
 
 impl CallAnswer {
-    /// Refusal of a call that the target has not seen.
-    pub(crate) fn refused(kind: ErrorKind, retry_after: Duration) -> Self {
-        let outcome = poplar_core::Outcome::NotRun { kind, retry_after };
+    /// Answer without work, to which the node adds what it tells of itself and of others.
+    pub(crate) fn new(outcome: Outcome<WholeReply>, offered: bool) -> Self {
         Self {
             outcome,
-            offered: false,
+            offered,
             level: Level::OPEN,
             told: Vec::new(),
             ran: Duration::ZERO,
-            work: Vec::new(),
+            work: WorkSum::default(),
             load: 0.0,
         }
     }
+
+    /// Refusal of a call that the target has not seen.
+    pub(crate) fn refused(kind: ErrorKind, retry_after: Duration) -> Self {
+        Self::new(Outcome::NotRun { kind, retry_after }, false)
+    }
 }
 
 /// Why the bytes of a link make no sense.
--- a/node/src/proxy/graph.rs
+++ b/node/src/proxy/graph.rs
@@ -10,9 +10,8 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    Barrier, Breaker, Importance, ImportanceScale, InstanceId, LevelMap, Mix, Moment, Name,
-    Origins, Rank, Reach, RequestId, RouteRule, Runs, ServiceWork, Sighting, Spell, ToldLevel,
-    WorkSum,
+    Barrier, Breaker, Importance, ImportanceScale, InstanceId, Level, LevelMap, Mix, Moment, Name,
+    Origins, Rank, Reach, RequestId, RouteRule, Runs, Sighting, Spell, ToldLevel, WorkSum,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -146,14 +145,13 @@
         for told in &answer.told {
             state.levels.heard(now, told);
         }
-        let reached = answer.work.iter().map(|row| &row.service);
+        let reached = answer.work.iter().map(|(service, _)| service);
         if !standing.begun {
             state.reach.learn(now, route, reached.filter(|reached| *reached != service));
             return;
         }
         if let Some(parent) = &standing.parent {
-            state.runs.spend(parent, service, answer.ran);
-            state.runs.merge(parent, &answer.work);
+            state.runs.spend(parent, service, answer.ran, &answer.work);
         } else {
             let reached = reached.chain([service]);
             state.unknown.extend(reached.map(|service| (service.clone(), now)));
@@ -186,16 +184,14 @@
         state.breaker.throttled().map(|(route, passing)| (route.clone(), passing)).collect()
     }
 
-    /// Part of the requests of `route` that is let in.
-    pub(crate) fn passing(&self, route: &RouteRule) -> f64 {
+    /// Highest level that a request of `route` meets, as this node knows it, and the part of the
+    /// route's requests that is let in.
+    pub(crate) fn barrier(&self, route: &RouteRule) -> (Barrier, f64) {
         let now = self.clock.now();
-        self.lock().passing(now, route)
-    }
-
-    /// Highest level that a request of `route` meets, as this node knows it.
-    pub(crate) fn barrier(&self, route: &RouteRule) -> Barrier {
-        let now = self.clock.now();
-        self.lock().barrier(now, route)
+        let state = self.lock();
+        let barrier = state.barrier(now, route);
+        let passing = state.passing(route, barrier.level);
+        (barrier, passing)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -227,16 +223,15 @@
 
     /// Part of the requests of `route` that is let in, if this one is among it.
     fn passed(&mut self, now: Moment, route: &RouteRule, rank: Rank) -> Option<f64> {
-        let admitted = self.barrier(now, route).level.admits(rank)
-            && self.breaker.admits(now, &route.name, rank.lot());
-        admitted.then(|| self.passing(now, route))
+        let level = self.barrier(now, route).level;
+        let admitted = level.admits(rank) && self.breaker.admits(now, &route.name, rank.lot());
+        admitted.then(|| self.passing(route, level))
     }
 
     /// Part of the requests of `route` that is let in. Levels and the breaker both let in the highest
     /// lots, so together they pass the smaller part.
-    fn passing(&self, now: Moment, route: &RouteRule) -> f64 {
-        let visible = self.barrier(now, route).level.visible(route.importance);
-        visible.min(self.breaker.passing(&route.name))
+    fn passing(&self, route: &RouteRule, level: Level) -> f64 {
+        level.visible(route.importance).min(self.breaker.passing(&route.name))
     }
 
     fn barrier(&self, now: Moment, route: &RouteRule) -> Barrier {
@@ -262,10 +257,10 @@
 
 impl Running<'_> {
     /// Ends the run; returns its slot time and the work of its calls.
-    pub(crate) fn end(self) -> (Duration, Vec<ServiceWork>) {
+    pub(crate) fn end(self) -> (Duration, WorkSum) {
         let now = self.graph.clock.now();
         let work = self.graph.lock().end(now, &self.id);
-        (now.since(self.began), work.rows())
+        (now.since(self.began), work)
     }
 }
 
--- a/node/src/proxy/report.rs
+++ b/node/src/proxy/report.rs
@@ -1,14 +1,15 @@
 //! Lines on the load of the target and of the entry, for those who look at a failure later.
 
+use std::fmt::Write;
 use std::sync::Arc;
 use std::time::Duration;
 
-use poplar_core::Level;
+use poplar_core::{Level, WorkSum};
 use slog::{Logger, info};
 
 use crate::gate::Gate;
 
-use super::account::{Account, millis};
+use super::account::Account;
 use super::graph::Graph;
 
 /// Pause between two lines; short against the length of a surge.
@@ -55,3 +56,14 @@
         info!(logger, "load: route throttled"; "route" => %route, "passing" => passing);
     }
 }
+
+/// Text of slot times for a log line, in milliseconds.
+fn millis(work: &WorkSum) -> String {
+    let mut text = String::new();
+    for (service, time) in work.iter() {
+        // Writing into a string cannot fail.
+        let _ = write!(text, "{service}={} ", time.as_millis());
+    }
+    text.truncate(text.trim_end().len());
+    text
+}
--- a/node/src/proxy/run.rs
+++ b/node/src/proxy/run.rs
@@ -4,9 +4,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use poplar_core::{
-    Barrier, ErrorKind, InstanceId, Level, Moment, Outcome, Stage, TargetEnd, Treatment,
-};
+use poplar_core::{Barrier, ErrorKind, InstanceId, Moment, Outcome, Stage, TargetEnd, Treatment};
 use poplar_kernel::Clock;
 
 use crate::gate::{Entrant, Gate};
@@ -110,8 +108,7 @@
             permit.finish();
         }
         let (ran, work) = running.end();
-        let (level, told) = (Level::OPEN, Vec::new());
-        CallAnswer { outcome, offered, level, told, ran, work, load: 0.0 }
+        CallAnswer { ran, work, ..CallAnswer::new(outcome, offered) }
     }
 
     /// Why the target beside this node cannot run a call that was meant for `instance`.
@@ -131,7 +128,7 @@
 /// How the target treated a call that it was handed.
 fn treatment(outcome: &Outcome<WholeReply>) -> Treatment {
     match outcome {
-        Outcome::Done(whole) if whole.status < 500 => Treatment::Served,
+        Outcome::Done(whole) if !whole.is_failure() => Treatment::Served,
         Outcome::Done(_) | Outcome::NotRun { .. } | Outcome::Unknown { .. } => Treatment::Failed,
     }
 }
--- a/node/src/proxy/serve.rs
+++ b/node/src/proxy/serve.rs
@@ -170,15 +170,18 @@
             self.account.ended(&outcome, &spent.work);
             self.learn(route, &outcome);
         }
-        self.decisions.write(&outcome, || Decision {
-            request: taken.request.clone(),
-            route: route.name.clone(),
-            place: "entry",
-            revision: revision.0,
-            tried: spent.tried.iter().map(ToString::to_string).collect::<Vec<_>>().join(" "),
-            barrier: self.trips.graph.barrier(route),
-            passing: self.trips.graph.passing(route),
-            took,
+        self.decisions.write(&outcome, || {
+            let (barrier, passing) = self.trips.graph.barrier(route);
+            Decision {
+                request: taken.request.clone(),
+                route: route.name.clone(),
+                place: "entry",
+                revision: revision.0,
+                tried: spent.tried.iter().map(ToString::to_string).collect::<Vec<_>>().join(" "),
+                barrier,
+                passing,
+                took,
+            }
         });
         reply::from_outcome(outcome)
     }
@@ -186,7 +189,7 @@
     /// Has the entry learn how a request ended that targets may have worked for.
     fn learn(&self, route: &RouteRule, outcome: &Outcome<WholeReply>) {
         match outcome {
-            Outcome::Done(whole) => self.trips.graph.ended(&route.name, whole.status < 500),
+            Outcome::Done(whole) => self.trips.graph.ended(&route.name, !whole.is_failure()),
             Outcome::Unknown { .. } => self.trips.graph.ended(&route.name, false),
             Outcome::NotRun { .. } => {}
         }
--- a/node/src/proxy/trip.rs
+++ b/node/src/proxy/trip.rs
@@ -99,8 +99,7 @@
             spent.refusals += u32::from(!offered);
             last = match answer {
                 Ok(answer) => {
-                    spent.work.add(service, answer.ran);
-                    spent.work.merge(&answer.work);
+                    spent.work.add_call(service, answer.ran, &answer.work);
                     answer.outcome
                 }
                 Err(kind) => Outcome::Unknown { kind },
