Logs: the fingerprint of requests that were refused or may have run

Two lines of one request under two ids could not be joined, so that the hypotheses on repeats that end targets could not be told apart. No change of logic.

--- a/core/src/suspects.rs
+++ b/core/src/suspects.rs
@@ -22,7 +22,13 @@
 impl Fingerprint {
     /// Fingerprint of a request: its class and everything the target is handed, path included.
     pub fn of(class: &Name, request: &[u8]) -> Self {
-        Self(xxh3_64_with_seed(request, xxh3_64_with_seed(class.as_str().as_bytes(), 0)))
+        Self::of_parts(class, &[request])
+    }
+
+    /// Fingerprint of a request whose parts lie apart; two requests agree if all parts do.
+    pub fn of_parts(class: &Name, parts: &[&[u8]]) -> Self {
+        let seed = xxh3_64_with_seed(class.as_str().as_bytes(), 0);
+        Self(parts.iter().fold(seed, |seed, part| xxh3_64_with_seed(part, seed)))
     }
 
     /// Target that alone gets this request while it is a suspect, among the serving members.
--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -178,6 +178,7 @@
             Decision {
                 request: taken.request.clone(),
                 route: route.name.clone(),
+                print: self.trips.print(route, taken),
                 place: "entry",
                 revision: revision.0,
                 tried: spent.tried.iter().map(ToString::to_string).collect::<Vec<_>>().join(" "),
--- a/node/src/proxy/callers/trip.rs
+++ b/node/src/proxy/callers/trip.rs
@@ -6,12 +6,12 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    ErrorKind, InstanceId, Level, Moment, Name, Observed, Outcome, ResendBudget, ResendCause,
-    RouteRule, WorkSum,
+    ErrorKind, Fingerprint, InstanceId, Level, Moment, Name, Observed, Outcome, ResendBudget,
+    ResendCause, RouteRule, WorkSum,
 };
 use poplar_kernel::Clock;
 
-use crate::proxy::frame::{Call, CallAnswer, Field, WholeReply};
+use crate::proxy::frame::{Call, CallAnswer, Field, WholeReply, fingerprint};
 use crate::proxy::known::graph::{Graph, Standing};
 use crate::proxy::known::roster::{Chosen, Roster};
 use crate::proxy::links::link::LinkError;
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Hash by which the request is known again under another identifier.
+    pub(crate) fn print(&self, route: &RouteRule, taken: &Taken) -> Fingerprint {
+        fingerprint(&route.name, &self.caller, &taken.method, &taken.path, &taken.body)
+    }
+
     /// Whether a further target may get the request, as far as the request itself goes.
     fn may_repeat(
         &self,
--- a/node/src/proxy/decisions.rs
+++ b/node/src/proxy/decisions.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use poplar_core::{Barrier, Level, Moment, Name, Outcome};
+use poplar_core::{Barrier, Fingerprint, Level, Moment, Name, Outcome};
 use poplar_kernel::Clock;
 use prometheus_client::metrics::counter::Counter;
 use slog::{Logger, info, warn};
@@ -29,6 +29,8 @@
     pub(crate) request: Bytes,
     /// Route.
     pub(crate) route: Name,
+    /// Hash by which the request is known again under another identifier.
+    pub(crate) print: Fingerprint,
     /// Where the decision was made: at the entry or beside the target.
     pub(crate) place: &'static str,
     /// Revision of the rules that applied.
@@ -118,7 +120,10 @@
         let short = barrier.service.as_ref().filter(|_| barrier.level > Level::OPEN);
         let short = short.map(|service| service.as_str());
         let id = String::from_utf8_lossy(&decision.request);
-        info!(self.logger, "request: {word}"; "id" => %id, "route" => %decision.route,
+        // Served requests are not traced by what they hold.
+        let print = matches!(outcome, Outcome::Unknown { .. } | Outcome::NotRun { .. })
+            .then(|| format!("{:016x}", decision.print.0));
+        info!(self.logger, "request: {word}"; "id" => %id, "route" => %decision.route, "print" => print,
             "place" => decision.place, "reason" => reason, "status" => status,
             "revision" => decision.revision, "tried" => &decision.tried, "level" => u32::from(barrier.level.rank()),
             "short" => short,
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -7,8 +7,8 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use poplar_core::{
-    CallId, Digest, ErrorKind, InstanceId, Level, Mix, Name, Outcome, Ranges, Rank, Reads,
-    Revision, RuleSet, Sighting, TargetRecord, ToldLevel, WorkSum,
+    CallId, Digest, ErrorKind, Fingerprint, InstanceId, Level, Mix, Name, Outcome, Ranges, Rank,
+    Reads, Revision, RuleSet, Sighting, TargetRecord, ToldLevel, WorkSum,
 };
 use serde::{Deserialize, Serialize};
 
@@ -142,6 +142,25 @@
     pub(crate) body: Bytes,
 }
 
+impl Call {
+    /// Hash by which the request is known again under another identifier.
+    pub(crate) fn print(&self) -> Fingerprint {
+        fingerprint(&self.route, &self.caller, &self.method, &self.path, &self.body)
+    }
+}
+
+/// Hash over what a caller sends again when it repeats a request under another identifier.
+pub(crate) fn fingerprint(
+    route: &Name,
+    caller: &Name,
+    method: &str,
+    path: &str,
+    body: &[u8],
+) -> Fingerprint {
+    let parts = [caller.as_str().as_bytes(), method.as_bytes(), path.as_bytes(), body];
+    Fingerprint::of_parts(route, &parts)
+}
+
 /// Whole answer of a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct WholeReply {
--- a/node/src/proxy/target/run.rs
+++ b/node/src/proxy/target/run.rs
@@ -73,6 +73,7 @@
         self.decisions.write(&answer.outcome, || Decision {
             request: call.request.clone(),
             route: call.route.clone(),
+            print: call.print(),
             place: "target",
             revision: self.rules.revision().0,
             tried: call.instance.to_string(),
