Recognise requests that crash their targets on the data plane

Callers saw: a request that had ended three targets went on reaching others as long as it came, under new ids and at any entry, and ended them all; up to two thirds of what ran beside it was lost.

Cause: the data plane told requests apart by id alone; what the own plane has against such requests (isolation of suspects) was never built on it. Class: a rule over several requests, kept by nobody, because each node decides on one. Evidence: with fingerprints in the log, one print under 20 ids and 20 broken connections, each entry sending on what it had itself seen end a target.

Ruled out: attempts within one request as the cause (the red case of requests that must run once has one send each), loss of what was known (nothing was).

Change: a mark for each run that was in flight when its target ended, a success ends them, both are told to all nodes; two marks in a row isolate a request, three refuse it for 10 s, 10 min, 1 h, and are kept in the store. Bystanders: marks of runs that were under way together count once, and successes before or after clear.

--- a/core/src/choice.rs
+++ b/core/src/choice.rs
@@ -11,6 +11,7 @@
 use crate::admission::{Level, Rank};
 use crate::ids::{InstanceId, Name};
 use crate::limit::smoothed;
+use crate::suspects::Fingerprint;
 use crate::time::Moment;
 
 /// Largest number of targets of one service that one node follows; bounds memory and time.
@@ -210,6 +211,19 @@
         Some(self.give(best))
     }
 
+    /// Chooses the target that alone gets a request under suspicion, and counts the call as in flight.
+    pub fn isolate(
+        &mut self,
+        now: Moment,
+        print: Fingerprint,
+        tried: &[InstanceId],
+    ) -> Option<Choice> {
+        let eligible = self.targets.iter().filter(|target| target.may_get(now, tried));
+        let chosen = print.isolation(eligible.map(|target| &target.info.instance))?.clone();
+        let idx = self.targets.iter().position(|target| target.info.instance == chosen)?;
+        Some(self.give(idx))
+    }
+
     /// Takes in what came of a call that [`Self::choose`] gave out.
     pub fn observe(&mut self, now: Moment, instance: &InstanceId, observed: Observed) {
         let Some(target) = self.find(instance) else { return };
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,6 +11,7 @@
 mod budget;
 mod choice;
 mod contract;
+mod crashes;
 mod fold;
 mod follow;
 mod held;
@@ -51,6 +52,7 @@
 };
 pub use choice::{Choice, Chooser, Observed, TargetInfo};
 pub use contract::{CHAIN_DEPTH, ClassTerms, Contract, ContractError, Goal, HOP_TIME};
+pub use crashes::{CrashMark, CrashNews, CrashPardon, CrashPassage, Crashes, Life};
 pub use fold::{
     ContractRecord, Fold, FoldError, InForce, MAX_CUSTOMERS, MAX_PUBLISHED, RecordFault, Verdict,
     Word,
--- a/node/src/proxy/callers/trip.rs
+++ b/node/src/proxy/callers/trip.rs
@@ -6,12 +6,13 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    ErrorKind, Fingerprint, InstanceId, Level, Moment, Name, Observed, Outcome, ResendBudget,
-    ResendCause, RouteRule, WorkSum,
+    CrashPassage, ErrorKind, Fingerprint, InstanceId, Level, Moment, Name, Observed, Outcome,
+    ResendBudget, ResendCause, RouteRule, WorkSum,
 };
 use poplar_kernel::Clock;
 
 use crate::proxy::frame::{Call, CallAnswer, Field, WholeReply, fingerprint};
+use crate::proxy::known::crashes::CrashRecords;
 use crate::proxy::known::graph::{Graph, Standing};
 use crate::proxy::known::roster::{Chosen, Roster};
 use crate::proxy::links::link::LinkError;
@@ -48,6 +49,7 @@
     pub(crate) roster: Arc<Roster>,
     pub(crate) peers: Arc<Peers>,
     pub(crate) graph: Arc<Graph>,
+    pub(crate) crashes: Arc<CrashRecords>,
     pub(crate) resends: Mutex<ResendBudget>,
 }
 
@@ -87,13 +89,26 @@
         };
         spent.begun = standing.begun;
         let mut last = not_run(ErrorKind::NoTarget, NO_TARGET_RETRY);
-        while let Some(chosen) = self.roster.choose(service, standing.rank, &spent.tried) {
+        loop {
+            let chosen = match self.crashes.passage(|| self.print(route, taken)) {
+                CrashPassage::Open => self.roster.choose(service, standing.rank, &spent.tried),
+                CrashPassage::Alone => {
+                    self.roster.isolate(service, self.print(route, taken), &spent.tried)
+                }
+                CrashPassage::Refused(left) => {
+                    last = not_run(ErrorKind::CrashSuspect, left);
+                    break;
+                }
+            };
+            let Some(chosen) = chosen else { break };
             spent.tried.push(chosen.instance.clone());
             if spent.tried.len() == 1 {
                 self.count_first(service, &standing);
             }
             let call = self.call(route, taken, &chosen, &standing, spent);
-            let answer = self.send(service, &chosen, &standing, call, !route.is_idempotent()).await;
+            let once = !route.is_idempotent();
+            let print = || self.print(route, taken);
+            let answer = self.send(service, &chosen, &standing, call, once, print).await;
             let offered = answer.as_ref().map_or(true, |answer| answer.offered);
             spent.offers += u32::from(offered);
             spent.refusals += u32::from(!offered);
@@ -133,7 +148,7 @@
     ) -> bool {
         let may_repeat = match last {
             Outcome::Done(_) => false,
-            Outcome::NotRun { kind: ErrorKind::Deadline, .. } => false,
+            Outcome::NotRun { kind: ErrorKind::Deadline | ErrorKind::CrashSuspect, .. } => false,
             Outcome::NotRun { .. } => true,
             Outcome::Unknown { kind: ErrorKind::Deadline | ErrorKind::Cancelled } => false,
             Outcome::Unknown { .. } => route.is_idempotent(),
@@ -183,10 +198,11 @@
         standing: &Standing,
         call: Call,
         once: bool,
+        print: impl FnOnce() -> Fingerprint,
     ) -> Result<CallAnswer, ErrorKind> {
         let (route, deadline) = (call.route.clone(), self.clock.now() + call.left);
         let watched = Watched { trips: self, service, instance: &chosen.instance, observed: None };
-        let sent = self.clock.now();
+        let (sent, life) = (self.clock.now(), self.roster.life(chosen));
         let answer = self.peers.call(&chosen.peer, call, once).await;
         let took = self.clock.now().since(sent);
         watched.ended(match &answer {
@@ -207,6 +223,9 @@
         };
         match answer {
             Ok(answer) => {
+                if matches!(&answer.outcome, Outcome::Done(whole) if !whole.is_failure()) {
+                    self.crashes.answered(print);
+                }
                 self.graph.learn(service, &chosen.instance, &route, standing, &answer);
                 self.roster.reported(service, &chosen.instance, answer.load);
                 Ok(answer)
@@ -215,7 +234,12 @@
                 let kind = ErrorKind::Connection;
                 Ok(CallAnswer::refused(kind, NO_TARGET_RETRY))
             }
-            Err(LinkError::Broken | LinkError::Held(_)) => Err(ErrorKind::Connection),
+            Err(LinkError::Broken | LinkError::Held(_)) => {
+                if let Some(life) = life {
+                    self.crashes.crashed(print(), life, sent, self.clock.now());
+                }
+                Err(ErrorKind::Connection)
+            }
         }
     }
 
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -7,8 +7,8 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use poplar_core::{
-    CallId, Digest, ErrorKind, Fingerprint, InstanceId, Level, Mix, Name, Outcome, Ranges, Rank,
-    Reads, Revision, RuleSet, Sighting, TargetRecord, ToldLevel, WorkSum,
+    CallId, CrashNews, Digest, ErrorKind, Fingerprint, InstanceId, Level, Mix, Name, Outcome,
+    Ranges, Rank, Reads, Revision, RuleSet, Sighting, TargetRecord, ToldLevel, WorkSum,
 };
 use serde::{Deserialize, Serialize};
 
@@ -53,6 +53,8 @@
     HeldCall(CallNumber, Box<Call>),
     /// Asks what became of a held call whose link broke; answered as a call is, once it has ended.
     Claim(CallNumber, CallId),
+    /// Requests that ended targets, and those that have ended well since.
+    Crashes(CrashNews),
 }
 
 /// Kind of a message.
@@ -64,12 +66,20 @@
     Rules,
     Targets,
     Sightings,
+    Crashes,
 }
 
 impl Kind {
     /// All kinds, in the order of their numbers.
-    pub(crate) const ALL: [Self; 6] =
-        [Self::Call, Self::Answer, Self::Sign, Self::Rules, Self::Targets, Self::Sightings];
+    pub(crate) const ALL: [Self; 7] = [
+        Self::Call,
+        Self::Answer,
+        Self::Sign,
+        Self::Rules,
+        Self::Targets,
+        Self::Sightings,
+        Self::Crashes,
+    ];
 
     /// Name in metrics and logs.
     pub(crate) fn label(self) -> &'static str {
@@ -80,6 +90,7 @@
             Self::Rules => "rules",
             Self::Targets => "targets",
             Self::Sightings => "sightings",
+            Self::Crashes => "crashes",
         }
     }
 }
@@ -94,6 +105,7 @@
             Self::Rules(_) | Self::Want => Kind::Rules,
             Self::Targets(_) | Self::Compare(_) | Self::Differ(..) => Kind::Targets,
             Self::Sightings(_) => Kind::Sightings,
+            Self::Crashes(_) => Kind::Crashes,
         }
     }
 }
--- /dev/null
+++ b/node/src/proxy/known/crashes.rs
@@ -0,0 +1,183 @@
+//! Requests that ended the targets which ran them, as this node knows them.
+//!
+//! The node beside a target sees its end and tells all others at once; entries see the end of a
+//! target whose node ended with it. See [crashing requests](../../../../docs/design/crashing-requests.md).
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use poplar_core::{CrashMark, CrashNews, CrashPassage, Crashes, Fingerprint, Life, Moment};
+use poplar_kernel::{Clock, Service};
+use serde_json::{Value, json};
+use slog::{Logger, info, warn};
+use tokio::sync::{Notify, Semaphore, SemaphorePermit, mpsc};
+
+/// Requests that are followed at most; with 300 bytes each, little beside what calls take.
+const REQUESTS_MAX: usize = 4_096;
+/// Time for which a request under suspicion waits until it can run alone; a few usual runs.
+const ALONE_WAIT: Duration = Duration::from_millis(1_000);
+/// Time to come back for a caller of such a request that did not get its turn.
+const ALONE_RETRY: Duration = Duration::from_millis(300);
+
+/// Service that knows which requests ended targets.
+pub(crate) struct CrashRecords {
+    clock: Clock,
+    logger: Logger,
+    crashes: Mutex<Crashes>,
+    /// Whether any request has a mark, so that no other is hashed at its entry.
+    marked: AtomicBool,
+    /// Takes what other nodes should know.
+    news: mpsc::UnboundedSender<CrashNews>,
+    /// Told when this node has seen something that must outlive all processes.
+    lasting: Notify,
+    alone: Semaphore,
+}
+
+/// Leave to run a request; the one that runs alone holds the place.
+#[derive(Debug)]
+pub(crate) struct Entrance<'a>(Option<SemaphorePermit<'a>>);
+
+impl CrashRecords {
+    pub(crate) fn new(
+        clock: Clock,
+        logger: Logger,
+        news: mpsc::UnboundedSender<CrashNews>,
+    ) -> Self {
+        let crashes = Mutex::new(Crashes::new(REQUESTS_MAX));
+        let (marked, lasting) = (AtomicBool::new(false), Notify::new());
+        Self { clock, logger, crashes, marked, news, lasting, alone: Semaphore::new(1) }
+    }
+
+    /// How a request may run now.
+    pub(crate) fn passage(&self, print: impl FnOnce() -> Fingerprint) -> CrashPassage {
+        if !self.marked.load(Ordering::Acquire) {
+            return CrashPassage::Open;
+        }
+        self.lock().passage(self.clock.now(), print())
+    }
+
+    /// Lets a request run at the target beside this node, or says when its caller may come back.
+    pub(crate) async fn enter(&self, print: Fingerprint) -> Result<Entrance<'_>, Duration> {
+        match self.passage(|| print) {
+            CrashPassage::Open => return Ok(Entrance(None)),
+            CrashPassage::Refused(left) => return Err(left),
+            CrashPassage::Alone => {}
+        }
+        match tokio::time::timeout(ALONE_WAIT, self.alone.acquire()).await {
+            Ok(Ok(place)) => Ok(Entrance(Some(place))),
+            Ok(Err(_)) | Err(_) => Err(ALONE_RETRY),
+        }
+    }
+
+    /// Checks once more that a request may run, after it has waited; the error says when its caller
+    /// may come back.
+    pub(crate) fn confirm(
+        &self,
+        print: Fingerprint,
+        entrance: &Entrance<'_>,
+    ) -> Result<(), Duration> {
+        match self.passage(|| print) {
+            CrashPassage::Open => Ok(()),
+            CrashPassage::Alone if entrance.0.is_some() => Ok(()),
+            CrashPassage::Alone => Err(ALONE_RETRY),
+            CrashPassage::Refused(left) => Err(left),
+        }
+    }
+
+    /// Takes in that a target ended while it ran a request.
+    pub(crate) fn crashed(&self, print: Fingerprint, life: Life, began: Moment, ended: Moment) {
+        let now = self.clock.now();
+        let mark = CrashMark { print, life, began: now.since(began), ended: now.since(ended) };
+        let (count, lasting) = {
+            let mut crashes = self.lock();
+            let news = crashes.merge(now, &CrashNews { marks: vec![mark], ..Default::default() });
+            self.pass_on(&crashes, news);
+            (crashes.count(print), crashes.is_lasting(print))
+        };
+        info!(self.logger, "crash: target ended under a request";
+            "print" => format!("{:016x}", print.0), "crashes" => count);
+        if lasting {
+            warn!(self.logger, "crash: request refused"; "print" => format!("{:016x}", print.0));
+            self.lasting.notify_one();
+        }
+    }
+
+    /// Takes in that a request ended well.
+    pub(crate) fn succeeded(&self, print: Fingerprint) {
+        let mut crashes = self.lock();
+        let news = crashes.succeeded(self.clock.now(), print);
+        if !news.is_empty() {
+            info!(self.logger, "crash: request ended well"; "print" => format!("{:016x}", print.0));
+        }
+        self.pass_on(&crashes, news);
+    }
+
+    /// As [`CrashRecords::succeeded`], where nothing is remembered of requests without marks.
+    pub(crate) fn answered(&self, print: impl FnOnce() -> Fingerprint) {
+        if self.marked.load(Ordering::Acquire) {
+            self.succeeded(print());
+        }
+    }
+
+    /// Takes in what another node, or the store, tells.
+    pub(crate) fn hear(&self, told: &CrashNews) {
+        let mut crashes = self.lock();
+        let news = crashes.merge(self.clock.now(), told);
+        self.pass_on(&crashes, news);
+    }
+
+    /// What is known of one request.
+    pub(crate) fn told(&self, print: Fingerprint) -> CrashNews {
+        self.lock().told(self.clock.now(), print)
+    }
+
+    /// What is known of all requests that ended a target.
+    pub(crate) fn all(&self) -> CrashNews {
+        self.lock().all(self.clock.now(), 1)
+    }
+
+    /// What must outlive all processes.
+    pub(crate) fn lasting(&self) -> CrashNews {
+        self.lock().lasting(self.clock.now())
+    }
+
+    /// Waits until that has grown by what this node itself has seen.
+    pub(crate) async fn grown(&self) {
+        self.lasting.notified().await;
+    }
+
+    /// Drops what is too old to matter.
+    pub(crate) fn expire(&self) {
+        let mut crashes = self.lock();
+        if !crashes.is_empty() {
+            crashes.expire(self.clock.now());
+            self.marked.store(!crashes.is_clear(), Ordering::Release);
+        }
+    }
+
+    fn pass_on(&self, crashes: &Crashes, news: CrashNews) {
+        if news.is_empty() {
+            return;
+        }
+        self.marked.store(!crashes.is_clear(), Ordering::Release);
+        // Without a receiver the process is about to end.
+        let _ = self.news.send(news);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Crashes> {
+        self.crashes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Service for CrashRecords {
+    fn name(&self) -> &'static str {
+        "crashes"
+    }
+
+    fn dump(&self, now: Moment) -> Value {
+        let crashes = self.lock();
+        let refused = crashes.lasting(now);
+        json!({ "requests": crashes.len(), "refused": refused.marks })
+    }
+}
--- a/node/src/proxy/known/roster.rs
+++ b/node/src/proxy/known/roster.rs
@@ -4,8 +4,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use poplar_core::{
-    Chooser, Digest, InstanceId, Moment, Name, Observed, Ranges, Rank, Roster as Records, Stage,
-    TargetInfo, TargetRecord,
+    Chooser, Digest, Fingerprint, InstanceId, Life, Moment, Name, Observed, Ranges, Rank,
+    Roster as Records, Stage, TargetInfo, TargetRecord,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -82,6 +82,29 @@
         Some(Chosen { instance: choice.instance, peer })
     }
 
+    /// Chooses the target of `service` that alone gets a request under suspicion, the same at all
+    /// nodes that know the same targets, and counts the call as in flight there.
+    pub(crate) fn isolate(
+        &self,
+        service: &Name,
+        print: Fingerprint,
+        tried: &[InstanceId],
+    ) -> Option<Chosen> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let choice = state.choosers.get_mut(service)?.isolate(now, print, tried)?;
+        let peer = state.peers.get(&choice.instance)?.clone();
+        Some(Chosen { instance: choice.instance, peer })
+    }
+
+    /// Life of the target at `chosen`; none if another one is known there by now.
+    pub(crate) fn life(&self, chosen: &Chosen) -> Option<Life> {
+        let state = self.lock();
+        let record = state.records.get(&chosen.peer);
+        let record = record.filter(|record| record.instance == chosen.instance)?;
+        Some(Life::of(&record.instance, record.age.born))
+    }
+
     /// Takes in what came of a call that [`Self::choose`] gave out.
     pub(crate) fn observe(&self, service: &Name, instance: &InstanceId, observed: Observed) {
         let now = self.clock.now();
--- a/node/src/proxy/links/link.rs
+++ b/node/src/proxy/links/link.rs
@@ -75,6 +75,8 @@
     Digests,
     /// Calls that outlive their link, and claims.
     Claims,
+    /// News of requests that ended targets.
+    Crashes,
 }
 
 impl Outbox {
@@ -95,6 +97,11 @@
         self.version >= Version::Claims
     }
 
+    /// Whether the other end takes news of requests that ended targets.
+    pub(crate) fn tells_crashes(&self) -> bool {
+        self.version >= Version::Crashes
+    }
+
     /// Whether the other end knows subscriptions and digests.
     pub(crate) fn compares(&self) -> bool {
         self.version >= Version::Digests
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -22,6 +22,7 @@
 use tokio::sync::mpsc;
 
 use crate::proxy::frame::{Call, CallAnswer, Known, Message, WholeReply};
+use crate::proxy::known::crashes::CrashRecords;
 use crate::proxy::known::roster::Roster;
 use crate::proxy::known::rules::Rules;
 use crate::proxy::links::link::{Link, LinkError, Outbox, Version, drive, lock};
@@ -52,6 +53,11 @@
 const VERSION: &str = "3";
 /// Value that nodes send which hold no runs.
 const DIGESTS_VERSION: &str = "2";
+/// Header in which both ends tell what they understand beyond that version, so that nodes which know
+/// no later version go on with it.
+const FEATURES_HEADER: &str = "poplar-features";
+/// Value of nodes that take news of requests which ended targets.
+const CRASHES_FEATURE: &str = "crashes";
 /// Header with the number by which claims name the link.
 const LINK_HEADER: &str = "poplar-link";
 /// Messages from all links that may wait to be taken in.
@@ -65,6 +71,7 @@
     pub(crate) rules: Arc<Rules>,
     pub(crate) roster: Arc<Roster>,
     pub(crate) runner: Arc<Runner>,
+    pub(crate) crashes: Arc<CrashRecords>,
     pub(crate) traffic: Arc<Traffic>,
     /// Takes what the other ends of links tell apart from calls.
     pub(crate) posts: mpsc::Sender<Post>,
@@ -128,7 +135,7 @@
         once: bool,
     ) -> Result<CallAnswer, LinkError> {
         if *peer == self.own {
-            return Ok(self.runner.run(call).await);
+            return Ok(self.runner.run(&call).await);
         }
         let link = self.link(peer).await?;
         if !(once && link.outbox.claims()) {
@@ -318,6 +325,7 @@
         resp.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
         resp.headers_mut().insert(header::UPGRADE, HeaderValue::from_static(PROTOCOL));
         resp.headers_mut().insert(VERSION_HEADER, HeaderValue::from_static(VERSION));
+        resp.headers_mut().insert(FEATURES_HEADER, HeaderValue::from_static(CRASHES_FEATURE));
         resp
     }
 
@@ -331,8 +339,12 @@
     ) {
         let (outbox, served) = (sender.outbox.clone(), self.runs.open(link, &sender.outbox));
         let run = |call: Box<Call>| {
-            let runner = self.runner.clone();
-            async move { runner.run(*call).await }
+            let (peers, outbox) = (self.clone(), outbox.clone());
+            async move {
+                let answer = peers.runner.run(&call).await;
+                peers.tell_crashes(&call, &answer, &outbox);
+                answer
+            }
         };
         let take = |message| match message {
             Message::Call(number, call) => served.run(number, run(call)),
@@ -345,11 +357,27 @@
         served.end(self.clock.now());
     }
 
+    /// Has the sender of a call know what is held against it before the answer comes, by which it may
+    /// send the request elsewhere.
+    fn tell_crashes(&self, call: &Call, answer: &CallAnswer, outbox: &Outbox) {
+        if outbox.tells_crashes() && !matches!(answer.outcome, Outcome::Done(_)) {
+            let told = self.crashes.told(call.print());
+            if !told.is_empty() {
+                outbox.push(&Message::Crashes(told));
+            }
+        }
+    }
+
     /// Answers a ping and passes on what nodes tell each other apart from calls.
     fn hear(&self, sender: &Sender, message: Message) {
         if matches!(message, Message::Ping(_)) {
             sender.outbox.push(&Message::Pong(self.known()));
         }
+        // Taken in before the answer that may follow it.
+        if let Message::Crashes(told) = &message {
+            self.crashes.hear(told);
+            return;
+        }
         let post = Post { sender: sender.clone(), message };
         if self.posts.try_send(post).is_err() {
             warn!(self.logger, "link: message dropped as too many wait");
@@ -400,6 +428,7 @@
         .header(ZONE_HEADER, zone.as_str())
         .header(NODE_HEADER, own.as_str())
         .header(VERSION_HEADER, VERSION)
+        .header(FEATURES_HEADER, CRASHES_FEATURE)
         .header(LINK_HEADER, id.0)
         .body(Empty::<Bytes>::new())
         .map_err(std::io::Error::other)?;
@@ -422,7 +451,9 @@
 
 /// Version that the other end speaks, by the headers of the upgrade.
 fn version(headers: &HeaderMap) -> Version {
+    let crashes = headers.get(FEATURES_HEADER).is_some_and(|told| told == CRASHES_FEATURE);
     match headers.get(VERSION_HEADER).map(HeaderValue::as_bytes) {
+        Some(told) if told == VERSION.as_bytes() && crashes => Version::Crashes,
         Some(told) if told == VERSION.as_bytes() => Version::Claims,
         Some(told) if told == DIGESTS_VERSION.as_bytes() => Version::Digests,
         _ => Version::Whole,
--- a/node/src/proxy/news/follow.rs
+++ b/node/src/proxy/news/follow.rs
@@ -4,10 +4,10 @@
 //! When it fails, pauses grow and are drawn at random, because all nodes see the failure at once.
 
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use poplar_core::{Moment, Offset, ReadPlan, Reads, TargetRecord, backoff};
+use poplar_core::{CrashNews, Moment, Name, Offset, ReadPlan, Reads, TargetRecord, backoff};
 use poplar_kernel::Clock;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -15,6 +15,7 @@
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
 
+use crate::proxy::known::crashes::CrashRecords;
 use crate::proxy::known::roster::Roster;
 use crate::proxy::known::rules::Rules;
 use crate::proxy::ports::{Page, Platform, Site, StoreError, StoreRecord, Stream};
@@ -35,6 +36,10 @@
 /// or three tries.
 const FAILING_TIME: Duration = Duration::from_millis(600);
 
+/// Beginning of the keys of records that tell which requests ended targets; the rest is the address
+/// of the node that wrote it.
+const CRASHES_PREFIX: &str = "crashes-";
+
 /// Labels of a call to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct StoreCall {
@@ -42,8 +47,8 @@
 }
 
 /// Calls that are counted.
-const CALLS: [&str; 5] =
-    ["newest_rules", "read_rules", "newest_targets", "read_targets", "publish"];
+const CALLS: [&str; 6] =
+    ["newest_rules", "read_rules", "newest_targets", "read_targets", "publish", "publish_crashes"];
 
 /// Calls to the store by what they ask for.
 pub(crate) type StoreCalls = Family<StoreCall, Counter>;
@@ -120,6 +125,7 @@
     pub(crate) rules: Arc<Rules>,
     pub(crate) roster: Arc<Roster>,
     pub(crate) own: Arc<Own>,
+    pub(crate) crashes: Arc<CrashRecords>,
     pub(crate) logger: Logger,
     pub(crate) health: Arc<StoreHealth>,
     /// What this node reads, rather than having it from others.
@@ -172,6 +178,33 @@
         }
     }
 
+    /// Writes which requests must stay refused, whenever this node has seen one crash another target.
+    pub(crate) async fn publish_crashes(self: Arc<Self>) {
+        let key = Name::new(&format!("{CRASHES_PREFIX}{}", self.site.key()));
+        loop {
+            self.crashes.grown().await;
+            let mut failures = 0;
+            loop {
+                let value = match rmp_serde::to_vec(&(unix_time(), self.crashes.lasting())) {
+                    Ok(value) => value,
+                    Err(error) => {
+                        warn!(self.logger, "store: crashes not written"; "error" => %error);
+                        break;
+                    }
+                };
+                self.health.called("publish_crashes");
+                match self.platform.publish(&key, Bytes::from(value)).await {
+                    Ok(()) => break,
+                    Err(error) => {
+                        self.failed("publish_crashes", failures, &error);
+                        tokio::time::sleep(backoff(failures, fastrand::u64(..))).await;
+                        failures += 1;
+                    }
+                }
+            }
+        }
+    }
+
     /// Follows a stream for ever, with pauses while others read for this node.
     async fn follow(&self, stream: Stream, take: impl Fn(&Page), gather: Duration) {
         let mut plan = self.plan.clone();
@@ -259,6 +292,10 @@
             self.roster.forget(&record.key);
             return;
         };
+        if record.key.as_str().starts_with(CRASHES_PREFIX) {
+            self.take_crashes(record, value);
+            return;
+        }
         match rmp_serde::from_slice::<TargetRecord>(value) {
             Ok(target) if target.peer == record.key => {
                 if self.roster.merge(target.clone()) {
@@ -273,6 +310,18 @@
         }
     }
 
+    fn take_crashes(&self, record: &StoreRecord, value: &[u8]) {
+        match rmp_serde::from_slice::<(Duration, CrashNews)>(value) {
+            // A clock that was set back makes what was written no older than just now.
+            Ok((written, told)) => {
+                self.crashes.hear(&told.aged(unix_time().saturating_sub(written)));
+            }
+            Err(error) => {
+                warn!(self.logger, "crashes: record ignored"; "key" => %record.key, "error" => %error);
+            }
+        }
+    }
+
     /// Logs the first failure of a row; the others follow from it.
     fn failed(&self, what: &'static str, failures: u32, error: &StoreError) {
         if failures == 0 {
@@ -281,6 +330,11 @@
     }
 }
 
+/// Time of day, as time since the Unix epoch; only ages that outlive a process follow from it.
+fn unix_time() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 fn reads(plan: &ReadPlan, stream: Stream) -> bool {
     match stream {
         Stream::Rules => plan.reads.rules,
--- a/node/src/proxy/news/tell.rs
+++ b/node/src/proxy/news/tell.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    FAR_BEAT, Moment, NEAR_BEAT, Name, RENEWAL, ReadPlan, Readers, Reads, SUBSCRIPTION_TIME,
-    Sighting, Stage, TargetRecord, ToldSightings,
+    CrashNews, FAR_BEAT, Moment, NEAR_BEAT, Name, RENEWAL, ReadPlan, Readers, Reads,
+    SUBSCRIPTION_TIME, Sighting, Stage, TargetRecord, ToldSightings,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -19,6 +19,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::proxy::frame::{Known, Message};
+use crate::proxy::known::crashes::CrashRecords;
 use crate::proxy::known::graph::Graph;
 use crate::proxy::known::roster::Roster;
 use crate::proxy::known::rules::Rules;
@@ -52,6 +53,7 @@
     pub(crate) peers: Arc<Peers>,
     pub(crate) target: Arc<Own>,
     pub(crate) health: Arc<StoreHealth>,
+    pub(crate) crashes: Arc<CrashRecords>,
     pub(crate) readers: Readers,
     /// Whom this node subscribes to and what it reads from the store.
     pub(crate) plan: watch::Sender<ReadPlan>,
@@ -102,6 +104,7 @@
         mut self,
         mut posts: mpsc::Receiver<Post>,
         mut changes: mpsc::UnboundedReceiver<TargetRecord>,
+        mut crashes: mpsc::UnboundedReceiver<CrashNews>,
     ) {
         let mut rules = self.rules.watch();
         let (reached, mut ends) = mpsc::unbounded_channel();
@@ -117,6 +120,10 @@
                     // At a start this names the readers, for whom callers wait.
                     self.tick(&reached);
                 }
+                Some(mut news) = crashes.recv() => {
+                    std::iter::from_fn(|| crashes.try_recv().ok()).for_each(|more| news.extend(more));
+                    self.spread_crashes(news);
+                }
                 Ok(()) = rules.changed() => self.announce(),
                 Some(end) = ends.recv() => self.reached(end),
                 _ = ticks.tick() => self.tick(&reached),
@@ -135,6 +142,7 @@
             self.state.sources.retain(|peer, _| plan.sources.contains(peer));
             self.plan.send_replace(plan.clone());
         }
+        self.crashes.expire();
         let sightings = self.graph.sightings();
         for peer in &plan.sources {
             self.subscribe(now, peer, &sightings, reached);
@@ -200,7 +208,11 @@
         if let Some(outbox) = &outbox {
             outbox.push(&Message::Subscribe(known));
         }
+        let new = outbox.clone();
         *source = Source { outbox, renewed: now, ..Source::default() };
+        if let Some(outbox) = new {
+            self.tell_crashes(&outbox);
+        }
     }
 
     /// Gives the subscribers the signs of life and the sightings that are due.
@@ -252,6 +264,24 @@
         }
     }
 
+    /// Tells all neighbours, which pass on what is news to them.
+    fn spread_crashes(&self, news: CrashNews) {
+        let sources = self.state.sources.values().filter_map(|source| source.outbox.as_ref());
+        let subscribers = self.state.subscribers.values().map(|subscriber| &subscriber.outbox);
+        let message = Message::Crashes(news);
+        for outbox in sources.chain(subscribers).filter(|outbox| outbox.tells_crashes()) {
+            outbox.push(&message);
+        }
+    }
+
+    /// Tells a new neighbour all that is known of crashes.
+    fn tell_crashes(&self, outbox: &Outbox) {
+        let all = self.crashes.all();
+        if outbox.tells_crashes() && !all.is_empty() {
+            outbox.push(&Message::Crashes(all));
+        }
+    }
+
     /// Takes in what another node tells.
     fn take(&mut self, post: Post) {
         let now = self.clock.now();
@@ -297,7 +327,8 @@
             | Message::HeldCall(..)
             | Message::Cancel(_)
             | Message::Claim(..)
-            | Message::Answer(..) => {}
+            | Message::Answer(..)
+            | Message::Crashes(_) => {}
         }
     }
 
@@ -312,6 +343,7 @@
                 let outbox = sender.outbox.clone();
                 outbox.push(&Message::Beat(known, fresh));
                 let told = ToldSightings::default();
+                self.tell_crashes(&outbox);
                 let subscriber = Subscriber { outbox, renewed: now, beaten: now, told };
                 self.state.subscribers.insert(node.clone(), subscriber);
             }
--- a/node/src/proxy/ports.rs
+++ b/node/src/proxy/ports.rs
@@ -83,7 +83,7 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Page, StoreError>> + Send;
 
-    /// Writes the record of this node's target; repeating it does no harm.
+    /// Writes a record of this node among those of the targets; repeating it does no harm.
     fn publish(
         &self,
         key: &Name,
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -21,6 +21,8 @@
 use crate::proxy::callers::account::Account;
 use crate::proxy::callers::serve::Callers;
 use crate::proxy::callers::trip::Trips;
+use crate::proxy::known::Knowledge;
+use crate::proxy::known::crashes::CrashRecords;
 use crate::proxy::known::graph::Graph;
 use crate::proxy::known::roster::Roster;
 use crate::proxy::known::rules::Rules;
@@ -88,6 +90,10 @@
         let gate = Arc::new(Gate::new(clock));
         let (changed, changes) = mpsc::unbounded_channel();
         let roster = Arc::new(Roster::new(clock, site.zone.clone(), changed));
+        let (crashed, crash_news) = mpsc::unbounded_channel();
+        let crashes = Arc::new(CrashRecords::new(clock, part(root, "crash"), crashed));
+        let known =
+            Knowledge { rules: rules.clone(), roster: roster.clone(), crashes: crashes.clone() };
         let target = part(root, "target");
         let exchange = Exchange::new(clock, dialect.clone(), site.target.clone(), site.memory);
         let exchange = Arc::new(exchange);
@@ -97,8 +103,7 @@
             target,
             gate.clone(),
             exchange.clone(),
-            roster.clone(),
-            rules.clone(),
+            known.clone(),
         ));
         let graph = Arc::new(Graph::new(clock, site.service.clone()));
         let decisions = Arc::new(Decisions::new(clock, part(root, "request")));
@@ -108,7 +113,7 @@
             own.clone(),
             exchange,
             graph.clone(),
-            rules.clone(),
+            known,
             decisions.clone(),
         ));
         let traffic = Arc::new(Traffic::default());
@@ -120,6 +125,7 @@
             rules: rules.clone(),
             roster: roster.clone(),
             runner: runner.clone(),
+            crashes: crashes.clone(),
             traffic: traffic.clone(),
             posts,
             logger: part(root, "link"),
@@ -144,6 +150,7 @@
             roster: roster.clone(),
             peers: peers.clone(),
             graph: graph.clone(),
+            crashes: crashes.clone(),
             resends: Mutex::new(ResendBudget::new(site.bounds.resends)),
         };
         let callers = Arc::new(Callers {
@@ -168,6 +175,7 @@
         registry.register(peers.clone());
         registry.register(metrics.clone());
         registry.register(graph.clone());
+        registry.register(crashes.clone());
         let (sender, read) = watch::channel(false);
         let (plan, plans) = watch::channel(ReadPlan::default());
         registry.register(Arc::new(PlanView(plans.clone())));
@@ -180,12 +188,13 @@
             peers: peers.clone(),
             target: own.clone(),
             health: health.clone(),
+            crashes: crashes.clone(),
             readers: Readers::new(site.key(), site.zone.clone()),
             plan,
             logger: part(root, "news"),
             state: Default::default(),
         };
-        tokio::spawn(news.run(posted, changes));
+        tokio::spawn(news.run(posted, changes, crash_news));
         follow(Follower {
             clock,
             platform: Arc::new(platform),
@@ -193,6 +202,7 @@
             rules: rules.clone(),
             roster,
             own: own.clone(),
+            crashes,
             logger: part(root, "store"),
             health: health.clone(),
             plan: plans,
@@ -271,6 +281,7 @@
     let follower = Arc::new(follower);
     tokio::spawn(follower.clone().rules());
     tokio::spawn(follower.clone().targets());
+    tokio::spawn(follower.clone().publish_crashes());
     tokio::spawn(follower.publish());
 }
 
--- a/node/src/proxy/target/own.rs
+++ b/node/src/proxy/target/own.rs
@@ -1,10 +1,12 @@
 //! The target beside this node: what it says of itself, and the record that follows from it.
 
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use poplar_core::{
-    Age, ImportanceScale, InstanceId, Moment, Name, Shedding, Stage, TargetLimits, TargetRecord,
+    Age, Fingerprint, ImportanceScale, InstanceId, Life, Moment, Name, Shedding, Stage,
+    TargetLimits, TargetRecord,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -13,6 +15,8 @@
 
 use crate::gate::Gate;
 
+use crate::proxy::known::Knowledge;
+use crate::proxy::known::crashes::CrashRecords;
 use crate::proxy::known::roster::Roster;
 use crate::proxy::known::rules::Rules;
 use crate::proxy::ports::Site;
@@ -22,6 +26,12 @@
 /// request that was let in; a full queue of short calls drains well within their time limits.
 const QUEUE_PER_SLOT: u32 = 4;
 
+/// Time after the announcement of another life of the target for which what the one before had
+/// written may still be read; both are on this machine.
+const LAST_BYTES_TIME: Duration = Duration::from_millis(100);
+/// Runs without an answer that are remembered; more than targets run at once.
+const UNANSWERED_MAX: usize = 512;
+
 /// Time for which an acknowledgement waits for the store; targets ask again after a second.
 const SETTLE_TIME: Duration = Duration::from_millis(600);
 
@@ -64,7 +74,10 @@
     exchange: Arc<Exchange>,
     roster: Arc<Roster>,
     rules: Arc<Rules>,
+    crashes: Arc<CrashRecords>,
     state: Mutex<State>,
+    /// Life of the target.
+    life: watch::Sender<Option<Life>>,
     changed: Notify,
     /// Start and stage of the target as the store has them.
     recorded: watch::Sender<Option<(u64, Stage)>>,
@@ -74,6 +87,19 @@
 struct State {
     target: Option<Announcement>,
     heard: Moment,
+    /// Last sign of life of the target: an announcement, or an answer.
+    sign: Moment,
+    /// The same of the life before this one.
+    silent: Moment,
+    /// Runs without an answer since the last sign of life, the latest last.
+    unanswered: VecDeque<Unanswered>,
+}
+
+/// Run that ended without an answer: at its deadline, or as its caller left.
+#[derive(Debug)]
+struct Unanswered {
+    print: Fingerprint,
+    began: Moment,
 }
 
 impl Own {
@@ -83,12 +109,25 @@
         logger: Logger,
         gate: Arc<Gate>,
         exchange: Arc<Exchange>,
-        roster: Arc<Roster>,
-        rules: Arc<Rules>,
+        known: Knowledge,
     ) -> Self {
+        let Knowledge { rules, roster, crashes } = known;
         let (state, changed) = (Mutex::default(), Notify::new());
-        let recorded = watch::Sender::new(None);
-        Self { clock, site, logger, gate, exchange, roster, rules, state, changed, recorded }
+        let (life, recorded) = (watch::Sender::new(None), watch::Sender::new(None));
+        Self {
+            clock,
+            site,
+            logger,
+            gate,
+            exchange,
+            roster,
+            rules,
+            crashes,
+            state,
+            life,
+            changed,
+            recorded,
+        }
     }
 
     /// Takes a statement of a target in.
@@ -119,9 +158,21 @@
         let stage = known.filter(|_| same_life).map_or(said.stage, |k| k.stage.max(said.stage));
         let same = same_life && known.is_some_and(|k| k.stage == stage && k.slots == said.slots);
         let said = Announcement { stage, ..said };
-        state.target = Some(said.clone());
+        let before = state.target.replace(said.clone());
+        let unanswered = std::mem::take(&mut state.unanswered);
+        let silent = std::mem::replace(&mut state.sign, now);
+        if !same_life {
+            state.silent = silent;
+        }
         drop(state);
         if !same_life {
+            if let Some(before) = before.filter(|before| before.stage != Stage::Left) {
+                let life = Life::of(&before.instance, before.age.born);
+                for Unanswered { print, began } in unanswered {
+                    self.crashes.crashed(print, life, began, began.max(silent));
+                }
+            }
+            self.life.send_replace(Some(Life::of(&said.instance, said.age.born)));
             self.admit(&said);
         }
         if !same {
@@ -150,6 +201,52 @@
         self.lock().target.as_ref().map(|target| (target.instance.clone(), target.stage))
     }
 
+    /// Life of the target, if it is `instance`.
+    pub(crate) fn life_of(&self, instance: &InstanceId) -> Option<Life> {
+        let state = self.lock();
+        let target = state.target.as_ref().filter(|target| target.instance == *instance)?;
+        Some(Life::of(instance, target.age.born))
+    }
+
+    /// Waits until another life of the target has begun, and what the one before had written must
+    /// have come.
+    pub(crate) async fn replaced(&self, life: Life) {
+        let mut lives = self.life.subscribe();
+        // Without a sender the process is about to end.
+        let _ = lives.wait_for(|current| current.is_some_and(|current| current != life)).await;
+        tokio::time::sleep(LAST_BYTES_TIME).await;
+    }
+
+    /// Takes in that the target gave an answer.
+    pub(crate) fn answered(&self) {
+        let mut state = self.lock();
+        state.sign = self.clock.now();
+        state.unanswered.clear();
+    }
+
+    /// Takes in that a run ended without an answer, which says something only if the target turns
+    /// out to have ended.
+    pub(crate) fn unanswered(&self, print: Fingerprint, life: Life, began: Moment) {
+        let mut state = self.lock();
+        if *self.life.borrow() != Some(life) {
+            return;
+        }
+        if state.unanswered.len() >= UNANSWERED_MAX {
+            state.unanswered.pop_front();
+        }
+        state.unanswered.push_back(Unanswered { print, began });
+    }
+
+    /// Takes in that the connection of a run broke.
+    pub(crate) fn broken(&self, print: Fingerprint, life: Life, began: Moment) {
+        let ended = match *self.life.borrow() == Some(life) {
+            true => self.clock.now(),
+            // It fell silent, nobody knows when.
+            false => began.max(self.lock().silent),
+        };
+        self.crashes.crashed(print, life, began, ended);
+    }
+
     /// Record of the target as the other nodes should hold it.
     pub(crate) fn record(&self) -> Option<TargetRecord> {
         let state = self.lock();
--- a/node/src/proxy/target/run.rs
+++ b/node/src/proxy/target/run.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use poplar_core::{Barrier, ErrorKind, InstanceId, Moment, Outcome, Stage, TargetEnd, Treatment};
+use poplar_core::{
+    Barrier, ErrorKind, Fingerprint, InstanceId, Life, Moment, Outcome, Stage, TargetEnd, Treatment,
+};
 use poplar_kernel::Clock;
 
 use crate::gate::{Entrant, Gate};
@@ -12,6 +14,8 @@
 use crate::proxy::decisions::{Decision, Decisions};
 use crate::proxy::frame::{Call, CallAnswer, WholeReply};
 use crate::proxy::in_flight::InFlight;
+use crate::proxy::known::Knowledge;
+use crate::proxy::known::crashes::CrashRecords;
 use crate::proxy::known::graph::Graph;
 use crate::proxy::known::rules::Rules;
 use crate::proxy::target::exchange::Exchange;
@@ -32,6 +36,7 @@
     exchange: Arc<Exchange>,
     graph: Arc<Graph>,
     rules: Arc<Rules>,
+    crashes: Arc<CrashRecords>,
     decisions: Arc<Decisions>,
     /// Why no further call is taken, once the node stops.
     sealed: OnceLock<ErrorKind>,
@@ -45,11 +50,12 @@
         own: Arc<Own>,
         exchange: Arc<Exchange>,
         graph: Arc<Graph>,
-        rules: Arc<Rules>,
+        known: Knowledge,
         decisions: Arc<Decisions>,
     ) -> Self {
+        let Knowledge { rules, crashes, .. } = known;
         let (sealed, in_flight) = (OnceLock::new(), AtomicUsize::new(0));
-        Self { clock, gate, own, exchange, graph, rules, decisions, sealed, in_flight }
+        Self { clock, gate, own, exchange, graph, rules, crashes, decisions, sealed, in_flight }
     }
 
     /// Refuses all further calls.
@@ -63,10 +69,10 @@
     }
 
     /// Runs a call; dropping the future cancels the run.
-    pub(crate) async fn run(&self, call: Call) -> CallAnswer {
+    pub(crate) async fn run(&self, call: &Call) -> CallAnswer {
         let _in_flight = InFlight::begin(&self.in_flight);
         let began = self.clock.now();
-        let answer = self.admit(&call, began).await;
+        let answer = self.admit(call, began).await;
         let (level, load) = self.gate.surge();
         let told = self.graph.tell();
         let answer = CallAnswer { level, told, load: load as f32, ..answer };
@@ -88,6 +94,11 @@
         if let Some(kind) = self.unfit(&call.instance) {
             return CallAnswer::refused(kind, LEAVING_RETRY);
         }
+        let print = call.print();
+        let entrance = match self.crashes.enter(print).await {
+            Ok(entrance) => entrance,
+            Err(retry_after) => return CallAnswer::refused(ErrorKind::CrashSuspect, retry_after),
+        };
         let permit = match self.gate.enter(entrant(call)).await {
             Ok(permit) => permit,
             Err(refusal) => return CallAnswer::refused(refusal.kind, refusal.retry_after),
@@ -96,10 +107,22 @@
         if let Some(kind) = self.unfit(&call.instance) {
             return CallAnswer::refused(kind, LEAVING_RETRY);
         }
+        if let Err(retry_after) = self.crashes.confirm(print, &entrance) {
+            return CallAnswer::refused(ErrorKind::CrashSuspect, retry_after);
+        }
+        let Some(life) = self.own.life_of(&call.instance) else {
+            return CallAnswer::refused(ErrorKind::NoTarget, LEAVING_RETRY);
+        };
         let running = self.graph.begin(call);
-        let left = call.left.saturating_sub(self.clock.now().since(began));
+        let now = self.clock.now();
+        let left = call.left.saturating_sub(now.since(began));
+        let watched = Watched { runner: self, print, life, began: now, end: None };
         let run = self.exchange.run(call, &call.instance, left);
-        let end = tokio::time::timeout(left + LAST_WORD, run).await.unwrap_or(TargetEnd::Deadline);
+        let end = tokio::select! {
+            end = tokio::time::timeout(left + LAST_WORD, run) => end.unwrap_or(TargetEnd::Deadline),
+            () = self.own.replaced(life) => TargetEnd::Broken,
+        };
+        watched.ended(&end);
         let offered = !matches!(end, TargetEnd::NotConnected);
         let outcome = end.outcome(SHED_RETRY);
         if offered {
@@ -126,6 +149,59 @@
     }
 }
 
+/// Run of whose end others may have to know, also when its caller leaves.
+struct Watched<'a> {
+    runner: &'a Runner,
+    print: Fingerprint,
+    life: Life,
+    began: Moment,
+    end: Option<End>,
+}
+
+/// What the end of a run says of its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// It has run the request, or not begun it.
+    Alive { served: bool },
+    /// It may have ended.
+    Broken,
+    /// Nothing came from it.
+    Silent,
+    /// It was handed nothing.
+    Unoffered,
+}
+
+impl Watched<'_> {
+    fn ended(mut self, end: &TargetEnd<WholeReply>) {
+        self.end = Some(match end {
+            TargetEnd::Answer { answer, shed, .. } => {
+                End::Alive { served: shed.is_none() && !answer.is_failure() }
+            }
+            TargetEnd::BadAnswer | TargetEnd::TooLarge => End::Alive { served: false },
+            TargetEnd::Broken => End::Broken,
+            TargetEnd::Deadline | TargetEnd::Cancelled => End::Silent,
+            TargetEnd::NotConnected => End::Unoffered,
+        });
+    }
+}
+
+impl Drop for Watched<'_> {
+    fn drop(&mut self) {
+        let Self { runner, print, life, began, end } = self;
+        match end.unwrap_or(End::Silent) {
+            End::Alive { served } => {
+                runner.own.answered();
+                if served {
+                    runner.crashes.succeeded(*print);
+                }
+            }
+            End::Broken => runner.own.broken(*print, *life, *began),
+            End::Silent => runner.own.unanswered(*print, *life, *began),
+            End::Unoffered => {}
+        }
+    }
+}
+
 /// How the target treated a call that it was handed.
 fn treatment(outcome: &Outcome<WholeReply>) -> Treatment {
     match outcome {
