Keep the crashes of a request whoever of their witnesses hears of the others last

Cause: the node that saw the third crash wrote the marks only if it had been told of the other two by then; told later, nobody wrote. Now whoever has seen one of the crashes writes once the request is refused.

--- a/core/src/crashes.rs
+++ b/core/src/crashes.rs
@@ -134,6 +134,8 @@
     /// Marks in the order of their ends.
     marks: Vec<Mark>,
     success: Option<Micros>,
+    /// Whether this node has seen one of the crashes itself.
+    seen: bool,
 }
 
 /// Marks and successes that one node knows.
@@ -218,6 +220,24 @@
         news
     }
 
+    /// Takes in a crash that this node has seen; returns what others should know.
+    pub fn saw(&mut self, now: Moment, mark: CrashMark) -> CrashNews {
+        let news = self.merge(now, &CrashNews { marks: vec![mark], ..CrashNews::default() });
+        if let Some(record) = self.records.get_mut(&mark.print) {
+            record.seen = true;
+        }
+        news
+    }
+
+    /// Whether `news` have a request refused of whose crashes this node has seen one, so that it sees
+    /// to it that they outlive all processes. The others may have been told in any order.
+    pub fn is_owed(&self, news: &CrashNews) -> bool {
+        news.marks.iter().any(|mark| {
+            let record = self.records.get(&mark.print);
+            record.is_some_and(|record| record.seen && record.count() >= REFUSED_MARKS)
+        })
+    }
+
     /// What others should know of one request.
     pub fn told(&self, now: Moment, print: Fingerprint) -> CrashNews {
         let mut news = CrashNews::default();
@@ -241,11 +261,6 @@
         self.all(now, REFUSED_MARKS)
     }
 
-    /// Whether the request is refused until its marks are forgotten, trials apart.
-    pub fn is_lasting(&self, print: Fingerprint) -> bool {
-        self.count(print) >= REFUSED_MARKS
-    }
-
     /// Drops what is too old to matter.
     pub fn expire(&mut self, now: Moment) {
         let now = micros(now);
--- a/core/tests/crashes.rs
+++ b/core/tests/crashes.rs
@@ -130,6 +130,23 @@
     }
 }
 
+/// The node that sees the third crash may hear of the others only after it; whoever has seen one keeps
+/// them for processes that start later.
+#[test]
+fn crashes_are_kept_whatever_the_order_in_which_the_one_who_saw_the_last_hears_of_them() {
+    let mut known = Crashes::new(CAPACITY);
+    let seen = known.saw(at(3_000), mark(3_000, FATAL, 3, 2_999, 3_000));
+    assert!(!known.is_owed(&seen));
+    let first = known.merge(at(3_010), &marks(vec![mark(3_010, FATAL, 1, 999, 1_000)]));
+    assert!(!known.is_owed(&first));
+    let second = known.merge(at(3_020), &marks(vec![mark(3_020, FATAL, 2, 1_999, 2_000)]));
+    assert!(known.is_owed(&second));
+    // A node that has seen none leaves it to those who have.
+    let mut other = Crashes::new(CAPACITY);
+    let news = other.merge(at(3_020), &known.all(at(3_020), 1));
+    assert_eq!((news.marks.len(), other.is_owed(&news)), (3, false));
+}
+
 /// A process that starts has a clock of its own, on which the crashes lie before its start.
 #[test]
 fn what_was_kept_counts_in_a_process_that_starts_later() {
--- a/node/src/proxy/known/crashes.rs
+++ b/node/src/proxy/known/crashes.rs
@@ -89,18 +89,14 @@
     pub(crate) fn crashed(&self, print: Fingerprint, life: Life, began: Moment, ended: Moment) {
         let now = self.clock.now();
         let mark = CrashMark { print, life, began: now.since(began), ended: now.since(ended) };
-        let (count, lasting) = {
+        let count = {
             let mut crashes = self.lock();
-            let news = crashes.merge(now, &CrashNews { marks: vec![mark], ..Default::default() });
+            let news = crashes.saw(now, mark);
             self.pass_on(&crashes, news);
-            (crashes.count(print), crashes.is_lasting(print))
+            crashes.count(print)
         };
         info!(self.logger, "crash: target ended under a request";
             "print" => format!("{:016x}", print.0), "crashes" => count);
-        if lasting {
-            warn!(self.logger, "crash: request refused"; "print" => format!("{:016x}", print.0));
-            self.lasting.notify_one();
-        }
     }
 
     /// Takes in that a request ended well.
@@ -161,6 +157,11 @@
             return;
         }
         self.marked.store(!crashes.is_clear(), Ordering::Release);
+        if crashes.is_owed(&news) {
+            warn!(self.logger, "crash: requests refused from now on";
+                "requests" => news.marks.len());
+            self.lasting.notify_one();
+        }
         // Without a receiver the process is about to end.
         let _ = self.news.send(news);
     }
