Leave a target alone that breaks all connections

Cause, by the log: each of these requests may have run, so it is sent on out of the budget, which such a target uses up within a second. Change: after three broken runs in a row the node hands it one at growing pauses and refuses the rest unsent.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -25,6 +25,7 @@
 mod reach;
 mod readers;
 mod resend;
+mod resets;
 mod roster;
 mod rules;
 mod runs;
@@ -78,6 +79,7 @@
 pub use reach::{Barrier, Reach};
 pub use readers::{FAR_BEAT, NEAR_BEAT, RENEWAL, ReadPlan, Readers, Reads, SUBSCRIPTION_TIME};
 pub use resend::{ResendBound, ResendBudget, ResendCause};
+pub use resets::Resets;
 pub use roster::{Age, Digest, Ranges, Roster, Stage, TargetRecord};
 pub use rules::{CallerLimits, Repeat, RouteIndex, RouteRule, RuleSet, ServiceRule, Share};
 pub use runs::{RunningCall, Runs};
--- a/node/src/proxy/target/own.rs
+++ b/node/src/proxy/target/own.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Age, Fingerprint, ImportanceScale, InstanceId, Life, Moment, Name, Shedding, Stage,
+    Age, Fingerprint, ImportanceScale, InstanceId, Life, Moment, Name, Resets, Shedding, Stage,
     TargetLimits, TargetRecord,
 };
 use poplar_kernel::{Clock, Service};
@@ -93,6 +93,7 @@
     silent: Moment,
     /// Runs without an answer since the last sign of life, the latest last.
     unanswered: VecDeque<Unanswered>,
+    resets: Resets,
 }
 
 /// Run that ended without an answer: at its deadline, or as its caller left.
@@ -163,6 +164,7 @@
         let silent = std::mem::replace(&mut state.sign, now);
         if !same_life {
             state.silent = silent;
+            state.resets = Resets::default();
         }
         drop(state);
         if !same_life {
@@ -222,6 +224,18 @@
         let mut state = self.lock();
         state.sign = self.clock.now();
         state.unanswered.clear();
+        state.resets.answered();
+    }
+
+    /// Takes in that the target answered without running the request. Another life may have done so
+    /// that is not known yet, so it is no sign of life of this one.
+    pub(crate) fn refused(&self) {
+        self.lock().resets.answered();
+    }
+
+    /// Whether the target may be handed a request now.
+    pub(crate) fn takes_work(&self) -> bool {
+        self.lock().resets.admit(self.clock.now())
     }
 
     /// Takes in that a run ended without an answer, which says something only if the target turns
@@ -239,10 +253,14 @@
 
     /// Takes in that the connection of a run broke.
     pub(crate) fn broken(&self, print: Fingerprint, life: Life, began: Moment) {
-        let ended = match *self.life.borrow() == Some(life) {
-            true => self.clock.now(),
-            // It fell silent, nobody knows when.
-            false => began.max(self.lock().silent),
+        let current = *self.life.borrow() == Some(life);
+        let ended = {
+            let mut state = self.lock();
+            if current {
+                state.resets.broken();
+            }
+            // One that fell silent has ended nobody knows when.
+            if current { self.clock.now() } else { began.max(state.silent) }
         };
         self.crashes.crashed(print, life, began, ended);
     }
--- a/node/src/proxy/target/run.rs
+++ b/node/src/proxy/target/run.rs
@@ -113,6 +113,9 @@
         let Some(life) = self.own.life_of(&call.instance) else {
             return CallAnswer::refused(ErrorKind::NoTarget, LEAVING_RETRY);
         };
+        if !self.own.takes_work() {
+            return CallAnswer::refused(ErrorKind::Connection, LEAVING_RETRY);
+        }
         let running = self.graph.begin(call);
         let now = self.clock.now();
         let left = call.left.saturating_sub(now.since(began));
@@ -161,8 +164,10 @@
 /// What the end of a run says of its target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum End {
-    /// It has run the request, or not begun it.
+    /// It has run the request.
     Alive { served: bool },
+    /// It has not run the request, perhaps because another life has begun there.
+    Refused,
     /// It may have ended.
     Broken,
     /// Nothing came from it.
@@ -174,9 +179,8 @@
 impl Watched<'_> {
     fn ended(mut self, end: &TargetEnd<WholeReply>) {
         self.end = Some(match end {
-            TargetEnd::Answer { answer, shed, .. } => {
-                End::Alive { served: shed.is_none() && !answer.is_failure() }
-            }
+            TargetEnd::Answer { shed: Some(_), .. } => End::Refused,
+            TargetEnd::Answer { answer, .. } => End::Alive { served: !answer.is_failure() },
             TargetEnd::BadAnswer | TargetEnd::TooLarge => End::Alive { served: false },
             TargetEnd::Broken => End::Broken,
             TargetEnd::Deadline | TargetEnd::Cancelled => End::Silent,
@@ -195,6 +199,7 @@
                     runner.crashes.succeeded(*print);
                 }
             }
+            End::Refused => runner.own.refused(),
             End::Broken => runner.own.broken(*print, *life, *began),
             End::Silent => runner.own.unanswered(*print, *life, *began),
             End::Unoffered => {}
