Remember a leave that comes before its target is known

Cause: a process that has just started and knows no target takes a leave for one about nobody, acknowledges it at once and forgets it; a late heartbeat, the store or a peer that still has the target as serving puts it in use. Ruled out: the acknowledgement of a known target (settled waits for the store; tests of before).

--- a/node/src/proxy/mod.rs
+++ b/node/src/proxy/mod.rs
@@ -26,6 +26,7 @@
 mod process;
 mod report;
 mod target;
+mod unix_time;
 
 pub use accept::accept;
 pub use ports::{Bounds, Dialect, Page, Platform, Site, StoreError, StoreRecord, Stream};
--- a/node/src/proxy/news/follow.rs
+++ b/node/src/proxy/news/follow.rs
@@ -4,7 +4,7 @@
 //! When it fails, pauses grow and are drawn at random, because all nodes see the failure at once.
 
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use poplar_core::{CrashNews, Moment, Name, Offset, ReadPlan, Reads, TargetRecord, backoff};
@@ -20,6 +20,7 @@
 use crate::proxy::known::rules::Rules;
 use crate::proxy::ports::{Page, Platform, Site, StoreError, StoreRecord, Stream};
 use crate::proxy::target::own::Own;
+use crate::proxy::unix_time::unix_time;
 
 /// Longest wait of one read. A store that has fallen silent to this node alone, on a connection that
 /// looks alive, is found out after this and the bound on a call; until then others read on trust.
@@ -283,6 +284,7 @@
             if let Some(record) = records.iter().find(|record| record.peer == own) {
                 self.own.adopt(record, true);
             }
+            self.own.inform();
             self.read.send_replace(true);
         }
     }
@@ -330,11 +332,6 @@
     }
 }
 
-/// Time of day, as time since the Unix epoch; only ages that outlive a process follow from it.
-fn unix_time() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
-}
-
 fn reads(plan: &ReadPlan, stream: Stream) -> bool {
     match stream {
         Stream::Rules => plan.reads.rules,
--- a/node/src/proxy/target/own.rs
+++ b/node/src/proxy/target/own.rs
@@ -21,6 +21,7 @@
 use crate::proxy::known::rules::Rules;
 use crate::proxy::ports::Site;
 use crate::proxy::target::exchange::Exchange;
+use crate::proxy::unix_time::unix_time;
 
 /// Calls that may wait per slot of the target. A call that has come this far belongs mostly to a
 /// request that was let in; a full queue of short calls drains well within their time limits.
@@ -29,6 +30,9 @@
 /// Time after the announcement of another life of the target for which what the one before had
 /// written may still be read; both are on this machine.
 const LAST_BYTES_TIME: Duration = Duration::from_millis(100);
+/// Instances that left unknown and are remembered; one machine has one target at a time, and starts
+/// take seconds.
+const DEPARTED_MAX: usize = 64;
 /// Runs without an answer that are remembered; more than targets run at once.
 const UNANSWERED_MAX: usize = 512;
 
@@ -81,6 +85,8 @@
     changed: Notify,
     /// Start and stage of the target as the store has them.
     recorded: watch::Sender<Option<(u64, Stage)>>,
+    /// Whether the store's records have been read.
+    informed: watch::Sender<bool>,
 }
 
 #[derive(Debug, Default)]
@@ -94,6 +100,27 @@
     /// Runs without an answer since the last sign of life, the latest last.
     unanswered: VecDeque<Unanswered>,
     resets: Resets,
+    /// Instances that left before anything was known of them.
+    departed: Departed,
+}
+
+/// Instances that left, each with the latest start that this says something about, in milliseconds of
+/// Unix time.
+#[derive(Debug, Default)]
+struct Departed(VecDeque<(InstanceId, u64)>);
+
+impl Departed {
+    fn note(&mut self, instance: InstanceId, last: u64) {
+        if self.0.len() >= DEPARTED_MAX {
+            self.0.pop_front();
+        }
+        self.0.push_back((instance, last));
+    }
+
+    /// Whether the life of `instance` that began at `born` has left.
+    fn covers(&self, instance: &InstanceId, born: u64) -> bool {
+        self.0.iter().any(|(known, last)| known == instance && born <= *last)
+    }
 }
 
 /// Run that ended without an answer: at its deadline, or as its caller left.
@@ -128,6 +155,7 @@
             life,
             changed,
             recorded,
+            informed: watch::Sender::new(false),
         }
     }
 
@@ -156,7 +184,11 @@
         let same_life = known.is_some_and(|known| {
             known.age.born == said.age.born && known.instance == said.instance
         });
-        let stage = known.filter(|_| same_life).map_or(said.stage, |k| k.stage.max(said.stage));
+        let mut stage = known.filter(|_| same_life).map_or(said.stage, |k| k.stage.max(said.stage));
+        let departed = stage < Stage::Left && state.departed.covers(&said.instance, said.age.born);
+        if departed {
+            stage = Stage::Left;
+        }
         let same = same_life && known.is_some_and(|k| k.stage == stage && k.slots == said.slots);
         let said = Announcement { stage, ..said };
         let before = state.target.replace(said.clone());
@@ -181,7 +213,7 @@
             info!(self.logger, "target: changed"; "instance" => %said.instance,
                 "stage" => ?said.stage, "slots" => said.slots, "born" => said.age.born,
                 "sequence" => said.age.sequence);
-            if publishes {
+            if publishes || departed {
                 self.publish(&said);
             }
         }
@@ -189,11 +221,19 @@
     }
 
     /// Takes in that `instance` leaves; says whether it is the target beside this node.
+    ///
+    /// Of one that is not known, that is remembered until it says that it has started since.
     pub fn leave(&self, instance: &InstanceId, born: Option<u64>) -> Heard {
-        let Some(known) = self.lock().target.clone() else { return Heard::Taken };
-        if known.instance != *instance || born.is_some_and(|born| born != known.age.born) {
+        let known = self.lock().target.clone();
+        let known = known.filter(|known| {
+            known.instance == *instance && born.is_none_or(|born| born == known.age.born)
+        });
+        let Some(known) = known else {
+            let last = born.unwrap_or(unix_time().as_millis() as u64);
+            self.lock().departed.note(instance.clone(), last);
+            info!(self.logger, "target: one that is not known leaves"; "instance" => %instance);
             return Heard::Outdated;
-        }
+        };
         let age = Age { sequence: known.age.sequence + 1, ..known.age };
         self.hear(Announcement { stage: Stage::Left, age, ..known })
     }
@@ -306,6 +346,19 @@
         self.recorded.send_replace(Some((record.age.born, record.stage)));
     }
 
+    /// Waits until it is known here what the store has of the target, for a limited time; says
+    /// whether it is. What is said of a target before that may be about one that others still use.
+    pub async fn is_informed(&self) -> bool {
+        let mut informed = self.informed.subscribe();
+        let informed = informed.wait_for(|informed| *informed);
+        tokio::time::timeout(SETTLE_TIME, informed).await.is_ok()
+    }
+
+    /// Takes in that the records of the store have been read.
+    pub(crate) fn inform(&self) {
+        self.informed.send_replace(true);
+    }
+
     /// Waits until the store has what the target last said, for a limited time: what was
     /// acknowledged must not be lost with this process. See [platform](../../../../docs/design/platform.md).
     pub async fn settled(&self) {
