Keep the word of newer rules until they have come

Class: a report that is undone by whoever cannot know. Ruled out: links or subscriptions to the other zones (open, and the word is sent with the change). The decision is moved to core/src/behind.rs; its test fails with the old rule put back in.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod answer;
+mod behind;
 mod binding;
 mod breaker;
 mod budget;
@@ -40,6 +41,7 @@
     ToldLevel, Verdict as AdmissionVerdict,
 };
 pub use answer::{AnswerError, AnswerHead, Exchange, Expected, Idle, Waiting, WholeAnswer};
+pub use behind::Behind;
 pub use binding::{
     AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, BindingError, Bound,
     CallRule, Evidence, Fate, Handover, HandoverEntry, Lineage, Resend, RunLimits, RunTable,
--- a/node/src/proxy/news/tell.rs
+++ b/node/src/proxy/news/tell.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use poplar_core::{
-    CrashNews, FAR_BEAT, Moment, NEAR_BEAT, Name, RENEWAL, ReadPlan, Readers, Reads,
+    Behind, CrashNews, FAR_BEAT, Moment, NEAR_BEAT, Name, RENEWAL, ReadPlan, Readers, Reads,
     SUBSCRIPTION_TIME, Sighting, Stage, TargetRecord, ToldSightings,
 };
 use poplar_kernel::{Clock, Service};
@@ -35,9 +35,6 @@
 const NEAR_DIFFERENCE: Duration = Duration::from_millis(1_000);
 /// The same for a source in another zone, which reads the store at other moments.
 const FAR_DIFFERENCE: Duration = Duration::from_millis(2_500);
-/// Time for which the rules must be older than those of another zone before they are asked for:
-/// the readers of the own zone mostly have them by then.
-const RULES_PATIENCE: Duration = Duration::from_millis(300);
 /// Pause between two requests for the same thing.
 const ASK_PAUSE: Duration = Duration::from_millis(400);
 /// Pause between two whole rosters to a node that cannot compare digests.
@@ -68,8 +65,8 @@
     ranked: Option<u64>,
     sources: HashMap<Name, Source>,
     subscribers: HashMap<Name, Subscriber>,
-    /// Node in another zone that has newer rules, and since when that is known.
-    behind: Option<(Moment, Arc<Outbox>)>,
+    /// Newer rules that another zone has.
+    behind: Behind<Arc<Outbox>>,
     /// When rules were last asked for.
     asked: Option<Moment>,
     /// When a node that cannot compare digests was last sent all records.
@@ -148,8 +145,7 @@
             self.subscribe(now, peer, &sightings, reached);
         }
         self.beat(now, &sightings);
-        let due = |(since, _): &(Moment, _)| now.since(*since) >= RULES_PATIENCE;
-        if let Some((_, outbox)) = self.state.behind.take_if(|behind| due(behind)) {
+        if let Some(outbox) = self.state.behind.due(now, self.rules.revision()) {
             self.ask_rules(now, &outbox);
         }
     }
@@ -370,12 +366,11 @@
 
     /// Sees to it that rules which another node has get here.
     fn catch_up(&mut self, now: Moment, sender: &Sender, theirs: Known) {
-        if theirs.revision <= self.rules.revision() {
-            self.state.behind = None;
-        } else if sender.outbox.is_near() {
+        let own = self.rules.revision();
+        if !sender.outbox.is_near() {
+            self.state.behind.heard(now, own, theirs.revision, sender.outbox.clone());
+        } else if theirs.revision > own {
             self.ask_rules(now, &sender.outbox);
-        } else if self.state.behind.is_none() {
-            self.state.behind = Some((now, sender.outbox.clone()));
         }
     }
 
