Introduce readers to members of their zone that subscribe to nobody

A node that lost the store within a second of its start, before it had read who else is there, was told of no change for as long as the store stayed away from it. Cause, traced before: it knows nobody to subscribe to; those who know it by its record need nothing of it. Class: who depends on a source is not told when the source is blind. Change: a reader tells new members of its own zone that have not subscribed within a second of its own record, five times at doubling pauses; the member then subscribes as any other.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,6 +17,7 @@
 mod follow;
 mod held;
 mod ids;
+mod introductions;
 mod limit;
 mod membership;
 mod mix;
@@ -69,6 +70,7 @@
     AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
     rendezvous_owner, rendezvous_weight,
 };
+pub use introductions::Introductions;
 pub use limit::{ClassLimits, ImportanceScale, RunTimes, TargetLimits, retry_after};
 pub use membership::{
     Ask, Change, Entry, Follower, MemberRecord, MemberState, Membership, Message, Outgoing, Peer,
--- a/node/src/proxy/news/tell.rs
+++ b/node/src/proxy/news/tell.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Behind, CrashNews, FAR_BEAT, Moment, NEAR_BEAT, Name, RENEWAL, ReadPlan, Readers, Reads,
-    SUBSCRIPTION_TIME, Sighting, Stage, TargetRecord, ToldSightings,
+    Behind, CrashNews, FAR_BEAT, Introductions, Moment, NEAR_BEAT, Name, RENEWAL, ReadPlan,
+    Readers, Reads, SUBSCRIPTION_TIME, Sighting, Stage, TargetRecord, ToldSightings,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -44,6 +44,7 @@
 pub(crate) struct News {
     pub(crate) clock: Clock,
     pub(crate) own: Name,
+    pub(crate) zone: Name,
     pub(crate) rules: Arc<Rules>,
     pub(crate) roster: Arc<Roster>,
     pub(crate) graph: Arc<Graph>,
@@ -67,6 +68,7 @@
     subscribers: HashMap<Name, Subscriber>,
     /// Newer rules that another zone has.
     behind: Behind<Arc<Outbox>>,
+    introductions: Introductions,
     /// When rules were last asked for.
     asked: Option<Moment>,
     /// When a node that cannot compare digests was last sent all records.
@@ -139,6 +141,9 @@
             self.state.sources.retain(|peer, _| plan.sources.contains(peer));
             self.plan.send_replace(plan.clone());
         }
+        if plan.reads.rules {
+            self.introduce(now);
+        }
         self.crashes.expire();
         let sightings = self.graph.sightings();
         for peer in &plan.sources {
@@ -158,7 +163,9 @@
         }
         let records = self.roster.records();
         let serving = records.iter().filter(|record| record.stage == Stage::Serving);
-        self.readers.revise(serving.map(|record| (&record.peer, &record.zone)));
+        self.readers.revise(serving.clone().map(|record| (&record.peer, &record.zone)));
+        let near = serving.filter(|record| record.zone == self.zone && record.peer != self.own);
+        self.state.introductions.revise(self.clock.now(), near.map(|record| &record.peer));
         self.state.ranked = Some(version);
     }
 
@@ -193,6 +200,22 @@
         }
     }
 
+    /// Tells members of the zone that may know nobody of the target beside this node, by whose record
+    /// they find this node.
+    fn introduce(&mut self, now: Moment) {
+        let Some(own) = self.target.record() else { return };
+        for peer in self.state.introductions.due(now) {
+            let (peers, own) = (self.peers.clone(), own.clone());
+            info!(self.logger, "news: introduced to a member"; "peer" => %peer);
+            tokio::spawn(async move {
+                // One that is not reached is told again.
+                if let Some(outbox) = peers.outbox_to(&peer).await {
+                    outbox.push(&Message::Targets(vec![own]));
+                }
+            });
+        }
+    }
+
     fn reached(&mut self, (peer, outbox): Reached) {
         let now = self.clock.now();
         let known = self.known();
@@ -331,6 +354,7 @@
     fn subscribed(&mut self, now: Moment, sender: &Sender, theirs: Known) {
         let Some(node) = &sender.node else { return };
         self.readers.asked(now);
+        self.state.introductions.subscribed(node);
         let (known, fresh) = (self.known(), self.health.fresh(now));
         let held = self.state.subscribers.get_mut(node);
         match held.filter(|held| Arc::ptr_eq(&held.outbox, &sender.outbox)) {
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -182,6 +182,7 @@
         let news = News {
             clock,
             own: site.key(),
+            zone: site.zone.clone(),
             rules: rules.clone(),
             roster: roster.clone(),
             graph: graph.clone(),
