--- a/core/src/crashes.rs
+++ b/core/src/crashes.rs
@@ -247,18 +247,14 @@
         news
     }
 
-    /// What others should know of all requests with at least `marks` crashes that count.
-    pub fn all(&self, now: Moment, marks: usize) -> CrashNews {
-        let mut news = CrashNews::default();
-        for (print, record) in self.records.iter().filter(|(_, record)| record.count() >= marks) {
-            record.tell(micros(now), *print, &mut news);
-        }
-        news
+    /// The requests that do not run as others do, for a node that has been told nothing yet.
+    pub fn standing(&self, now: Moment) -> CrashNews {
+        self.counted(now, ALONE_MARKS)
     }
 
-    /// What must be kept for processes that start later: the requests that are refused.
+    /// The requests that are refused, for processes that start later.
     pub fn lasting(&self, now: Moment) -> CrashNews {
-        self.all(now, REFUSED_MARKS)
+        self.counted(now, REFUSED_MARKS)
     }
 
     /// Drops what is too old to matter.
@@ -284,6 +280,15 @@
         Ok(())
     }
 
+    /// What is known of all requests with at least `marks` crashes that count.
+    fn counted(&self, now: Moment, marks: usize) -> CrashNews {
+        let mut news = CrashNews::default();
+        for (print, record) in self.records.iter().filter(|(_, record)| record.count() >= marks) {
+            record.tell(micros(now), *print, &mut news);
+        }
+        news
+    }
+
     fn pardon(&mut self, at: Micros, print: Fingerprint) -> bool {
         let record = self.records.entry(print).or_default();
         let known = record.success.replace(record.success.map_or(at, |known| known.max(at)));
--- a/node/src/proxy/known/crashes.rs
+++ b/node/src/proxy/known/crashes.rs
@@ -128,9 +128,9 @@
         self.lock().told(self.clock.now(), print)
     }
 
-    /// What is known of all requests that ended a target.
-    pub(crate) fn all(&self) -> CrashNews {
-        self.lock().all(self.clock.now(), 1)
+    /// What a new neighbour must know: the requests that do not run as others do.
+    pub(crate) fn standing(&self) -> CrashNews {
+        self.lock().standing(self.clock.now())
     }
 
     /// What must outlive all processes.
--- a/node/src/proxy/news/tell.rs
+++ b/node/src/proxy/news/tell.rs
@@ -293,11 +293,11 @@
         }
     }
 
-    /// Tells a new neighbour all that is known of crashes.
+    /// Tells a new neighbour which requests do not run as others do.
     fn tell_crashes(&self, outbox: &Outbox) {
-        let all = self.crashes.all();
-        if outbox.tells_crashes() && !all.is_empty() {
-            outbox.push(&Message::Crashes(all));
+        let standing = self.crashes.standing();
+        if outbox.tells_crashes() && !standing.is_empty() {
+            outbox.push(&Message::Crashes(standing));
         }
     }
 
