Cross zones once with news of crashes, and never refuse what ended well of late

Two faults of the mended code, found by its measurements. Now subscribers in other zones are told by the zone in which it arose, and what comes from another zone stays in this one. Now a request that ended well within a minute runs alone rather than not at all, and whoever knows of its success says so.

--- a/core/src/crashes.rs
+++ b/core/src/crashes.rs
@@ -4,7 +4,7 @@
 //! success ends all marks from before it. Marks count only as far as they follow one another: runs
 //! that were under way at the same time may have met one cause, such as the loss of a rack. From the second on
 //! a request runs alone among those under suspicion, from the third on it is refused for growing
-//! times. Marks and successes are sets that merge in any order, so that all nodes agree on the
+//! times, unless it ended well of late. Marks and successes are sets that merge in any order, so that all nodes agree on the
 //! count without asking each other. See
 //! [crashing requests](../../docs/design/crashing-requests.md).
 
@@ -209,12 +209,19 @@
             let mark = Mark { life: told.life, began: at(told.began), ended: at(told.ended) };
             if let Some(success) = self.recent.last(told.print).filter(|last| *last > mark.began) {
                 if self.pardon(success, told.print) {
-                    let age = Duration::from_micros(micros(now).saturating_sub(success) as u64);
-                    news.pardons.push(CrashPardon { print: told.print, age });
+                    news.pardons.push(pardoned(now, told.print, success));
                 }
-            } else if self.mark(told.print, mark) {
+                continue;
+            }
+            if self.mark(told.print, mark) {
                 news.marks.push(*told);
             }
+            // Others must know that it ended well of late, whatever has come since.
+            if let Some(success) = self.recent.last(told.print)
+                && self.pardon(success, told.print)
+            {
+                news.pardons.push(pardoned(now, told.print, success));
+            }
         }
         self.evict();
         news
@@ -359,6 +366,11 @@
             return CrashPassage::Open;
         }
         let Some(beyond) = count.checked_sub(REFUSED_MARKS) else { return CrashPassage::Alone };
+        // One that ended well a moment ago has met other requests' crashes; refused by all, it could
+        // not show that any more.
+        if self.success.is_some_and(|at| at + SUCCESS_MEMORY.as_micros() as Micros > now) {
+            return CrashPassage::Alone;
+        }
         let pause = PAUSES[beyond.min(PAUSES.len() - 1)].as_micros() as Micros;
         let left = self.last() + pause - now;
         match u64::try_from(left) {
@@ -418,6 +430,11 @@
     }
 }
 
+fn pardoned(now: Moment, print: Fingerprint, success: Micros) -> CrashPardon {
+    let age = Duration::from_micros(micros(now).saturating_sub(success).max(0) as u64);
+    CrashPardon { print, age }
+}
+
 fn micros(now: Moment) -> Micros {
     now.as_micros() as Micros
 }
--- a/core/tests/crashes.rs
+++ b/core/tests/crashes.rs
@@ -101,6 +101,25 @@
     }
 }
 
+/// A popular request that meets three targets which are down, within a moment in which it is in flight
+/// nowhere else, is refused by nobody: if all did, nothing could clear it.
+#[test]
+fn popular_bystander_of_crashes_in_a_row_goes_on_being_tried() {
+    let (mut beside, mut entry) = (Crashes::new(CAPACITY), Crashes::new(CAPACITY));
+    beside.succeeded(at(1_000), FATAL);
+    for number in 1..=5 {
+        let now = 1_000 + number * 50;
+        let told = marks(vec![mark(now, FATAL, number, now - 1, now)]);
+        entry.merge(at(now), &told);
+        entry.merge(at(now), &beside.merge(at(now), &told));
+        for known in [&beside, &entry] {
+            assert!(!is_refused(known.passage(at(now), FATAL)), "after {number}");
+            known.verify().unwrap();
+        }
+    }
+    assert_eq!(entry.passage(at(1_300), FATAL), CrashPassage::Alone);
+}
+
 /// Targets that fell silent one after the other are known to have ended only when they are back, and
 /// a request that ended well meanwhile has nothing against it.
 #[test]
--- a/node/src/proxy/known/crashes.rs
+++ b/node/src/proxy/known/crashes.rs
@@ -13,6 +13,8 @@
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, Semaphore, SemaphorePermit, mpsc};
 
+use crate::proxy::reach::Reach;
+
 /// Requests that are followed at most; with 300 bytes each, little beside what calls take.
 const REQUESTS_MAX: usize = 4_096;
 /// Time for which a request under suspicion waits until it can run alone; a few usual runs.
@@ -28,22 +30,25 @@
     /// Whether any request has a mark, so that no other is hashed at its entry.
     marked: AtomicBool,
     /// Takes what other nodes should know.
-    news: mpsc::UnboundedSender<CrashNews>,
+    news: mpsc::UnboundedSender<Spread>,
     /// Told when this node has seen something that must outlive all processes.
     lasting: Notify,
     alone: Semaphore,
 }
 
+/// What others should know, and how far it goes.
+#[derive(Debug)]
+pub(crate) struct Spread {
+    pub(crate) news: CrashNews,
+    pub(crate) reach: Reach,
+}
+
 /// Leave to run a request; the one that runs alone holds the place.
 #[derive(Debug)]
 pub(crate) struct Entrance<'a>(Option<SemaphorePermit<'a>>);
 
 impl CrashRecords {
-    pub(crate) fn new(
-        clock: Clock,
-        logger: Logger,
-        news: mpsc::UnboundedSender<CrashNews>,
-    ) -> Self {
+    pub(crate) fn new(clock: Clock, logger: Logger, news: mpsc::UnboundedSender<Spread>) -> Self {
         let crashes = Mutex::new(Crashes::new(REQUESTS_MAX));
         let (marked, lasting) = (AtomicBool::new(false), Notify::new());
         Self { clock, logger, crashes, marked, news, lasting, alone: Semaphore::new(1) }
@@ -92,7 +97,7 @@
         let count = {
             let mut crashes = self.lock();
             let news = crashes.saw(now, mark);
-            self.pass_on(&crashes, news);
+            self.pass_on(&crashes, news, Reach::Far);
             crashes.count(print)
         };
         info!(self.logger, "crash: target ended under a request";
@@ -106,7 +111,7 @@
         if !news.is_empty() {
             info!(self.logger, "crash: request ended well"; "print" => format!("{:016x}", print.0));
         }
-        self.pass_on(&crashes, news);
+        self.pass_on(&crashes, news, Reach::Far);
     }
 
     /// As [`CrashRecords::succeeded`], where nothing is remembered of requests without marks.
@@ -116,11 +121,12 @@
         }
     }
 
-    /// Takes in what another node, or the store, tells.
-    pub(crate) fn hear(&self, told: &CrashNews) {
+    /// Takes in what another node, or the store, tells, and passes on what is news as far as `reach`:
+    /// what has come from another availability zone is known in the others.
+    pub(crate) fn hear(&self, told: &CrashNews, reach: Reach) {
         let mut crashes = self.lock();
         let news = crashes.merge(self.clock.now(), told);
-        self.pass_on(&crashes, news);
+        self.pass_on(&crashes, news, reach);
     }
 
     /// What is known of one request.
@@ -152,7 +158,7 @@
         }
     }
 
-    fn pass_on(&self, crashes: &Crashes, news: CrashNews) {
+    fn pass_on(&self, crashes: &Crashes, news: CrashNews, reach: Reach) {
         if news.is_empty() {
             return;
         }
@@ -163,7 +169,7 @@
             self.lasting.notify_one();
         }
         // Without a receiver the process is about to end.
-        let _ = self.news.send(news);
+        let _ = self.news.send(Spread { news, reach });
     }
 
     fn lock(&self) -> MutexGuard<'_, Crashes> {
--- a/node/src/proxy/links/link.rs
+++ b/node/src/proxy/links/link.rs
@@ -20,7 +20,8 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::proxy::frame::{self, Call, CallAnswer, CallNumber, FrameError, Known, Message};
-use crate::proxy::links::traffic::{Reach, Traffic};
+use crate::proxy::links::traffic::Traffic;
+use crate::proxy::reach::Reach;
 
 /// Time without a byte from the peer after which a waiting link is pinged.
 const QUIET_TIME: Duration = Duration::from_millis(400);
@@ -92,6 +93,11 @@
         self.reach == Reach::Near
     }
 
+    /// How far what came from the other end is passed on: news cross zones once.
+    pub(crate) fn onward(&self) -> Reach {
+        if self.is_near() { Reach::Far } else { Reach::Near }
+    }
+
     /// Whether the other end holds the runs of calls that outlive their link.
     pub(crate) fn claims(&self) -> bool {
         self.version >= Version::Claims
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -27,7 +27,8 @@
 use crate::proxy::known::rules::Rules;
 use crate::proxy::links::link::{Link, LinkError, Outbox, Version, drive, lock};
 use crate::proxy::links::runs::Runs;
-use crate::proxy::links::traffic::{Reach, Traffic};
+use crate::proxy::links::traffic::Traffic;
+use crate::proxy::reach::Reach;
 use crate::proxy::target::run::Runner;
 
 /// Time within which a link must be made: a few round trips between availability zones.
@@ -375,7 +376,7 @@
         }
         // Taken in before the answer that may follow it.
         if let Message::Crashes(told) = &message {
-            self.crashes.hear(told);
+            self.crashes.hear(told, sender.outbox.onward());
             return;
         }
         let post = Post { sender: sender.clone(), message };
--- a/node/src/proxy/links/traffic.rs
+++ b/node/src/proxy/links/traffic.rs
@@ -10,15 +10,7 @@
 use prometheus_client::metrics::family::Family;
 
 use crate::proxy::frame::Kind;
-
-/// How far a link goes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Reach {
-    /// To a node of the own availability zone.
-    Near,
-    /// To a node of another one, or of one that is not known.
-    Far,
-}
+use crate::proxy::reach::Reach;
 
 /// Labels of sent bytes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
--- a/node/src/proxy/mod.rs
+++ b/node/src/proxy/mod.rs
@@ -24,6 +24,7 @@
 mod news;
 mod ports;
 mod process;
+mod reach;
 mod report;
 mod target;
 mod unix_time;
--- a/node/src/proxy/news/follow.rs
+++ b/node/src/proxy/news/follow.rs
@@ -19,6 +19,7 @@
 use crate::proxy::known::roster::Roster;
 use crate::proxy::known::rules::Rules;
 use crate::proxy::ports::{Page, Platform, Site, StoreError, StoreRecord, Stream};
+use crate::proxy::reach::Reach;
 use crate::proxy::target::own::Own;
 use crate::proxy::unix_time::unix_time;
 
@@ -316,7 +317,9 @@
         match rmp_serde::from_slice::<(Duration, CrashNews)>(value) {
             // A clock that was set back makes what was written no older than just now.
             Ok((written, told)) => {
-                self.crashes.hear(&told.aged(unix_time().saturating_sub(written)));
+                let told = told.aged(unix_time().saturating_sub(written));
+                // The readers of the other zones have it from the store as well.
+                self.crashes.hear(&told, Reach::Near);
             }
             Err(error) => {
                 warn!(self.logger, "crashes: record ignored"; "key" => %record.key, "error" => %error);
--- a/node/src/proxy/news/tell.rs
+++ b/node/src/proxy/news/tell.rs
@@ -19,13 +19,14 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::proxy::frame::{Known, Message};
-use crate::proxy::known::crashes::CrashRecords;
+use crate::proxy::known::crashes::{CrashRecords, Spread};
 use crate::proxy::known::graph::Graph;
 use crate::proxy::known::roster::Roster;
 use crate::proxy::known::rules::Rules;
 use crate::proxy::links::link::Outbox;
 use crate::proxy::links::peers::{Peers, Post, Sender};
 use crate::proxy::news::follow::StoreHealth;
+use crate::proxy::reach::Reach;
 use crate::proxy::target::own::Own;
 
 /// Pause between looks at the plan, the subscriptions and the signs of life that are due.
@@ -103,7 +104,7 @@
         mut self,
         mut posts: mpsc::Receiver<Post>,
         mut changes: mpsc::UnboundedReceiver<TargetRecord>,
-        mut crashes: mpsc::UnboundedReceiver<CrashNews>,
+        mut crashes: mpsc::UnboundedReceiver<Spread>,
     ) {
         let mut rules = self.rules.watch();
         let (reached, mut ends) = mpsc::unbounded_channel();
@@ -119,9 +120,9 @@
                     // At a start this names the readers, for whom callers wait.
                     self.tick(&reached);
                 }
-                Some(mut news) = crashes.recv() => {
-                    std::iter::from_fn(|| crashes.try_recv().ok()).for_each(|more| news.extend(more));
-                    self.spread_crashes(news);
+                Some(first) = crashes.recv() => {
+                    let more = std::iter::from_fn(|| crashes.try_recv().ok());
+                    self.spread_crashes(std::iter::once(first).chain(more));
                 }
                 Ok(()) = rules.changed() => self.announce(),
                 Some(end) = ends.recv() => self.reached(end),
@@ -283,13 +284,29 @@
         }
     }
 
-    /// Tells all neighbours, which pass on what is news to them.
-    fn spread_crashes(&self, news: CrashNews) {
+    /// Tells the neighbours in this zone, which pass on what is news to them, and the subscribers in
+    /// others what has not come from there.
+    fn spread_crashes(&self, spread: impl Iterator<Item = Spread>) {
+        let (mut near, mut far) = (CrashNews::default(), CrashNews::default());
+        for Spread { news, reach } in spread {
+            if reach == Reach::Far {
+                far.extend(news.clone());
+            }
+            near.extend(news);
+        }
         let sources = self.state.sources.values().filter_map(|source| source.outbox.as_ref());
         let subscribers = self.state.subscribers.values().map(|subscriber| &subscriber.outbox);
-        let message = Message::Crashes(news);
-        for outbox in sources.chain(subscribers).filter(|outbox| outbox.tells_crashes()) {
-            outbox.push(&message);
+        let neighbours = sources.chain(subscribers.clone()).filter(|outbox| outbox.is_near());
+        let near = Message::Crashes(near);
+        for outbox in neighbours.filter(|outbox| outbox.tells_crashes()) {
+            outbox.push(&near);
+        }
+        if far.is_empty() {
+            return;
+        }
+        let far = Message::Crashes(far);
+        for outbox in subscribers.filter(|outbox| !outbox.is_near() && outbox.tells_crashes()) {
+            outbox.push(&far);
         }
     }
 
