--- a/core/src/suspects.rs
+++ b/core/src/suspects.rs
@@ -6,6 +6,7 @@
 //! See [crashing requests](../../docs/design/crashing-requests.md).
 
 use std::collections::{BTreeSet, HashMap};
+use std::fmt;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,12 @@
 #[serde(transparent)]
 pub struct Fingerprint(pub u64);
 
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 impl Fingerprint {
     /// Fingerprint of a request: its class and everything the target is handed, path included.
     pub fn of(class: &Name, request: &[u8]) -> Self {
@@ -206,7 +213,7 @@
             let rank = (record.standing, record.expiry, **print);
             !self.ranks.contains(&rank)
         });
-        lost.map_or(Ok(()), |(print, _)| Err(SuspectsError::Rank(print.0)))
+        lost.map_or(Ok(()), |(print, _)| Err(SuspectsError::Rank(*print)))
     }
 
     fn report(&self, now: Moment, print: Fingerprint) -> Option<SuspectReport> {
@@ -257,6 +264,6 @@
         ranks: usize,
     },
     /// A record has no rank of its own.
-    #[error("request {0:016x} has no rank")]
-    Rank(u64),
+    #[error("request {0} has no rank")]
+    Rank(Fingerprint),
 }
--- a/node/src/proxy/decisions.rs
+++ b/node/src/proxy/decisions.rs
@@ -122,7 +122,7 @@
         let id = String::from_utf8_lossy(&decision.request);
         // Served requests are not traced by what they hold.
         let print = matches!(outcome, Outcome::Unknown { .. } | Outcome::NotRun { .. })
-            .then(|| format!("{:016x}", decision.print.0));
+            .then(|| decision.print.to_string());
         info!(self.logger, "request: {word}"; "id" => %id, "route" => %decision.route, "print" => print,
             "place" => decision.place, "reason" => reason, "status" => status,
             "revision" => decision.revision, "tried" => &decision.tried, "level" => u32::from(barrier.level.rank()),
--- a/node/src/proxy/known/crashes.rs
+++ b/node/src/proxy/known/crashes.rs
@@ -101,7 +101,7 @@
             crashes.count(print)
         };
         info!(self.logger, "crash: target ended under a request";
-            "print" => format!("{:016x}", print.0), "crashes" => count);
+            "print" => %print, "crashes" => count);
     }
 
     /// Takes in that a request ended well.
@@ -109,7 +109,7 @@
         let mut crashes = self.lock();
         let news = crashes.succeeded(self.clock.now(), print);
         if !news.is_empty() {
-            info!(self.logger, "crash: request ended well"; "print" => format!("{:016x}", print.0));
+            info!(self.logger, "crash: request ended well"; "print" => %print);
         }
         self.pass_on(&crashes, news, Reach::Far);
     }
--- a/node/src/proxy/known/roster.rs
+++ b/node/src/proxy/known/roster.rs
@@ -4,7 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use poplar_core::{
-    Chooser, Digest, Fingerprint, InstanceId, Life, Moment, Name, Observed, Ranges, Rank,
+    Choice, Chooser, Digest, Fingerprint, InstanceId, Life, Moment, Name, Observed, Ranges, Rank,
     Roster as Records, Stage, TargetInfo, TargetRecord,
 };
 use poplar_kernel::{Clock, Service};
@@ -74,12 +74,7 @@
         rank: Rank,
         tried: &[InstanceId],
     ) -> Option<Chosen> {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let chooser = state.choosers.get_mut(service)?;
-        let choice = chooser.choose(now, rank, fastrand::u64(..), tried)?;
-        let peer = state.peers.get(&choice.instance)?.clone();
-        Some(Chosen { instance: choice.instance, peer })
+        self.give(service, |chooser, now| chooser.choose(now, rank, fastrand::u64(..), tried))
     }
 
     /// Chooses the target of `service` that alone gets a request under suspicion, the same at all
@@ -90,11 +85,7 @@
         print: Fingerprint,
         tried: &[InstanceId],
     ) -> Option<Chosen> {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let choice = state.choosers.get_mut(service)?.isolate(now, print, tried)?;
-        let peer = state.peers.get(&choice.instance)?.clone();
-        Some(Chosen { instance: choice.instance, peer })
+        self.give(service, |chooser, now| chooser.isolate(now, print, tried))
     }
 
     /// Life of the target at `chosen`; none if another one is known there by now.
@@ -156,6 +147,17 @@
         self.lock().records.version()
     }
 
+    fn give(
+        &self,
+        service: &Name,
+        choose: impl FnOnce(&mut Chooser, Moment) -> Option<Choice>,
+    ) -> Option<Chosen> {
+        let mut state = self.lock();
+        let choice = choose(state.choosers.get_mut(service)?, self.clock.now())?;
+        let peer = state.peers.get(&choice.instance)?.clone();
+        Some(Chosen { instance: choice.instance, peer })
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/node/src/proxy/news/follow.rs
+++ b/node/src/proxy/news/follow.rs
@@ -12,6 +12,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use serde::Serialize;
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
 
@@ -154,27 +155,13 @@
             self.own.changed().await;
             let mut failures = 0;
             while let Some(record) = self.own.record() {
-                let value = match rmp_serde::to_vec(&record) {
-                    Ok(value) => value,
-                    Err(error) => {
-                        warn!(self.logger, "store: record not written"; "error" => %error);
-                        break;
-                    }
-                };
-                self.health.called("publish");
-                let published = self.platform.publish(&key, Bytes::from(value)).await;
-                let current = self.own.record().is_some_and(|now| now == record);
-                if published.is_ok() {
-                    self.own.recorded(&record);
+                let Some(value) = self.encode("publish", &record) else { break };
+                if !self.write("publish", &key, value, &mut failures).await {
+                    continue;
                 }
-                match published {
-                    Ok(()) if current => break,
-                    Ok(()) => failures = 0,
-                    Err(error) => {
-                        self.failed("publish", failures, &error);
-                        tokio::time::sleep(backoff(failures, fastrand::u64(..))).await;
-                        failures += 1;
-                    }
+                self.own.recorded(&record);
+                if self.own.record().is_some_and(|now| now == record) {
+                    break;
                 }
             }
         }
@@ -186,27 +173,48 @@
         loop {
             self.crashes.grown().await;
             let mut failures = 0;
-            loop {
-                let value = match rmp_serde::to_vec(&(unix_time(), self.crashes.lasting())) {
-                    Ok(value) => value,
-                    Err(error) => {
-                        warn!(self.logger, "store: crashes not written"; "error" => %error);
-                        break;
-                    }
-                };
-                self.health.called("publish_crashes");
-                match self.platform.publish(&key, Bytes::from(value)).await {
-                    Ok(()) => break,
-                    Err(error) => {
-                        self.failed("publish_crashes", failures, &error);
-                        tokio::time::sleep(backoff(failures, fastrand::u64(..))).await;
-                        failures += 1;
-                    }
+            let current = || (unix_time(), self.crashes.lasting());
+            while let Some(value) = self.encode("publish_crashes", &current()) {
+                if self.write("publish_crashes", &key, value, &mut failures).await {
+                    break;
                 }
             }
         }
     }
 
+    fn encode(&self, call: &'static str, record: &impl Serialize) -> Option<Bytes> {
+        match rmp_serde::to_vec(record) {
+            Ok(value) => Some(Bytes::from(value)),
+            Err(error) => {
+                warn!(self.logger, "store: record not written"; "call" => call, "error" => %error);
+                None
+            }
+        }
+    }
+
+    /// Tries once to write a record, and pauses after a failure; says whether the store has it.
+    async fn write(
+        &self,
+        call: &'static str,
+        key: &Name,
+        value: Bytes,
+        failures: &mut u32,
+    ) -> bool {
+        self.health.called(call);
+        match self.platform.publish(key, value).await {
+            Ok(()) => {
+                *failures = 0;
+                true
+            }
+            Err(error) => {
+                self.failed(call, *failures, &error);
+                tokio::time::sleep(backoff(*failures, fastrand::u64(..))).await;
+                *failures += 1;
+                false
+            }
+        }
+    }
+
     /// Follows a stream for ever, with pauses while others read for this node.
     async fn follow(&self, stream: Stream, take: impl Fn(&Page), gather: Duration) {
         let mut plan = self.plan.clone();
@@ -285,7 +293,6 @@
             if let Some(record) = records.iter().find(|record| record.peer == own) {
                 self.own.adopt(record, true);
             }
-            self.own.inform();
             self.read.send_replace(true);
         }
     }
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -94,6 +94,7 @@
         let crashes = Arc::new(CrashRecords::new(clock, part(root, "crash"), crashed));
         let known =
             Knowledge { rules: rules.clone(), roster: roster.clone(), crashes: crashes.clone() };
+        let (sender, read) = watch::channel(false);
         let target = part(root, "target");
         let exchange = Exchange::new(clock, dialect.clone(), site.target.clone(), site.memory);
         let exchange = Arc::new(exchange);
@@ -104,6 +105,7 @@
             gate.clone(),
             exchange.clone(),
             known.clone(),
+            read.clone(),
         ));
         let graph = Arc::new(Graph::new(clock, site.service.clone()));
         let decisions = Arc::new(Decisions::new(clock, part(root, "request")));
@@ -176,7 +178,6 @@
         registry.register(metrics.clone());
         registry.register(graph.clone());
         registry.register(crashes.clone());
-        let (sender, read) = watch::channel(false);
         let (plan, plans) = watch::channel(ReadPlan::default());
         registry.register(Arc::new(PlanView(plans.clone())));
         let news = News {
--- a/node/src/proxy/target/own.rs
+++ b/node/src/proxy/target/own.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Age, Fingerprint, ImportanceScale, InstanceId, Life, Moment, Name, Resets, Shedding, Stage,
-    TargetLimits, TargetRecord,
+    Age, ErrorKind, Fingerprint, ImportanceScale, InstanceId, Life, Moment, Name, Resets, Shedding,
+    Stage, TargetLimits, TargetRecord,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -86,7 +86,7 @@
     /// Start and stage of the target as the store has them.
     recorded: watch::Sender<Option<(u64, Stage)>>,
     /// Whether the store's records have been read.
-    informed: watch::Sender<bool>,
+    read: watch::Receiver<bool>,
 }
 
 #[derive(Debug, Default)]
@@ -138,6 +138,7 @@
         gate: Arc<Gate>,
         exchange: Arc<Exchange>,
         known: Knowledge,
+        read: watch::Receiver<bool>,
     ) -> Self {
         let Knowledge { rules, roster, crashes } = known;
         let (state, changed) = (Mutex::default(), Notify::new());
@@ -155,7 +156,7 @@
             life,
             changed,
             recorded,
-            informed: watch::Sender::new(false),
+            read,
         }
     }
 
@@ -243,11 +244,14 @@
         self.lock().target.as_ref().map(|target| (target.instance.clone(), target.stage))
     }
 
-    /// Life of the target, if it is `instance`.
-    pub(crate) fn life_of(&self, instance: &InstanceId) -> Option<Life> {
-        let state = self.lock();
-        let target = state.target.as_ref().filter(|target| target.instance == *instance)?;
-        Some(Life::of(instance, target.age.born))
+    /// Life of the target that a request for `instance` is handed to now; the error says why none is.
+    pub(crate) fn hand(&self, instance: &InstanceId) -> Result<Life, ErrorKind> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let target = state.target.as_ref().filter(|target| target.instance == *instance);
+        let life = target.map(|target| Life::of(instance, target.age.born));
+        let life = life.ok_or(ErrorKind::NoTarget)?;
+        if state.resets.admit(now) { Ok(life) } else { Err(ErrorKind::Connection) }
     }
 
     /// Waits until another life of the target has begun, and what the one before had written must
@@ -273,11 +277,6 @@
         self.lock().resets.answered();
     }
 
-    /// Whether the target may be handed a request now.
-    pub(crate) fn takes_work(&self) -> bool {
-        self.lock().resets.admit(self.clock.now())
-    }
-
     /// Takes in that a run ended without an answer, which says something only if the target turns
     /// out to have ended.
     pub(crate) fn unanswered(&self, print: Fingerprint, life: Life, began: Moment) {
@@ -349,14 +348,8 @@
     /// Waits until it is known here what the store has of the target, for a limited time; says
     /// whether it is. What is said of a target before that may be about one that others still use.
     pub async fn is_informed(&self) -> bool {
-        let mut informed = self.informed.subscribe();
-        let informed = informed.wait_for(|informed| *informed);
-        tokio::time::timeout(SETTLE_TIME, informed).await.is_ok()
-    }
-
-    /// Takes in that the records of the store have been read.
-    pub(crate) fn inform(&self) {
-        self.informed.send_replace(true);
+        let mut read = self.read.clone();
+        tokio::time::timeout(SETTLE_TIME, read.wait_for(|read| *read)).await.is_ok()
     }
 
     /// Waits until the store has what the target last said, for a limited time: what was
--- a/node/src/proxy/target/run.rs
+++ b/node/src/proxy/target/run.rs
@@ -110,12 +110,10 @@
         if let Err(retry_after) = self.crashes.confirm(print, &entrance) {
             return CallAnswer::refused(ErrorKind::CrashSuspect, retry_after);
         }
-        let Some(life) = self.own.life_of(&call.instance) else {
-            return CallAnswer::refused(ErrorKind::NoTarget, LEAVING_RETRY);
+        let life = match self.own.hand(&call.instance) {
+            Ok(life) => life,
+            Err(kind) => return CallAnswer::refused(kind, LEAVING_RETRY),
         };
-        if !self.own.takes_work() {
-            return CallAnswer::refused(ErrorKind::Connection, LEAVING_RETRY);
-        }
         let running = self.graph.begin(call);
         let now = self.clock.now();
         let left = call.left.saturating_sub(now.since(began));
