Tell a new neighbour of crashes that may come again at once

Cause, by their logs: the crash comes 50 ms after the processes start, half a second before the zones subscribe to each other; a new subscriber was told only of requests with two marks, so that it never heard of the first and would let such a request crash one target more.

--- a/core/src/crashes.rs
+++ b/core/src/crashes.rs
@@ -32,6 +32,9 @@
 const REFUSED_MEMORY: Duration = Duration::from_secs(86_400);
 /// Time for which a success is kept, so that marks from before it that come late do not count.
 const SUCCESS_MEMORY: Duration = Duration::from_secs(60);
+/// Time for which a mark is told to new neighbours whatever its request; subscriptions are made anew
+/// within it after starts and losses.
+const FRESH_TIME: Duration = Duration::from_secs(10);
 /// Most marks of one request; more say nothing new.
 const MARKS_MAX: usize = 8;
 /// Time by which two nodes may differ about the order of two events, from messages on their way.
@@ -254,14 +257,16 @@
         news
     }
 
-    /// The requests that do not run as others do, for a node that has been told nothing yet.
+    /// What a node must be told that has been told nothing yet: the requests that do not run as others
+    /// do, and those that may come again at once.
     pub fn standing(&self, now: Moment) -> CrashNews {
-        self.counted(now, ALONE_MARKS)
+        let fresh = micros(now) - FRESH_TIME.as_micros() as Micros;
+        self.tell_of(now, |record| record.count() >= ALONE_MARKS || record.last() > fresh)
     }
 
     /// The requests that are refused, for processes that start later.
     pub fn lasting(&self, now: Moment) -> CrashNews {
-        self.counted(now, REFUSED_MARKS)
+        self.tell_of(now, |record| record.count() >= REFUSED_MARKS)
     }
 
     /// Drops what is too old to matter.
@@ -287,10 +292,9 @@
         Ok(())
     }
 
-    /// What is known of all requests with at least `marks` crashes that count.
-    fn counted(&self, now: Moment, marks: usize) -> CrashNews {
+    fn tell_of(&self, now: Moment, which: impl Fn(&Record) -> bool) -> CrashNews {
         let mut news = CrashNews::default();
-        for (print, record) in self.records.iter().filter(|(_, record)| record.count() >= marks) {
+        for (print, record) in self.records.iter().filter(|(_, record)| which(record)) {
             record.tell(micros(now), *print, &mut news);
         }
         news
--- a/core/tests/crashes.rs
+++ b/core/tests/crashes.rs
@@ -198,6 +198,18 @@
     }
 }
 
+/// A neighbour that comes just after a crash, as when processes start, counts as the others do; one that
+/// comes later is spared the bystanders that never came again.
+#[test]
+fn new_neighbour_is_told_of_recent_crashes_and_of_requests_that_crashed_two_targets() {
+    let mut known = Crashes::new(CAPACITY);
+    crash(&mut known, 1_000, 1);
+    assert_eq!(known.standing(at(1_500)).marks.len(), 1);
+    assert_eq!(known.standing(at(60_000)).marks.len(), 0);
+    crash(&mut known, 61_000, 2);
+    assert_eq!(known.standing(at(200_000)).marks.len(), 2);
+}
+
 /// A flood of other requests does not drive out the ones that are refused.
 #[test]
 fn refused_request_outlives_a_flood_of_bystanders() {
--- a/node/src/proxy/known/crashes.rs
+++ b/node/src/proxy/known/crashes.rs
@@ -134,7 +134,7 @@
         self.lock().told(self.clock.now(), print)
     }
 
-    /// What a new neighbour must know: the requests that do not run as others do.
+    /// What a new neighbour must be told.
     pub(crate) fn standing(&self) -> CrashNews {
         self.lock().standing(self.clock.now())
     }
--- a/node/src/proxy/news/tell.rs
+++ b/node/src/proxy/news/tell.rs
@@ -310,7 +310,7 @@
         }
     }
 
-    /// Tells a new neighbour which requests do not run as others do.
+    /// Tells a new neighbour what it may have missed of crashes.
     fn tell_crashes(&self, outbox: &Outbox) {
         let standing = self.crashes.standing();
         if outbox.tells_crashes() && !standing.is_empty() {
