Keep the rate limit that a target states in its answers

Cause: no node read the statement; it was passed on like any other field. Class: a target says something about itself in its answers, and only its announcements were listened to.

Now the node beside the target, which every request passes, keeps the limit with a token bucket; what waits for it waits in order of importance and for a quarter second at most. The level that entries refuse by counts calls against the limit as well as run time against slots, so that requests are refused at their entry, before work has begun, the least important first. The load by which callers choose is that against the limit; while another target is known to have room, the level of a limited one is not taken for that of its service. A node that starts anew learns the limit from the first message on each new link, before any call; a looser limit counts only from an answer to a request that was sent after the stricter one arrived.

--- a/core/src/admission/mod.rs
+++ b/core/src/admission/mod.rs
@@ -17,6 +17,7 @@
 use crate::ids::Importance;
 use crate::limit::{ImportanceScale, TargetLimits, retry_after};
 use crate::outcome::ErrorKind;
+use crate::rate_limit::{Pacer, Rate};
 use crate::time::Moment;
 
 use concurrency::{ConcurrencyLimit, InFlight};
@@ -96,8 +97,9 @@
 /// Admission control of one target.
 ///
 /// Invariants: a call starts only while fewer than [`Self::limit`] calls run, and at most
-/// [`TargetLimits::queue`] calls wait, which bounds the memory; no call waits while a slot is free;
-/// a call is refused for overload only if no less important call waits.
+/// [`TargetLimits::queue`] calls wait, which bounds the memory; no call waits while a slot is free,
+/// unless a rate limit is in effect; a call is refused for overload only if no less important call
+/// waits.
 #[derive(Debug)]
 pub struct Admission {
     limits: TargetLimits,
@@ -107,6 +109,8 @@
     running: BTreeMap<Ticket, u32>,
     queue: Queue,
     controller: LevelController,
+    /// Keeps starts within the rate limit that the target states; none without a limit.
+    pacer: Option<Pacer>,
 }
 
 impl Admission {
@@ -129,6 +133,15 @@
             running: BTreeMap::new(),
             queue: Queue::default(),
             controller: LevelController::new(now, scale),
+            pacer: None,
+        }
+    }
+
+    /// Sets the rate limit that the target states; none if it states none.
+    pub fn set_rate(&mut self, now: Moment, rate: Option<Rate>) {
+        match (&mut self.pacer, rate) {
+            (Some(pacer), Some(rate)) => pacer.set_rate(now, rate),
+            (pacer, rate) => *pacer = rate.map(|rate| Pacer::new(now, rate)),
         }
     }
 
@@ -143,11 +156,16 @@
             self.advance(now);
         }
         self.controller.record_arrival(arrival.rank);
+        if let Some(pacer) = &mut self.pacer {
+            pacer.refill(now);
+            pacer.record_arrival();
+        }
         let call = QueuedCall::new(now, arrival);
         if arrival.left < arrival.min_latency {
             return Verdict::Refuse(self.refusal(&call, ErrorKind::Deadline));
         }
-        if self.has_free_slot() {
+        // With a rate limit, calls may wait for the next tick although one may start.
+        if self.queue.len() == 0 && self.may_start() {
             self.start(arrival.ticket);
             return Verdict::Admit;
         }
@@ -172,8 +190,8 @@
         self.release(now)
     }
 
-    /// Refuses queued calls that can no longer meet their deadline. To be called every 10 ms while
-    /// calls wait.
+    /// Refuses queued calls that can no longer meet their deadline, and starts those that a rate
+    /// limit now allows. To be called every 10 ms while calls wait.
     pub fn tick(&mut self, now: Moment) -> Release {
         self.release(now)
     }
@@ -201,6 +219,14 @@
         self.concurrency.limit()
     }
 
+    /// Rate of arrivals as a multiple of the rate limit; zero without a limit.
+    pub fn pace_load(&mut self, now: Moment) -> f64 {
+        self.pacer.as_mut().map_or(0.0, |pacer| {
+            pacer.refill(now);
+            pacer.load()
+        })
+    }
+
     /// Lowest importance among the queued calls.
     pub fn lowest_queued(&self) -> Option<Importance> {
         self.queue.lowest().map(Rank::importance)
@@ -218,7 +244,7 @@
         if self.queue.len() > self.limits.queue as usize {
             return Err(format!("queue of {} exceeds {}", self.queue.len(), self.limits.queue));
         }
-        if self.has_free_slot() && self.queue.len() > 0 {
+        if self.pacer.is_none() && self.may_start() && self.queue.len() > 0 {
             return Err(format!("{} calls are queued while a slot is free", self.queue.len()));
         }
         self.queue.verify()
@@ -227,10 +253,21 @@
     fn start(&mut self, ticket: Ticket) {
         let in_flight = self.running.len() as u32 + 1;
         self.running.insert(ticket, in_flight);
+        if let Some(pacer) = &mut self.pacer {
+            pacer.take_token();
+        }
     }
 
-    fn has_free_slot(&self) -> bool {
-        self.running.len() < self.limit() as usize
+    /// Whether a slot is free and the rate limit allows a call.
+    fn may_start(&self) -> bool {
+        let has_slot = self.running.len() < self.limit() as usize;
+        has_slot && self.pacer.as_ref().is_none_or(Pacer::has_token)
+    }
+
+    /// Number of calls that may wait.
+    fn queue_limit(&self) -> usize {
+        let limit = self.limits.queue as usize;
+        self.pacer.as_ref().map_or(limit, |pacer| limit.min(pacer.queue_limit()))
     }
 
     fn advance(&mut self, now: Moment) {
@@ -274,7 +311,7 @@
 
     /// Queues the call, evicting a less important one if needed, or refuses it.
     fn enqueue(&mut self, call: QueuedCall) -> Verdict {
-        let full = self.queue.len() >= self.limits.queue as usize;
+        let full = self.queue.len() >= self.queue_limit();
         let may_wait = self.may_wait(&call);
         let rank = call.rank;
         let lowest = self.queue.lowest();
@@ -299,7 +336,10 @@
         for expired in self.queue.remove_expired(now) {
             release.refuse.push(self.refusal(&expired, ErrorKind::Deadline));
         }
-        while self.has_free_slot()
+        if let Some(pacer) = &mut self.pacer {
+            pacer.refill(now);
+        }
+        while self.may_start()
             && let Some(next) = self.queue.pop_first()
         {
             self.start(next.ticket);
@@ -315,6 +355,8 @@
         let position = self.queue.len() as u32 + 1;
         let latency = self.controller.latency().unwrap_or_default();
         let wait = latency * position / self.limit().max(1);
+        let paced = self.pacer.as_ref().map_or(Duration::ZERO, |pacer| pacer.wait(position));
+        let wait = wait.max(paced);
         let retry_after = retry_after(wait, call.rank.tiebreak());
         Refusal { ticket: call.ticket, kind, retry_after }
     }
--- a/core/src/balancer.rs
+++ b/core/src/balancer.rs
@@ -251,6 +251,15 @@
         }
     }
 
+    /// Whether a target other than `instance` is known to have room for one more call.
+    pub fn has_room_beside(&self, now: Moment, instance: &InstanceId) -> bool {
+        let mut others = self.targets.iter().filter(|target| target.info.instance != *instance);
+        others.any(|target| {
+            target.is_eligible(now, &[])
+                && target.load_with_call(now).is_some_and(|load| load < FULL_LOAD)
+        })
+    }
+
     /// Number of targets, including draining ones.
     pub fn target_count(&self) -> usize {
         self.targets.len()
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -27,6 +27,7 @@
 mod origin;
 mod outcome;
 mod publish;
+mod rate_limit;
 mod read_planner;
 mod resend;
 mod roster;
@@ -88,6 +89,7 @@
 pub use publish::{
     PublishAction, PublishPlan, PublishResult, Publisher, RESEND_INTERVAL, publish_id,
 };
+pub use rate_limit::{Rate, RateError, StatedLimit};
 pub use read_planner::{
     LOCAL_HEARTBEAT, REMOTE_HEARTBEAT, RENEWAL_INTERVAL, ReadPlan, ReadPlanner, Reads,
     SUBSCRIPTION_TTL,
--- a/core/src/load_controller.rs
+++ b/core/src/load_controller.rs
@@ -18,6 +18,7 @@
 use crate::ids::{Importance, Name};
 use crate::limit::ImportanceScale;
 use crate::mix::ImportanceMix;
+use crate::rate_limit::Rate;
 use crate::time::Moment;
 
 /// Load to admit without a queue, as a fraction of the concurrency limit: the target is nearly full
@@ -32,6 +33,13 @@
 const BACKLOG_MAX: f64 = 4.0;
 /// Minimum goal, so that some requests are admitted whatever the queue length.
 const GOAL_MIN: f64 = 0.2;
+/// Number of calls over which the load relative to a rate limit is averaged: one call at a target
+/// that takes one in some seconds is no overload.
+const PACE_CALLS: f64 = 10.0;
+/// Maximum time constant of that average.
+const PACE_TIME_MAX: Duration = Duration::from_secs(3);
+/// Load beyond which no more is counted; keeps the averages finite at a rate limit of zero.
+const LOAD_MAX: f64 = 1e6;
 /// Interval at which arrivals are evaluated and the level is set.
 const WINDOW: Duration = Duration::from_millis(50);
 /// Time constant of the average load of an importance: long enough to cover several calls of each
@@ -86,26 +94,68 @@
     importance: Importance,
     /// Run time that the requests of this window need, in slot seconds.
     work: f64,
+    /// Number of calls that the requests of this window need.
+    calls: f64,
     /// Smoothed load as a multiple of the limit, as if no request were refused.
-    load: f64,
+    slot_load: f64,
+    /// The same as a multiple of the rate limit; zero without one.
+    pace_load: f64,
     /// When the level last admitted less than [`PASS_MIN`] of this importance.
     last_refused: Option<Moment>,
 }
 
 impl ImportanceLoad {
     fn new(importance: Importance) -> Self {
-        Self { importance, work: 0.0, load: 0.0, last_refused: None }
+        Self {
+            importance,
+            work: 0.0,
+            calls: 0.0,
+            slot_load: 0.0,
+            pace_load: 0.0,
+            last_refused: None,
+        }
+    }
+
+    /// Smoothed load, by the scarcer of slots and calls.
+    fn load(&self) -> f64 {
+        self.slot_load.max(self.pace_load)
     }
 
-    /// Updates the smoothed load with the load of a window of length `span`.
-    fn update(&mut self, now: Moment, span: Duration, load: f64) {
+    /// Updates the smoothed loads with those of a window of length `span`.
+    fn update(&mut self, now: Moment, span: Duration, slot_load: f64, pace: Option<Pace>) {
+        self.slot_load = self.smoothed(now, span, self.slot_load, slot_load, LOAD_TIME);
+        self.pace_load =
+            pace.map_or(0.0, |pace| self.smoothed(now, span, self.pace_load, pace.load, pace.time));
+    }
+
+    /// Average after a window of length `span` with the load `sample`, with time constant `time`.
+    fn smoothed(&self, now: Moment, span: Duration, mean: f64, sample: f64, time: Duration) -> f64 {
         let secs = span.as_secs_f64();
         let mostly_refused = self.last_refused.is_some_and(|at| now.since(at) < LEVEL_DELAY);
-        if mostly_refused && load < self.load {
-            self.load *= 0.5_f64.powf(secs / REFUSED_HALF_LIFE.as_secs_f64());
-            return;
+        if mostly_refused && sample < mean {
+            return mean * 0.5_f64.powf(secs / REFUSED_HALF_LIFE.as_secs_f64());
+        }
+        mean + secs / (secs + time.as_secs_f64()) * (sample - mean)
+    }
+}
+
+/// Calls of one importance in a window, relative to the rate limit.
+#[derive(Debug, Clone, Copy)]
+struct Pace {
+    /// Calls as a multiple of those that the limit allows.
+    load: f64,
+    /// Time constant of its average.
+    time: Duration,
+}
+
+impl Pace {
+    fn new(rate: Rate, span: Duration, calls: f64) -> Self {
+        let per_second = f64::from(rate);
+        let time = Duration::try_from_secs_f64(PACE_CALLS / per_second).unwrap_or(PACE_TIME_MAX);
+        Self {
+            load: (calls / (per_second * span.as_secs_f64())).min(LOAD_MAX),
+            time: time.clamp(LOAD_TIME, PACE_TIME_MAX),
         }
-        self.load += secs / (secs + LOAD_TIME.as_secs_f64()) * (load - self.load);
     }
 }
 
@@ -137,6 +187,8 @@
     last_finished: Moment,
     /// Smoothed fraction of the calls that failed or that the target refused.
     failure_rate: f64,
+    /// Rate limit that the target states.
+    rate: Option<Rate>,
 }
 
 impl LoadController {
@@ -150,9 +202,15 @@
             window_start: now,
             last_finished: now,
             failure_rate: 0.0,
+            rate: None,
         }
     }
 
+    /// Sets the rate limit that the target states; none if it states none.
+    pub fn set_rate(&mut self, rate: Option<Rate>) {
+        self.rate = rate;
+    }
+
     /// Replaces the importances by those of a new revision, keeping the loads of those that remain.
     pub fn revise(&mut self, scale: &ImportanceScale) {
         let known = std::mem::take(&mut self.classes);
@@ -169,6 +227,7 @@
             let above = self.classes.partition_point(|class| class.importance <= importance);
             if let Some(class) = above.checked_sub(1).and_then(|idx| self.classes.get_mut(idx)) {
                 class.work += requests * known.secs;
+                class.calls += requests;
             }
         }
     }
@@ -206,7 +265,10 @@
         let stall_factor = self.stall_factor(now, calls);
         for class in &mut self.classes {
             let work = std::mem::take(&mut class.work);
-            class.update(now, span, work * stall_factor / span.as_secs_f64() / limit);
+            let slot_load = work * stall_factor / span.as_secs_f64() / limit;
+            let calls = std::mem::take(&mut class.calls);
+            let pace = self.rate.map(|rate| Pace::new(rate, span, calls));
+            class.update(now, span, slot_load, pace);
         }
         self.level = self.fitting_level(load_goal(calls));
         for class in &mut self.classes {
@@ -238,13 +300,13 @@
     /// all is more. No importance is admitted at a higher fraction than a more important one. More
     /// important requests are thus refused last, and a lasting overload starves no importance.
     fn fitting_level(&self, mut capacity: f64) -> Level {
-        let mut offered: f64 = self.classes.iter().map(|class| class.load).sum();
+        let mut offered: f64 = self.classes.iter().map(ImportanceLoad::load).sum();
         let mut level = Level::OPEN;
         let mut above = 1.0;
         for (idx, class) in self.classes.iter().enumerate().rev() {
             let fraction = |capacity: f64, load: f64| capacity / load.max(f64::MIN_POSITIVE);
             let equal_share = fraction(capacity, offered);
-            let priority_share = fraction((1.0 - RESERVED_FRACTION) * capacity, class.load);
+            let priority_share = fraction((1.0 - RESERVED_FRACTION) * capacity, class.load());
             let least = if idx + 1 == self.classes.len() { TOP_PASS_MIN } else { 0.0 };
             let passed = equal_share.max(priority_share).clamp(least, above);
             if level > Level::OPEN {
@@ -253,8 +315,8 @@
                 let tiebreak = (TIEBREAKS * (1.0 - passed)).min(TIEBREAKS - 1.0) as u16;
                 level = Level::at(Rank::at(class.importance, tiebreak));
             }
-            capacity = (capacity - passed * class.load).max(0.0);
-            offered = (offered - class.load).max(0.0);
+            capacity = (capacity - passed * class.load()).max(0.0);
+            offered = (offered - class.load()).max(0.0);
             above = passed;
         }
         level
--- a/node/src/admission.rs
+++ b/node/src/admission.rs
@@ -6,8 +6,8 @@
 
 use poplar_core::{
     Admission, AdmissionVerdict, Arrival, CallResult, ErrorKind, ImportanceMix, ImportanceScale,
-    Level, LoadController, Moment, Name, Occupancy, Rank, Refusal, Release, Revision, RunTimes,
-    Shedding, TargetLimits, Ticket,
+    Level, LoadController, Moment, Name, Occupancy, Rank, Rate, Refusal, Release, Revision,
+    RunTimes, Shedding, TargetLimits, Ticket,
 };
 use poplar_kernel::{Clock, Service};
 use poplar_wire::CallMeta;
@@ -73,6 +73,8 @@
     counts: CallCounts,
     next_ticket: u64,
     ticker_running: bool,
+    /// Rate limit that the target states.
+    rate: Option<Rate>,
 }
 
 /// Right to have the target run one call; its slot is released on drop.
@@ -94,6 +96,8 @@
     pub(crate) queued: usize,
     /// Number of calls that may run concurrently.
     pub(crate) limit: u32,
+    /// Rate limit that the target states, in calls a second.
+    pub(crate) rate: Option<Rate>,
     /// Level below which calls are refused.
     pub(crate) level: Level,
 }
@@ -148,6 +152,20 @@
         state.load_controller = Some(LoadController::new(now, &scale));
         state.admission = Some(Admission::with_shedding(now, limits, scale, shedding));
         state.revision = Revision::default();
+        state.rate = None;
+    }
+
+    /// Sets the rate limit that the target states; none if it states none.
+    pub(crate) fn set_rate(&self, rate: Option<Rate>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.rate = rate;
+        if let Some(load_controller) = state.load_controller.as_mut() {
+            load_controller.set_rate(rate);
+        }
+        if let Some(admission) = state.admission.as_mut() {
+            admission.set_rate(now, rate);
+        }
     }
 
     /// Adopts the importances of a contract revision unless it is the current one.
@@ -188,8 +206,10 @@
     pub(crate) fn load(&self) -> Load {
         let now = self.clock.now();
         let mut state = self.lock();
+        let rate = state.rate;
         let Some(admission) = state.admission.as_mut() else { return Load::default() };
         Load {
+            rate,
             running: admission.in_flight(),
             queued: admission.queued(),
             limit: admission.limit(),
@@ -206,16 +226,18 @@
     /// Level below which entries should refuse requests that lead here, and the load by which
     /// callers choose a target.
     ///
-    /// The load is the number of running and queued calls as a fraction of the limit. It is higher
-    /// for a target that fails calls, since quick failures would otherwise look like free capacity.
+    /// The load is the number of running and queued calls as a fraction of the limit, or the rate of
+    /// arrivals as a fraction of the rate limit if that is more. It is higher for a target that
+    /// fails calls, since quick failures would otherwise look like free capacity.
     pub(crate) fn load_report(&self) -> (Level, f64) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.observe(now);
         let level = state.load_controller.as_ref().map_or(Level::OPEN, LoadController::level);
-        let load = state.admission.as_ref().map_or(0.0, |admission| {
+        let load = state.admission.as_mut().map_or(0.0, |admission| {
             let calls = admission.in_flight() + admission.queued();
-            calls as f64 / f64::from(admission.limit().max(1))
+            let slot_load = calls as f64 / f64::from(admission.limit().max(1));
+            slot_load.max(admission.pace_load(now))
         });
         let failing = state.load_controller.as_ref().map_or(0.0, LoadController::failure_rate);
         (level, load + FAILING_LOAD * failing)
@@ -420,11 +442,13 @@
 
     fn dump(&self, now: Moment) -> Value {
         let mut state = self.lock();
+        let rate = state.rate;
         let Some(admission) = state.admission.as_mut() else { return Value::Null };
         json!({
             "running": admission.in_flight(),
             "queued": admission.queued(),
             "limit": admission.limit(),
+            "rate": rate,
             "level": admission.level(now),
         })
     }
--- a/node/src/proxy/callers/dispatch.rs
+++ b/node/src/proxy/callers/dispatch.rs
@@ -14,9 +14,11 @@
 use crate::proxy::frame::{Call, CallAnswer, Field, TargetResponse, fingerprint};
 use crate::proxy::links::link::LinkError;
 use crate::proxy::links::peers::Peers;
+use crate::proxy::ports::HeaderNames;
 use crate::proxy::state::crashes::CrashRecords;
 use crate::proxy::state::graph::{CallGraph, RequestContext};
 use crate::proxy::state::roster::{ChosenTarget, Roster};
+use crate::proxy::statement::TargetStatement;
 
 /// Retry delay sent to a caller whose service has no target; the start of a target takes seconds.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(500);
@@ -45,6 +47,7 @@
 /// Sends requests to targets, with retries.
 pub(crate) struct Dispatcher {
     pub(crate) clock: Clock,
+    pub(crate) header_names: Arc<HeaderNames>,
     /// Service on whose machine the requests originate.
     pub(crate) caller: Name,
     pub(crate) roster: Arc<Roster>,
@@ -239,10 +242,18 @@
             answer => answer,
         };
         match answer {
-            Ok(answer) => {
+            Ok(mut answer) => {
                 if matches!(&answer.outcome, Outcome::Done(response) if !response.is_failure()) {
                     self.crashes.record_success_if_marked(fingerprint);
                 }
+                if let (Outcome::Done(response), Some(lifetime)) = (&answer.outcome, lifetime)
+                    && let Some(statement) = TargetStatement::of(response, &self.header_names)
+                {
+                    self.roster.record_statement(chosen, lifetime, sent, statement);
+                }
+                if self.roster.is_limited_alone(service, chosen) {
+                    answer.level = Level::OPEN;
+                }
                 self.graph.record_answer(service, &chosen.instance, &route, context, &answer);
                 self.roster.report_load(service, &chosen.instance, answer.load);
                 Ok(answer)
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -8,7 +8,8 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use poplar_core::{
     CallId, CrashNews, Digest, ErrorKind, Fingerprint, ImportanceMix, InstanceId, Level, Name,
-    Outcome, Ranges, Rank, Reads, RelayedLevel, Revision, RuleSet, Sighting, TargetRecord, WorkSum,
+    Outcome, Ranges, Rank, Rate, Reads, RelayedLevel, Revision, RuleSet, Sighting, TargetLifetime,
+    TargetRecord, WorkSum,
 };
 use serde::{Deserialize, Serialize};
 
@@ -59,6 +60,10 @@
     Claim(CallNumber, CallId),
     /// Reports requests that crashed targets, and those that have succeeded since.
     Crashes(CrashNews),
+    /// Reports the rate limit that a lifetime of a target states: of the receiver's target as the
+    /// first message on a link, since the receiver may have restarted, and of the sender's target
+    /// ahead of a refusal.
+    StatedLimit(TargetLifetime, Rate),
 }
 
 /// Kind of a message, by which traffic is counted.
@@ -107,9 +112,11 @@
                 MessageKind::Call
             }
             Self::Answer(..) => MessageKind::Answer,
-            Self::Ping(_) | Self::Pong(_) | Self::Subscribe(_) | Self::Beat(..) => {
-                MessageKind::KeepAlive
-            }
+            Self::Ping(_)
+            | Self::Pong(_)
+            | Self::Subscribe(_)
+            | Self::Beat(..)
+            | Self::StatedLimit(..) => MessageKind::KeepAlive,
             Self::Rules(_) | Self::Want => MessageKind::Rules,
             Self::Targets(_) | Self::Compare(_) | Self::Differ(..) => MessageKind::Targets,
             Self::Sightings(_) => MessageKind::Sightings,
--- a/node/src/proxy/links/link.rs
+++ b/node/src/proxy/links/link.rs
@@ -79,6 +79,8 @@
     Claims,
     /// As `Claims`, with messages about requests that crashed targets.
     Crashes,
+    /// As `Crashes`, with messages about the rate limits of targets.
+    Limits,
 }
 
 impl Outbox {
@@ -110,6 +112,11 @@
         self.version >= ProtocolVersion::Crashes
     }
 
+    /// Whether the other end accepts messages about the rate limit of its target.
+    pub(crate) fn supports_limits(&self) -> bool {
+        self.version >= ProtocolVersion::Limits
+    }
+
     /// Whether the other end supports subscriptions and roster digests.
     pub(crate) fn supports_digests(&self) -> bool {
         self.version >= ProtocolVersion::Digests
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -13,7 +13,7 @@
 use hyper::service::service_fn;
 use hyper::upgrade::Upgraded;
 use hyper_util::rt::TokioIo;
-use poplar_core::{CallId, LinkId, Moment, Name, Outcome};
+use poplar_core::{CallId, LinkId, Moment, Name, Outcome, Rate, TargetLifetime};
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
@@ -29,6 +29,7 @@
 use crate::proxy::state::crashes::CrashRecords;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
+use crate::proxy::target::local_target::LocalTarget;
 use crate::proxy::target::run::Runner;
 
 /// Timeout for establishing a link; allows for a few round trips between availability zones.
@@ -63,6 +64,9 @@
 const FEATURES_HEADER: &str = "poplar-features";
 /// Value of the features header of nodes that accept messages about requests that crashed targets.
 const CRASHES_FEATURE: &str = "crashes";
+/// Second value of that header, of nodes that accept messages about the rate limits of targets.
+/// Nodes that do not know it read the first value only.
+const LIMITS_FEATURE: &str = "limits";
 /// Header with the number that identifies the link in claims.
 const LINK_HEADER: &str = "poplar-link";
 /// Capacity of the queue of received messages, for all links together.
@@ -75,6 +79,7 @@
     pub(crate) zone: Name,
     pub(crate) rules: Arc<Rules>,
     pub(crate) roster: Arc<Roster>,
+    pub(crate) local_target: Arc<LocalTarget>,
     pub(crate) runner: Arc<Runner>,
     pub(crate) crashes: Arc<CrashRecords>,
     pub(crate) traffic: Arc<Traffic>,
@@ -144,7 +149,11 @@
         once: bool,
     ) -> Result<CallAnswer, LinkError> {
         if *peer == self.address {
-            return Ok(self.runner.run(&call).await);
+            let answer = self.runner.run(&call).await;
+            if let Some((lifetime, rate)) = self.refusing_limit(&answer) {
+                self.roster.adopt_limit(peer, lifetime, rate);
+            }
+            return Ok(answer);
         }
         let link = self.get_or_connect(peer).await?;
         if !(once && link.outbox.supports_claims()) {
@@ -266,6 +275,11 @@
         self.traffic.record_opened();
         let zone = self.roster.zone_of(peer);
         let outbox = self.outbox(zone.as_ref().map(Name::as_str), version);
+        if outbox.supports_limits()
+            && let Some((lifetime, rate)) = self.roster.stated_limit(peer)
+        {
+            outbox.push(&Message::StatedLimit(lifetime, rate));
+        }
         let link = Arc::new(Link::new(self.clock.now(), id, outbox));
         tokio::spawn(self.clone().drive_outgoing(peer.clone(), link.clone(), socket, unread));
         Ok(link)
@@ -294,6 +308,10 @@
             link.record_received(self.clock.now());
             match message {
                 Message::Answer(number, answer) => link.complete(number, *answer),
+                // Applied here, so that it takes effect before the refusal that follows it.
+                Message::StatedLimit(lifetime, rate) => {
+                    self.roster.adopt_limit(&peer, lifetime, rate);
+                }
                 other => self.receive(&sender, other),
             }
         };
@@ -342,6 +360,7 @@
         resp.headers_mut().insert(header::UPGRADE, HeaderValue::from_static(PROTOCOL));
         resp.headers_mut().insert(VERSION_HEADER, HeaderValue::from_static(VERSION));
         resp.headers_mut().insert(FEATURES_HEADER, HeaderValue::from_static(CRASHES_FEATURE));
+        resp.headers_mut().append(FEATURES_HEADER, HeaderValue::from_static(LIMITS_FEATURE));
         resp
     }
 
@@ -359,6 +378,11 @@
             async move {
                 let answer = peers.runner.run(&call).await;
                 peers.send_crashes(&call, &answer, &outbox);
+                if outbox.supports_limits()
+                    && let Some((lifetime, rate)) = peers.refusing_limit(&answer)
+                {
+                    outbox.push(&Message::StatedLimit(lifetime, rate));
+                }
                 answer
             }
         };
@@ -367,6 +391,8 @@
             Message::HeldCall(number, call) => runs.run_held(number, self.clock, run(call)),
             Message::Claim(number, call) => runs.claim(number, self.clock, call),
             Message::Cancel(number) => runs.cancel(number),
+            // Applied here, so that it takes effect before the calls that follow it.
+            Message::StatedLimit(lifetime, rate) => self.local_target.adopt_limit(lifetime, rate),
             other => self.receive(&sender, other),
         };
         drive(socket, &unread, &outbox, handle).await;
@@ -385,6 +411,13 @@
         }
     }
 
+    /// Rate limit of the local target if the node refused a call, possibly because of it. The
+    /// caller's node needs it to tell a limited target from a service that is short of room.
+    fn refusing_limit(&self, answer: &CallAnswer) -> Option<(TargetLifetime, Rate)> {
+        let refused = !answer.offered && matches!(answer.outcome, Outcome::NotRun { .. });
+        refused.then(|| self.local_target.stated_limit()).flatten()
+    }
+
     /// Processes a message that belongs to no call: answers a ping, applies a crash message, and
     /// queues any other message, as well as the ping, in `received`.
     fn receive(&self, sender: &LinkPeer, message: Message) {
@@ -448,6 +481,7 @@
         .header(NODE_HEADER, address.as_str())
         .header(VERSION_HEADER, VERSION)
         .header(FEATURES_HEADER, CRASHES_FEATURE)
+        .header(FEATURES_HEADER, LIMITS_FEATURE)
         .header(LINK_HEADER, id.0)
         .body(Empty::<Bytes>::new())
         .map_err(std::io::Error::other)?;
@@ -470,8 +504,11 @@
 
 /// Protocol version of the other end, from the headers of the upgrade.
 fn version(headers: &HeaderMap) -> ProtocolVersion {
-    let crashes = headers.get(FEATURES_HEADER).is_some_and(|value| value == CRASHES_FEATURE);
+    let supports =
+        |feature: &str| headers.get_all(FEATURES_HEADER).iter().any(|value| value == feature);
+    let (crashes, limits) = (supports(CRASHES_FEATURE), supports(LIMITS_FEATURE));
     match headers.get(VERSION_HEADER).map(HeaderValue::as_bytes) {
+        Some(value) if value == VERSION.as_bytes() && crashes && limits => ProtocolVersion::Limits,
         Some(value) if value == VERSION.as_bytes() && crashes => ProtocolVersion::Crashes,
         Some(value) if value == VERSION.as_bytes() => ProtocolVersion::Claims,
         Some(value) if value == DIGESTS_VERSION.as_bytes() => ProtocolVersion::Digests,
--- a/node/src/proxy/mod.rs
+++ b/node/src/proxy/mod.rs
@@ -25,6 +25,7 @@
 mod process;
 mod report;
 mod state;
+mod statement;
 mod sync;
 mod target;
 mod unix_time;
--- a/node/src/proxy/ports.rs
+++ b/node/src/proxy/ports.rs
@@ -24,6 +24,9 @@
     pub caller_service: HeaderName,
     /// Set by a target in its answer if it did not start to run the request.
     pub not_run: HeaderName,
+    /// Rate limit that a target states in its answers: the number of requests a second that it
+    /// takes from all nodes together.
+    pub rate_limit: HeaderName,
 }
 
 /// Stream of keyed records in the store.
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -136,6 +136,7 @@
             zone: config.zone.clone(),
             rules: rules.clone(),
             roster: roster.clone(),
+            local_target: own.clone(),
             runner: runner.clone(),
             crashes: crashes.clone(),
             traffic: traffic.clone(),
@@ -158,6 +159,7 @@
         let metrics = Arc::new(metrics);
         let dispatcher = Dispatcher {
             clock,
+            header_names: header_names.clone(),
             caller: config.service.clone(),
             roster: roster.clone(),
             peers: peers.clone(),
--- a/node/src/proxy/state/roster.rs
+++ b/node/src/proxy/state/roster.rs
@@ -5,12 +5,14 @@
 
 use poplar_core::{
     Balancer, Choice, Digest, Fingerprint, InstanceId, Moment, Name, Observation, Ranges, Rank,
-    Roster as Records, Stage, TargetInfo, TargetLifetime, TargetRecord,
+    Rate, Roster as Records, Stage, StatedLimit, TargetInfo, TargetLifetime, TargetRecord,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
+use crate::proxy::statement::{LimitStatement, TargetStatement};
+
 /// Target chosen for a call.
 #[derive(Debug, Clone)]
 pub(crate) struct ChosenTarget {
@@ -34,6 +36,9 @@
     records: Records,
     balancers: HashMap<Name, Balancer>,
     peers: HashMap<InstanceId, Name>,
+    /// Rate limits stated in answers that came to this node, by the address of the node beside the
+    /// target.
+    limits: HashMap<Name, (TargetLifetime, StatedLimit)>,
 }
 
 impl Roster {
@@ -65,6 +70,7 @@
         if let Some(record) = state.records.get(peer).cloned() {
             state.remove_from_chooser(&record);
         }
+        state.limits.remove(peer);
         state.records.remove(peer)
     }
 
@@ -117,6 +123,53 @@
         }
     }
 
+    /// Records what a target stated in an answer to a request sent at `sent`.
+    pub(crate) fn record_statement(
+        &self,
+        chosen: &ChosenTarget,
+        lifetime: TargetLifetime,
+        sent: Moment,
+        statement: TargetStatement,
+    ) {
+        let now = self.clock.now();
+        if let LimitStatement::Limit(rate) = statement.limit {
+            self.lock().record_limit(now, &chosen.peer, lifetime, sent, rate);
+        }
+    }
+
+    /// Takes over a rate limit that the node at `peer` reports of its target. It counts until an
+    /// answer of the target comes to this node.
+    pub(crate) fn adopt_limit(&self, peer: &Name, lifetime: TargetLifetime, rate: Rate) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let known = state.limits.get_mut(peer).filter(|(known, _)| *known == lifetime);
+        if let Some((_, limit)) = known {
+            limit.adopt(now, rate);
+            return;
+        }
+        let mut limit = StatedLimit::default();
+        limit.adopt(now, rate);
+        state.limits.insert(peer.clone(), (lifetime, limit));
+    }
+
+    /// Whether the chosen target states a rate limit while another one of `service` is known to
+    /// have room. The level of such a target tells nothing about the service.
+    pub(crate) fn is_limited_alone(&self, service: &Name, chosen: &ChosenTarget) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        let limited =
+            state.limits.get(&chosen.peer).is_some_and(|(_, limit)| limit.rate().is_some());
+        let balancer = state.balancers.get(service);
+        limited && balancer.is_some_and(|known| known.has_room_beside(now, &chosen.instance))
+    }
+
+    /// Rate limit that the target beside the node at `peer` last stated to this node.
+    pub(crate) fn stated_limit(&self, peer: &Name) -> Option<(TargetLifetime, Rate)> {
+        let state = self.lock();
+        let (lifetime, limit) = state.limits.get(peer)?;
+        Some((*lifetime, limit.rate()?))
+    }
+
     /// Availability zone of the node at `peer`; none if the node is not known.
     pub(crate) fn zone_of(&self, peer: &Name) -> Option<Name> {
         self.lock().records.get(peer).map(|record| record.zone.clone())
@@ -200,6 +253,29 @@
         });
     }
 
+    /// Records the rate limit in an answer, if the target states or has stated any.
+    fn record_limit(
+        &mut self,
+        now: Moment,
+        peer: &Name,
+        lifetime: TargetLifetime,
+        sent: Moment,
+        rate: Option<Rate>,
+    ) {
+        let known = self.limits.get_mut(peer).filter(|(known, _)| *known == lifetime);
+        match known {
+            Some((_, limit)) => limit.record_answer(now, sent, rate),
+            None if rate.is_none() => {
+                self.limits.remove(peer);
+            }
+            None => {
+                let mut limit = StatedLimit::default();
+                limit.record_answer(now, sent, rate);
+                self.limits.insert(peer.clone(), (lifetime, limit));
+            }
+        }
+    }
+
     /// Removes the instance of a record from the targets that calls may choose.
     fn remove_from_chooser(&mut self, record: &TargetRecord) {
         if let Some(balancer) = self.balancers.get_mut(&record.service) {
--- a/node/src/proxy/sync/peer_sync.rs
+++ b/node/src/proxy/sync/peer_sync.rs
@@ -379,7 +379,8 @@
             | Message::Cancel(_)
             | Message::Claim(..)
             | Message::Answer(..)
-            | Message::Crashes(_) => {}
+            | Message::Crashes(_)
+            | Message::StatedLimit(..) => {}
         }
     }
 
--- a/node/src/proxy/target/client.rs
+++ b/node/src/proxy/target/client.rs
@@ -23,6 +23,7 @@
 use crate::proxy::fields;
 use crate::proxy::frame::{Call, TargetResponse};
 use crate::proxy::ports::HeaderNames;
+use crate::proxy::statement::TargetStatement;
 use crate::proxy::target::limited_stream::{LimitedStream, ReadBudget};
 use crate::servers::body_reader::{BodyError, BodyReader};
 
@@ -120,6 +121,11 @@
         }
     }
 
+    /// What the target states about itself in `answer`; none if another instance answered.
+    pub(crate) fn statement(&self, answer: &TargetResponse) -> Option<TargetStatement> {
+        TargetStatement::of(answer, &self.header_names)
+    }
+
     /// Closes all idle connections.
     pub(crate) fn close_idle(&self) {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
--- a/node/src/proxy/target/local_target.rs
+++ b/node/src/proxy/target/local_target.rs
@@ -7,7 +7,7 @@
 
 use poplar_core::{
     Age, ConnectionBreaker, ErrorKind, Fingerprint, ImportanceScale, InstanceId, Moment, Name,
-    Shedding, Stage, TargetLifetime, TargetLimits, TargetRecord,
+    Rate, Shedding, Stage, StatedLimit, TargetLifetime, TargetLimits, TargetRecord,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -20,6 +20,7 @@
 use crate::proxy::state::crashes::CrashRecords;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
+use crate::proxy::statement::{LimitStatement, TargetStatement};
 use crate::proxy::target::client::TargetClient;
 use crate::proxy::unix_time::unix_time;
 
@@ -37,6 +38,10 @@
 /// Largest number of remembered runs without an answer; more than a target runs at once.
 const UNANSWERED_MAX: usize = 512;
 
+/// Largest number of remembered limits of targets that are not known yet. A node that starts knows
+/// its target within seconds, and few others can precede it.
+const REPORTED_LIMITS_MAX: usize = 8;
+
 /// Longest time for which an acknowledgement to the target waits for the store; targets repeat the
 /// request after one second.
 const STORE_WAIT: Duration = Duration::from_millis(600);
@@ -105,6 +110,12 @@
     breaker: ConnectionBreaker,
     /// Instances that deregistered before they were known.
     departed: Departed,
+    /// Rate limit that the current lifetime of the target states.
+    limit: StatedLimit,
+    /// Whether it has stated a limit that could not be read.
+    malformed_limit: bool,
+    /// Limits that other nodes reported of lifetimes that are not known yet.
+    reported_limits: VecDeque<(TargetLifetime, Rate)>,
 }
 
 /// Deregistered instances, each with the latest start time that the deregistration covers, in
@@ -208,6 +219,8 @@
         if !same_lifetime {
             state.previous_alive = last_alive;
             state.breaker = ConnectionBreaker::default();
+            state.limit = StatedLimit::default();
+            state.malformed_limit = false;
         }
         drop(state);
         if !same_lifetime {
@@ -222,6 +235,7 @@
                 announcement.age.born,
             )));
             self.open_admission(&announcement);
+            self.apply_reported_limits();
         }
         if !same {
             info!(self.logger, "target: changed"; "instance" => %announcement.instance,
@@ -254,6 +268,74 @@
         self.announce(Announcement { stage: Stage::Left, age, ..known })
     }
 
+    /// Records what the target stated in an answer to a request that was sent at `sent` to its
+    /// lifetime `lifetime`.
+    pub(crate) fn record_statement(
+        &self,
+        lifetime: TargetLifetime,
+        sent: Moment,
+        statement: TargetStatement,
+    ) {
+        if *self.lifetime.borrow() != Some(lifetime) {
+            return;
+        }
+        let now = self.clock.now();
+        match statement.limit {
+            LimitStatement::Limit(rate) => {
+                self.update_limit(|limit| limit.record_answer(now, sent, rate));
+            }
+            LimitStatement::Malformed => {
+                if !std::mem::replace(&mut self.lock().malformed_limit, true) {
+                    warn!(self.logger, "target: rate limit that cannot be read ignored");
+                }
+            }
+        }
+    }
+
+    /// Takes over a rate limit that a lifetime of the target stated to another node. It has an
+    /// effect only until the target has answered this node.
+    pub(crate) fn adopt_limit(&self, lifetime: TargetLifetime, rate: Rate) {
+        {
+            let mut state = self.lock();
+            if state.reported_limits.len() >= REPORTED_LIMITS_MAX {
+                state.reported_limits.pop_front();
+            }
+            state.reported_limits.push_back((lifetime, rate));
+        }
+        self.apply_reported_limits();
+    }
+
+    /// Rate limit that the target states, with the target's current lifetime.
+    pub(crate) fn stated_limit(&self) -> Option<(TargetLifetime, Rate)> {
+        let lifetime = (*self.lifetime.borrow())?;
+        Some((lifetime, self.lock().limit.rate()?))
+    }
+
+    /// Applies the limits reported of the current lifetime.
+    fn apply_reported_limits(&self) {
+        let Some(lifetime) = *self.lifetime.borrow() else { return };
+        let now = self.clock.now();
+        let reported = std::mem::take(&mut self.lock().reported_limits);
+        for (_, rate) in reported.into_iter().filter(|(known, _)| *known == lifetime) {
+            self.update_limit(|limit| limit.adopt(now, rate));
+        }
+    }
+
+    /// Changes the rate limit with `update` and passes it to admission.
+    fn update_limit(&self, update: impl FnOnce(&mut StatedLimit)) {
+        let mut state = self.lock();
+        let before = state.limit.rate();
+        update(&mut state.limit);
+        let rate = state.limit.rate();
+        if rate == before {
+            return;
+        }
+        // Under the lock, so that concurrent changes reach admission in their order.
+        self.admission.set_rate(rate);
+        drop(state);
+        info!(self.logger, "target: rate limit changed"; "rate" => rate.map(f64::from));
+    }
+
     /// Instance and stage of the target, if one is known.
     pub(crate) fn target(&self) -> Option<(InstanceId, Stage)> {
         self.lock().target.as_ref().map(|target| (target.instance.clone(), target.stage))
--- a/node/src/proxy/target/run.rs
+++ b/node/src/proxy/target/run.rs
@@ -139,6 +139,7 @@
             () = self.local_target.wait_replaced(lifetime) => TargetResult::ConnectionLost,
         };
         guard.finish(&end);
+        self.record_statement(lifetime, now, &end);
         let offered = !matches!(end, TargetResult::NotConnected);
         let outcome = end.outcome(SHED_RETRY);
         if offered {
@@ -151,6 +152,19 @@
         CallAnswer { ran, work, ..CallAnswer::new(outcome, offered) }
     }
 
+    /// Records what the target stated about itself, if it answered.
+    fn record_statement(
+        &self,
+        lifetime: TargetLifetime,
+        sent: Moment,
+        end: &TargetResult<TargetResponse>,
+    ) {
+        let TargetResult::Answer { answer, .. } = end else { return };
+        if let Some(statement) = self.client.statement(answer) {
+            self.local_target.record_statement(lifetime, sent, statement);
+        }
+    }
+
     /// Error kind with which to refuse a call for `instance`, if the target beside this node cannot
     /// run it.
     fn refusal_kind(&self, instance: &InstanceId) -> Option<ErrorKind> {
