Send nothing more to a target that states in its answers that it leaves

Cause and class are those of the rate limit: answers were not listened to. The node beside the target, which every request passes, now takes the statement for an announcement of its leave, with the same effects: it refuses at once as not run, and publishes its record. The entry that passes on the answer marks the record, too, so that it sends nothing there even if the node beside the target restarts and learns from heartbeats only that the target serves.

For the latter a record's stage may no longer go back within a lifetime when a later record arrives; only the node beside the target kept to that until now. core/tests/roster.rs has the case.

--- a/core/src/roster.rs
+++ b/core/src/roster.rs
@@ -65,6 +65,10 @@
 }
 
 impl TargetRecord {
+    fn is_same_lifetime(&self, other: &Self) -> bool {
+        self.instance == other.instance && self.age.born == other.age.born
+    }
+
     /// Hash of the key and the instance, and of the age and stage that [`Roster::merge`] compares.
     ///
     /// Nodes exchange sums of these hashes, so the `Debug` texts of [`Age`] and [`Stage`], which
@@ -130,8 +134,14 @@
 impl Roster {
     /// Stores a record if it is newer than the known one; returns whether it did. Of two records
     /// of the same age, the one with the later stage is newer.
-    pub fn merge(&mut self, record: TargetRecord) -> bool {
+    ///
+    /// The stage never goes back within a lifetime of a target: a node that has restarted may not
+    /// know that its target leaves.
+    pub fn merge(&mut self, mut record: TargetRecord) -> bool {
         let known = self.records.get(&record.peer);
+        if let Some(known) = known.filter(|known| known.is_same_lifetime(&record)) {
+            record.stage = record.stage.max(known.stage);
+        }
         if known.is_some_and(|known| (known.age, known.stage) >= (record.age, record.stage)) {
             return false;
         }
--- a/core/tests/roster.rs
+++ b/core/tests/roster.rs
@@ -44,6 +44,18 @@
     assert_eq!(roster.version(), 2);
 }
 
+/// A node that restarts does not know that its target is leaving, and announces it as serving.
+#[test]
+fn later_record_of_a_leaving_target_does_not_reactivate_it() {
+    let mut roster = Roster::default();
+    roster.merge(record("i-1", 10, 3, Stage::Draining));
+    assert!(roster.merge(record("i-1", 10, 7, Stage::Serving)));
+    let known = roster.iter().next().unwrap();
+    assert_eq!((known.stage, known.age.sequence), (Stage::Draining, 7));
+    assert!(roster.merge(record("i-1", 11, 0, Stage::Serving)), "a later start");
+    assert_eq!(roster.iter().next().unwrap().stage, Stage::Serving);
+}
+
 fn at(peer: usize, sequence: u64) -> TargetRecord {
     let peer = format!("10.0.0.{peer}:7");
     TargetRecord { peer: Name::new(&peer), ..record("a", 10, sequence, Stage::Serving) }
--- a/node/src/proxy/ports.rs
+++ b/node/src/proxy/ports.rs
@@ -27,6 +27,8 @@
     /// Rate limit that a target states in its answers: the number of requests a second that it
     /// takes from all nodes together.
     pub rate_limit: HeaderName,
+    /// Set to `1` by a target in its answers if it is leaving.
+    pub leaving: HeaderName,
 }
 
 /// Stream of keyed records in the store.
--- a/node/src/proxy/state/roster.rs
+++ b/node/src/proxy/state/roster.rs
@@ -123,7 +123,8 @@
         }
     }
 
-    /// Records what a target stated in an answer to a request sent at `sent`.
+    /// Records what a target stated in an answer to a request sent at `sent`. A target that is
+    /// leaving gets no more calls from this node, whatever other nodes report of it.
     pub(crate) fn record_statement(
         &self,
         chosen: &ChosenTarget,
@@ -132,8 +133,20 @@
         statement: TargetStatement,
     ) {
         let now = self.clock.now();
-        if let LimitStatement::Limit(rate) = statement.limit {
-            self.lock().record_limit(now, &chosen.peer, lifetime, sent, rate);
+        let leaving = {
+            let mut state = self.lock();
+            let Some(record) = state.records.get(&chosen.peer).cloned() else { return };
+            if TargetLifetime::of(&record.instance, record.age.born) != lifetime {
+                return;
+            }
+            if let LimitStatement::Limit(rate) = statement.limit {
+                state.record_limit(now, &chosen.peer, lifetime, sent, rate);
+            }
+            let leaves = statement.leaving && record.stage == Stage::Serving;
+            leaves.then_some(TargetRecord { stage: Stage::Draining, ..record })
+        };
+        if let Some(record) = leaving {
+            self.merge(record);
         }
     }
 
--- a/node/src/proxy/statement.rs
+++ b/node/src/proxy/statement.rs
@@ -6,11 +6,16 @@
 use crate::proxy::frame::{Field, TargetResponse};
 use crate::proxy::ports::HeaderNames;
 
+/// Value by which a target states that it is leaving.
+const LEAVING: &[u8] = b"1";
+
 /// Statements of a target about itself in one answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct TargetStatement {
     /// Its rate limit.
     pub(crate) limit: LimitStatement,
+    /// Whether it is leaving.
+    pub(crate) leaving: bool,
 }
 
 /// Statement of a target about its rate limit.
@@ -32,7 +37,8 @@
         for value in values(&answer.fields, &names.rate_limit) {
             limit = limit.stricter(parse_rate(value));
         }
-        Some(Self { limit })
+        let leaving = values(&answer.fields, &names.leaving).any(|value| value == LEAVING);
+        Some(Self { limit, leaving })
     }
 }
 
--- a/node/src/proxy/target/local_target.rs
+++ b/node/src/proxy/target/local_target.rs
@@ -65,6 +65,19 @@
     pub age: Age,
 }
 
+impl Announcement {
+    /// Whether the announcement is of this lifetime.
+    fn is(&self, lifetime: TargetLifetime) -> bool {
+        TargetLifetime::of(&self.instance, self.age.born) == lifetime
+    }
+
+    /// The next announcement of the same lifetime, with another stage.
+    fn with_stage(self, stage: Stage) -> Self {
+        let sequence = self.age.sequence + 1;
+        Self { stage, age: Age { sequence, ..self.age }, ..self }
+    }
+}
+
 /// Result of an announcement or a deregistration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnnouncementOutcome {
@@ -264,8 +277,7 @@
             info!(self.logger, "target: unknown instance deregistered"; "instance" => %instance);
             return AnnouncementOutcome::Outdated;
         };
-        let age = Age { sequence: known.age.sequence + 1, ..known.age };
-        self.announce(Announcement { stage: Stage::Left, age, ..known })
+        self.announce(known.with_stage(Stage::Left))
     }
 
     /// Records what the target stated in an answer to a request that was sent at `sent` to its
@@ -290,6 +302,13 @@
                 }
             }
         }
+        let known = self.lock().target.clone();
+        if let Some(known) = known.filter(|known| statement.leaving && known.is(lifetime))
+            && known.stage == Stage::Serving
+        {
+            info!(self.logger, "target: leave stated in an answer"; "instance" => %known.instance);
+            self.announce(known.with_stage(Stage::Draining));
+        }
     }
 
     /// Takes over a rate limit that a lifetime of the target stated to another node. It has an
