--- a/core/src/crashes.rs
+++ b/core/src/crashes.rs
@@ -46,6 +46,10 @@
 /// smaller difference is taken for the same event, reported over a slower path.
 const SAME_EVENT_TOLERANCE: Duration = Duration::from_secs(1);
 
+/// Ages of received marks and successes above this one count as this one, so that times derived from
+/// them do not overflow. Marks are forgotten much sooner.
+const AGE_MAX: Duration = Duration::from_secs(24 * 3_600);
+
 /// Identifier of one lifetime of a target, from its start to its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
@@ -108,11 +112,11 @@
     /// Adds `elapsed` to all times, for news that was stored or delayed for that long.
     pub fn aged(mut self, elapsed: Duration) -> Self {
         for mark in &mut self.marks {
-            mark.began += elapsed;
-            mark.ended += elapsed;
+            mark.began = mark.began.saturating_add(elapsed);
+            mark.ended = mark.ended.saturating_add(elapsed);
         }
         for success in &mut self.successes {
-            success.age += elapsed;
+            success.age = success.age.saturating_add(elapsed);
         }
         self
     }
@@ -212,7 +216,7 @@
     /// Merges marks and successes that this node observed or received from another. Returns those
     /// that were new, and known successes that contradict the merged marks.
     pub fn merge(&mut self, now: Moment, received: &CrashNews) -> CrashNews {
-        let at = |age: Duration| micros(now) - age.as_micros() as Micros;
+        let at = |age: Duration| micros(now) - age.min(AGE_MAX).as_micros() as Micros;
         let mut news = CrashNews::default();
         for success in &received.successes {
             if self.apply_success(at(success.age), success.print) {
--- a/core/src/time.rs
+++ b/core/src/time.rs
@@ -35,7 +35,7 @@
 
     /// Moment `span` before this one, but not before the origin.
     pub const fn before(self, span: Duration) -> Self {
-        Self(self.0.saturating_sub(span.as_micros() as u64))
+        Self(self.0.saturating_sub(saturating_micros(span)))
     }
 }
 
@@ -43,6 +43,11 @@
     type Output = Self;
 
     fn add(self, span: Duration) -> Self {
-        Self(self.0.saturating_add(span.as_micros() as u64))
+        Self(self.0.saturating_add(saturating_micros(span)))
     }
 }
+
+const fn saturating_micros(span: Duration) -> u64 {
+    let micros = span.as_micros();
+    if micros > u64::MAX as u128 { u64::MAX } else { micros as u64 }
+}
--- a/node/src/proxy/state/roster.rs
+++ b/node/src/proxy/state/roster.rs
@@ -1,7 +1,9 @@
 //! Records of all known targets, and the choice of a target for each call.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use poplar_core::{
     Balancer, Choice, Digest, Fingerprint, InstanceId, Moment, Name, Observation, Ranges, Rank,
@@ -13,6 +15,22 @@
 
 use crate::proxy::statement::{LimitStatement, TargetStatement};
 
+/// Longest time for which the start of a target may lie ahead of this node's time of day; clocks
+/// differ by seconds. A record from further ahead would hide all later ones.
+const CLOCK_SKEW_MAX: Duration = Duration::from_secs(24 * 3_600);
+
+/// Whether a record can be that of a target: it names an address that a node can have, and a start
+/// that is not in the future. `now` is the time of day.
+pub(crate) fn is_plausible(record: &TargetRecord, now: Duration) -> bool {
+    let address = record.peer.as_str().parse::<SocketAddr>();
+    address.is_ok() && is_plausible_start(record.age.born, now)
+}
+
+/// Whether a target may have started at `born`, in milliseconds of Unix time.
+pub(crate) fn is_plausible_start(born: u64, now: Duration) -> bool {
+    Duration::from_millis(born) <= now + CLOCK_SKEW_MAX
+}
+
 /// Target chosen for a call.
 #[derive(Debug, Clone)]
 pub(crate) struct ChosenTarget {
--- a/node/src/proxy/sync/peer_sync.rs
+++ b/node/src/proxy/sync/peer_sync.rs
@@ -17,7 +17,7 @@
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, watch};
 
 use crate::proxy::frame::{Message, StateSummary};
@@ -26,10 +26,11 @@
 use crate::proxy::locality::Locality;
 use crate::proxy::state::crashes::{CrashBroadcast, CrashRecords};
 use crate::proxy::state::graph::CallGraph;
-use crate::proxy::state::roster::Roster;
+use crate::proxy::state::roster::{Roster, is_plausible};
 use crate::proxy::state::rules::Rules;
 use crate::proxy::sync::store_sync::StoreHealth;
 use crate::proxy::target::local_target::LocalTarget;
+use crate::proxy::unix_time::unix_time;
 
 /// Interval at which the plan, the subscriptions and the due beats are checked.
 const TICK: Duration = Duration::from_millis(150);
@@ -470,6 +471,10 @@
 
     fn merge_records(&self, records: Vec<TargetRecord>) {
         for record in records {
+            if !is_plausible(&record, unix_time()) {
+                warn!(self.logger, "roster: record ignored"; "key" => %record.peer);
+                continue;
+            }
             if record.peer == self.own_address {
                 self.local_target.adopt(&record, false);
             }
--- a/node/src/proxy/sync/store_sync.rs
+++ b/node/src/proxy/sync/store_sync.rs
@@ -20,7 +20,7 @@
 use crate::proxy::locality::Locality;
 use crate::proxy::ports::{NodeConfig, Page, Platform, StoreError, StoreRecord, Stream};
 use crate::proxy::state::crashes::CrashRecords;
-use crate::proxy::state::roster::Roster;
+use crate::proxy::state::roster::{Roster, is_plausible};
 use crate::proxy::state::rules::Rules;
 use crate::proxy::target::local_target::LocalTarget;
 use crate::proxy::unix_time::unix_time;
@@ -317,7 +317,7 @@
             return;
         }
         match rmp_serde::from_slice::<TargetRecord>(value) {
-            Ok(target) if target.peer == record.key => {
+            Ok(target) if target.peer == record.key && is_plausible(&target, unix_time()) => {
                 if self.roster.merge(target.clone()) {
                     info!(self.logger, "roster: changed"; "instance" => %target.instance,
                         "service" => %target.service, "stage" => ?target.stage,
--- a/node/src/proxy/target/local_target.rs
+++ b/node/src/proxy/target/local_target.rs
@@ -18,7 +18,7 @@
 use crate::proxy::ports::NodeConfig;
 use crate::proxy::state::SharedState;
 use crate::proxy::state::crashes::CrashRecords;
-use crate::proxy::state::roster::Roster;
+use crate::proxy::state::roster::{Roster, is_plausible_start};
 use crate::proxy::state::rules::Rules;
 use crate::proxy::statement::{LimitStatement, TargetStatement};
 use crate::proxy::target::client::TargetClient;
@@ -73,7 +73,8 @@
 
     /// The next announcement of the same lifetime, with another stage.
     fn with_stage(self, stage: Stage) -> Self {
-        let sequence = self.age.sequence + 1;
+        // A target may have used up the sequence numbers; announcements of equal age count, too.
+        let sequence = self.age.sequence.saturating_add(1);
         Self { stage, age: Age { sequence, ..self.age }, ..self }
     }
 }
@@ -86,7 +87,8 @@
     /// A newer announcement is already known, or the instance to deregister is not the known
     /// target.
     Outdated,
-    /// The announcement is not from the target beside this node: its service or address differs.
+    /// The announcement is not from the target beside this node: its service or address differs, or
+    /// its start lies in the future.
     Foreign,
 }
 
@@ -198,11 +200,13 @@
     /// Applies an announcement; a change is published if `publishes` is set or if the instance has
     /// already been deregistered.
     fn apply(&self, announcement: Announcement, publishes: bool) -> AnnouncementOutcome {
-        if announcement.service != self.config.service || announcement.address != self.config.target
+        if announcement.service != self.config.service
+            || announcement.address != self.config.target
+            || !is_plausible_start(announcement.age.born, unix_time())
         {
             warn!(self.logger, "target: announcement of another target ignored";
                 "instance" => %announcement.instance, "service" => %announcement.service,
-                "address" => %announcement.address);
+                "address" => %announcement.address, "born" => announcement.age.born);
             return AnnouncementOutcome::Foreign;
         }
         let now = self.clock.now();
