--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the data plane in the OpenMetrics text format.
 
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -56,6 +57,7 @@
 struct Gauges {
     queued: Gauge,
     limit: Gauge,
+    rate_limit: Gauge<f64, AtomicU64>,
     level: Gauge,
     targets: Gauge,
     revision: Gauge,
@@ -105,6 +107,7 @@
         let load = self.admission.load();
         self.gauges.queued.set(load.queued as i64);
         self.gauges.limit.set(i64::from(load.limit));
+        self.gauges.rate_limit.set(load.rate.map_or(f64::NAN, f64::from));
         self.gauges.level.set(u32::from(load.level.rank()).into());
         self.gauges.targets.set(self.roster.len() as i64);
         self.gauges.revision.set(self.rules.revision().0 as i64);
@@ -120,6 +123,8 @@
     fn register(&self, registry: &mut Registry) {
         registry.register("queued", "Calls that wait for the target", self.queued.clone());
         registry.register("limit", "Calls that the target may run at once", self.limit.clone());
+        let help = "Calls a second that the target states it takes; not a number if it states none";
+        registry.register("rate_limit", help, self.rate_limit.clone());
         registry.register("level", "Rank below which calls are refused", self.level.clone());
         registry.register("targets", "Targets known", self.targets.clone());
         registry.register("revision", "Revision of the rules in force", self.revision.clone());
