Keep reported limits of lifetimes that are announced later; read nothing twice

A limit that another node reports of a lifetime that the node beside the target does not know yet was dropped when a limit of the current lifetime arrived; an entry that had seen a limit end took no further report of one until the target answered it. Both only touch nodes with targets that state limits. An answer of a target that states nothing no longer clones its record, at the entry and beside the target.

--- a/core/src/crashes.rs
+++ b/core/src/crashes.rs
@@ -46,8 +46,8 @@
 /// smaller difference is taken for the same event, reported over a slower path.
 const SAME_EVENT_TOLERANCE: Duration = Duration::from_secs(1);
 
-/// Ages of received marks and successes above this one count as this one, so that times derived from
-/// them do not overflow. Marks are forgotten much sooner.
+/// Maximum age of received marks and successes; higher ones are reduced to it, so that times derived
+/// from them do not overflow. No mark is kept for longer.
 const AGE_MAX: Duration = Duration::from_secs(24 * 3_600);
 
 /// Identifier of one lifetime of a target, from its start to its end.
--- a/core/src/rate_limit.rs
+++ b/core/src/rate_limit.rs
@@ -98,7 +98,8 @@
     /// Number of calls that may start now; at most [`Self::burst`].
     tokens: f64,
     refilled_at: Moment,
-    /// Arrivals, each weighted by its age; divided by [`DEMAND_TIME`], their average rate.
+    /// Number of arrivals, which decays with the time constant [`DEMAND_TIME`]; divided by it, their
+    /// average rate.
     demand: f64,
 }
 
--- a/node/src/proxy/report.rs
+++ b/node/src/proxy/report.rs
@@ -64,8 +64,9 @@
         return;
     }
     info!(logger, "load: target"; "running" => load.running, "queued" => load.queued,
-        "limit" => load.limit, "rate" => load.rate.map(f64::from), "admission" => u32::from(load.level.rank()),
-        "own" => u32::from(own.rank()), "weight" => weight,
+        "limit" => load.limit, "rate" => load.rate.map(f64::from),
+        "admission" => u32::from(load.level.rank()), "own" => u32::from(own.rank()),
+        "weight" => weight,
         "arrived" => counts.arrived, "refused" => counts.refused, "failed" => counts.failed,
         "ended" => counts.completed, "ended_ms" => counts.busy.as_millis() as u64,
         "cancelled" => counts.cancelled, "cancelled_ms" => counts.wasted.as_millis() as u64);
--- a/node/src/proxy/state/roster.rs
+++ b/node/src/proxy/state/roster.rs
@@ -153,6 +153,9 @@
         let now = self.clock.now();
         let leaving = {
             let mut state = self.lock();
+            if statement.is_empty() && state.limits.is_empty() {
+                return;
+            }
             let Some(record) = state.records.get(&chosen.peer).cloned() else { return };
             if TargetLifetime::of(&record.instance, record.age.born) != lifetime {
                 return;
@@ -293,17 +296,14 @@
         sent: Moment,
         rate: Option<Rate>,
     ) {
-        let known = self.limits.get_mut(peer).filter(|(known, _)| *known == lifetime);
-        match known {
-            Some((_, limit)) => limit.record_answer(now, sent, rate),
-            None if rate.is_none() => {
-                self.limits.remove(peer);
-            }
-            None => {
-                let mut limit = StatedLimit::default();
-                limit.record_answer(now, sent, rate);
-                self.limits.insert(peer.clone(), (lifetime, limit));
-            }
+        let known = self.limits.get(peer).filter(|(known, _)| *known == lifetime);
+        let mut limit = known.map_or_else(StatedLimit::default, |(_, limit)| *limit);
+        limit.record_answer(now, sent, rate);
+        if limit.rate().is_some() {
+            self.limits.insert(peer.clone(), (lifetime, limit));
+        } else {
+            // Without an entry, a limit that the node beside the target reports counts again.
+            self.limits.remove(peer);
         }
     }
 
--- a/node/src/proxy/statement.rs
+++ b/node/src/proxy/statement.rs
@@ -40,6 +40,11 @@
         let leaving = values(&answer.fields, &names.leaving).any(|value| value == LEAVING);
         Some(Self { limit, leaving })
     }
+
+    /// Whether the target states neither a limit nor that it is leaving.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.limit == LimitStatement::Limit(None) && !self.leaving
+    }
 }
 
 impl LimitStatement {
--- a/node/src/proxy/target/local_target.rs
+++ b/node/src/proxy/target/local_target.rs
@@ -306,8 +306,11 @@
                 }
             }
         }
+        if !statement.leaving {
+            return;
+        }
         let known = self.lock().target.clone();
-        if let Some(known) = known.filter(|known| statement.leaving && known.is(lifetime))
+        if let Some(known) = known.filter(|known| known.is(lifetime))
             && known.stage == Stage::Serving
         {
             info!(self.logger, "target: leave stated in an answer"; "instance" => %known.instance);
@@ -338,8 +341,12 @@
     fn apply_reported_limits(&self) {
         let Some(lifetime) = *self.lifetime.borrow() else { return };
         let now = self.clock.now();
-        let reported = std::mem::take(&mut self.lock().reported_limits);
-        for (_, rate) in reported.into_iter().filter(|(known, _)| *known == lifetime) {
+        // The others may be of a lifetime that is announced later.
+        let (current, others) = std::mem::take(&mut self.lock().reported_limits)
+            .into_iter()
+            .partition::<VecDeque<_>, _>(|(known, _)| *known == lifetime);
+        self.lock().reported_limits.extend(others);
+        for (_, rate) in current {
             self.update_limit(|limit| limit.adopt(now, rate));
         }
     }
