Refuse leaves that a target cannot have sent

A leave with a body that cannot be read counted as one without a body, and one with a start in the far future covered every later start of that instance, so that another writer's odd leave took a living target out of use.

--- a/node/src/proxy/target/local_target.rs
+++ b/node/src/proxy/target/local_target.rs
@@ -265,12 +265,18 @@
         AnnouncementOutcome::Accepted
     }
 
-    /// Marks `instance` as left. Returns `Outdated` if it is not the target known at this node.
+    /// Marks `instance` as left. Returns `Outdated` if it is not the target known at this node, and
+    /// `Foreign` if `born` lies in the future.
     ///
     /// The deregistration of an unknown instance is remembered. It applies to later announcements
     /// of lifetimes of the instance that began at `born` or earlier, or before now if `born` is not
     /// given.
     pub fn deregister(&self, instance: &InstanceId, born: Option<u64>) -> AnnouncementOutcome {
+        if !is_plausible_start(born.unwrap_or_default(), unix_time()) {
+            warn!(self.logger, "target: leave with a start in the future ignored";
+                "instance" => %instance, "born" => born);
+            return AnnouncementOutcome::Foreign;
+        }
         let known = self.lock().target.clone();
         let known = known.filter(|known| {
             known.instance == *instance && born.is_none_or(|born| born == known.age.born)
