--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -87,6 +87,13 @@
     /// Offset of a record in a stream of the platform's log.
     Offset, u64
 }
+number! {
+    /// Number of times that the platform's store has come back from an older copy of its content.
+    ///
+    /// Offsets of different eras are not comparable: after a return, the store assigns the offsets
+    /// behind the copy's end again. See [recovery](../../docs/design/store-recovery.md).
+    Era, u64
+}
 number! {
     /// Revision of a customer's contract or of the routing rules; zero means that none has been
     /// accepted yet.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -34,6 +34,7 @@
 mod rules;
 mod runs;
 mod shortage;
+mod stream_cursor;
 mod suspects;
 mod time;
 mod work;
@@ -68,8 +69,8 @@
 pub use dependencies::{PathLevel, RouteDependencies};
 pub use held::{CallId, ClaimResult, HeldLimits, HeldRuns, LinkId};
 pub use ids::{
-    AttemptId, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId, Revision,
-    rendezvous_owner, rendezvous_weight,
+    AttemptId, Era, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId,
+    Revision, rendezvous_owner, rendezvous_weight,
 };
 pub use introductions::Introductions;
 pub use limit::{ClassLimits, ImportanceScale, RunTimes, TargetLimits, retry_after};
@@ -99,6 +100,7 @@
 pub use rules::{CallerLimits, Repeat, RouteIndex, RouteRule, RuleSet, ServiceRule, Share};
 pub use runs::{RunningRequest, RunningRequests};
 pub use shortage::Shortage;
+pub use stream_cursor::{Position, ReadCall, StreamCursor};
 pub use suspects::{
     Fingerprint, Permit, SuspectRefusal, SuspectReport, SuspectTable, SuspectTableError,
     SuspicionState,
--- a/node/src/proxy/ports.rs
+++ b/node/src/proxy/ports.rs
@@ -9,7 +9,8 @@
 
 use bytes::Bytes;
 use http::HeaderName;
-use poplar_core::{Name, Offset, ResendBound, RuleSet};
+use poplar_core::{Era, Name, Position, ResendBound, RuleSet};
+use tokio::sync::watch;
 
 /// Names of the HTTP headers that callers, targets and nodes of one installation use.
 #[derive(Debug, Clone)]
@@ -50,22 +51,23 @@
     pub value: Option<Bytes>,
 }
 
-/// Records of a stream, and the offset at which the next read continues.
+/// Records of a stream, and the position at which the next read continues.
 #[derive(Debug, Clone)]
 pub struct Page {
     /// Records that were read; in stream order if [`Platform::read`] returned them.
     pub records: Vec<StoreRecord>,
-    /// Offset from which the next call of [`Platform::read`] misses no record.
-    pub next_offset: Offset,
+    /// Position from which the next call of [`Platform::read`] misses no record, in the era that
+    /// the store stated with the records.
+    pub next: Position,
 }
 
 /// Reason for which a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum StoreError {
-    /// The store no longer has the requested records; the newest record of each key must be read
+    /// The store does not have the requested position; the newest record of each key must be read
     /// instead.
-    #[error("the store no longer has the requested records")]
-    Truncated,
+    #[error("the store does not have the requested position")]
+    InvalidPosition,
     /// The store refused the call with this HTTP status and did nothing.
     #[error("the store refused the call with status {0}")]
     Refused(u16),
@@ -79,14 +81,18 @@
 
 /// Access to the platform's store, and decoding of the rules that operators write there.
 pub trait Platform: Send + Sync + 'static {
+    /// Latest era that the store has stated in the answer to any call; none before the first one.
+    fn era(&self) -> watch::Receiver<Option<Era>>;
+
     /// Reads the newest record of each key of `stream`.
     fn newest(&self, stream: Stream) -> impl Future<Output = Result<Page, StoreError>> + Send;
 
-    /// Reads records from offset `from` on; waits up to `wait` for the first one.
+    /// Reads records from the offset of `from` on; waits up to `wait` for the first one. If the
+    /// store has changed its era since, the records need not be those that follow.
     fn read(
         &self,
         stream: Stream,
-        from: Offset,
+        from: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<Page, StoreError>> + Send;
 
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -318,6 +318,7 @@
     tokio::spawn(store_sync.clone().follow_rules());
     tokio::spawn(store_sync.clone().follow_targets());
     tokio::spawn(store_sync.clone().publish_crashes());
+    tokio::spawn(store_sync.clone().log_eras());
     tokio::spawn(store_sync.publish_target());
 }
 
--- a/node/src/proxy/sync/store_sync.rs
+++ b/node/src/proxy/sync/store_sync.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use poplar_core::{CrashNews, Moment, Name, Offset, ReadPlan, Reads, TargetRecord, backoff};
+use poplar_core::{
+    CrashNews, Era, Moment, Name, ReadCall, ReadPlan, Reads, StreamCursor, TargetRecord, backoff,
+};
 use poplar_kernel::Clock;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -153,6 +155,20 @@
         self.follow_stream(Stream::Targets, |page| self.apply_targets(page), BATCH_DELAY).await;
     }
 
+    /// Logs each return of the store from an older copy; returns when the process exits.
+    pub(crate) async fn log_eras(self: Arc<Self>) {
+        let mut eras = self.platform.era();
+        let mut known = None;
+        while eras.changed().await.is_ok() {
+            let era = *eras.borrow_and_update();
+            if let (Some(before), Some(Era(now))) = (known, era) {
+                warn!(self.logger, "store: came back from an older copy";
+                    "era_before" => before, "era" => now);
+            }
+            known = era.map(|era: Era| era.0);
+        }
+    }
+
     /// Writes the record of the local target to the store whenever it changes, and repeats the
     /// write until it succeeds.
     pub(crate) async fn publish_target(self: Arc<Self>) {
@@ -241,23 +257,26 @@
 
     /// Reads a stream until it is cancelled.
     async fn read_stream(&self, stream: Stream, apply: impl Fn(&Page), batch_delay: Duration) {
-        let mut next: Option<Offset> = None;
+        let mut cursor = StreamCursor::default();
         let mut failures = 0;
         loop {
-            self.health.record_call(call_label(stream, next));
-            let page = match next {
-                None => self.platform.newest(stream).await,
-                Some(from) => self.platform.read(stream, from, READ_WAIT).await,
+            let call = cursor.next_call();
+            self.health.record_call(call_label(stream, call));
+            let page = tokio::select! {
+                // The answer to this call itself may state a later era.
+                biased;
+                page = self.read(stream, call) => page,
+                () = self.wait_outdated(&cursor) => Err(StoreError::InvalidPosition),
             };
             match page {
-                Ok(page) => {
+                Ok(page) if cursor.on_page(self.era(), call, page.next) => {
                     if failures > 0 {
                         info!(self.logger, "store: reachable again"; "stream" => ?stream);
                     }
                     failures = 0;
                     apply(&page);
                     self.health.record_page(stream);
-                    let first = next.replace(page.next_offset).is_none();
+                    let first = call == ReadCall::Newest;
                     if first || !page.records.is_empty() {
                         let pause =
                             if first { batch_delay.max(FIRST_PAGE_DELAY) } else { batch_delay };
@@ -265,8 +284,21 @@
                         tokio::time::sleep(pause.mul_f64(0.5 + fastrand::f64())).await;
                     }
                 }
-                Err(StoreError::Truncated) => next = None,
+                Ok(page) => {
+                    info!(self.logger, "store: records of another era discarded";
+                        "stream" => ?stream, "era" => page.next.era.0);
+                    if call == ReadCall::Newest {
+                        // Part of the store still answers from an earlier era.
+                        tokio::time::sleep(backoff(failures, fastrand::u64(..))).await;
+                        failures += 1;
+                    }
+                }
+                Err(StoreError::InvalidPosition) => {
+                    info!(self.logger, "store: position not valid any more"; "stream" => ?stream);
+                    cursor.on_invalid();
+                }
                 Err(error) => {
+                    cursor.on_failure();
                     self.health.record_failure(stream, self.clock.now());
                     self.log_failure("read", failures, &error);
                     tokio::time::sleep(backoff(failures, fastrand::u64(..))).await;
@@ -276,6 +308,29 @@
         }
     }
 
+    async fn read(&self, stream: Stream, call: ReadCall) -> Result<Page, StoreError> {
+        match call {
+            ReadCall::Newest => self.platform.newest(stream).await,
+            ReadCall::Follow(from) => self.platform.read(stream, from, READ_WAIT).await,
+            ReadCall::Verify(from) => self.platform.read(stream, from, Duration::ZERO).await,
+        }
+    }
+
+    /// Latest era that the store has stated; zero if it has stated none.
+    fn era(&self) -> Era {
+        self.platform.era().borrow().unwrap_or_default()
+    }
+
+    /// Waits until the store states an era later than that of the position of `cursor`.
+    async fn wait_outdated(&self, cursor: &StreamCursor) {
+        let mut era = self.platform.era();
+        let outdated = era.wait_for(|era| cursor.is_outdated(era.unwrap_or_default()));
+        if outdated.await.is_err() {
+            // The platform does not state eras any more, so none is outdated.
+            std::future::pending().await
+        }
+    }
+
     fn apply_rules(&self, page: &Page) {
         for record in &page.records {
             match self.platform.decode_rules(record) {
@@ -360,11 +415,11 @@
 }
 
 /// Label of a read in the metrics.
-fn call_label(stream: Stream, from: Option<Offset>) -> &'static str {
-    match (stream, from) {
-        (Stream::Rules, None) => "newest_rules",
-        (Stream::Rules, Some(_)) => "read_rules",
-        (Stream::Targets, None) => "newest_targets",
-        (Stream::Targets, Some(_)) => "read_targets",
+fn call_label(stream: Stream, call: ReadCall) -> &'static str {
+    match (stream, call) {
+        (Stream::Rules, ReadCall::Newest) => "newest_rules",
+        (Stream::Rules, ReadCall::Follow(_) | ReadCall::Verify(_)) => "read_rules",
+        (Stream::Targets, ReadCall::Newest) => "newest_targets",
+        (Stream::Targets, ReadCall::Follow(_) | ReadCall::Verify(_)) => "read_targets",
     }
 }
