--- a/core/src/rules.rs
+++ b/core/src/rules.rs
@@ -55,8 +55,8 @@
 /// Settings of a service that apply to all its targets.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRule {
-    /// Path of the health check.
-    pub health: Name,
+    /// Path of the health check; none if the operator names none.
+    pub health: Option<Name>,
     /// Maximum number of connections to each target.
     pub connections: u32,
 }
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -31,6 +31,7 @@
 use crate::proxy::sync::peer_sync::{PeerSync, PlanView};
 use crate::proxy::sync::store_sync::{StoreHealth, StoreSync};
 use crate::proxy::target::client::TargetClient;
+use crate::proxy::target::health_check::HealthCheck;
 use crate::proxy::target::local_target::LocalTarget;
 use crate::proxy::target::run::Runner;
 
@@ -117,6 +118,13 @@
             shared.clone(),
             targets_read.clone(),
         ));
+        let health_check = HealthCheck {
+            service: config.service.clone(),
+            rules: rules.clone(),
+            client: target_client.clone(),
+            local_target: own.clone(),
+        };
+        tokio::spawn(health_check.run());
         let graph = Arc::new(CallGraph::new(clock, config.service.clone()));
         let decisions = Arc::new(DecisionLog::new(clock, component_logger(root, "request")));
         let runner = Arc::new(Runner::new(
--- a/node/src/proxy/state/rules.rs
+++ b/node/src/proxy/state/rules.rs
@@ -2,7 +2,9 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use poplar_core::{Importance, ImportanceScale, Moment, Revision, RouteIndex, RouteRule, RuleSet};
+use poplar_core::{
+    Importance, ImportanceScale, Moment, Name, Revision, RouteIndex, RouteRule, RuleSet,
+};
 use poplar_kernel::Service;
 use serde_json::{Value, json};
 use tokio::sync::watch;
@@ -20,6 +22,11 @@
         self.index.find(&self.rules, host, path).map(|idx| &self.rules.routes[idx])
     }
 
+    /// Path of the health check of a service's targets; none if the rules do not name one.
+    pub(crate) fn check_path(&self, service: &Name) -> Option<Name> {
+        self.rules.services.get(service)?.health.clone()
+    }
+
     /// Scale of the importances that the routes have.
     pub(crate) fn importance_scale(&self) -> ImportanceScale {
         ImportanceScale::new(self.importances())
--- a/node/src/proxy/statement.rs
+++ b/node/src/proxy/statement.rs
@@ -1,6 +1,6 @@
 //! What a target states about itself in the header fields of an answer.
 
-use http::{HeaderName, StatusCode};
+use http::{HeaderName, Response, StatusCode};
 use poplar_core::Rate;
 
 use crate::proxy::frame::{Field, TargetResponse};
@@ -18,6 +18,31 @@
     pub(crate) leaving: bool,
 }
 
+/// What the answer to a health check shows about a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Health {
+    /// It is not leaving.
+    Serving,
+    /// It is leaving.
+    Leaving,
+    /// It did not answer, or it reports a failure, which may be that it is leaving.
+    Unknown,
+}
+
+impl Health {
+    /// What the head of an answer shows.
+    pub(crate) fn of<B>(answer: &Response<B>, names: &HeaderNames) -> Self {
+        let headers = answer.headers();
+        if headers.get_all(&names.leaving).iter().any(|value| is_leaving(value.as_bytes())) {
+            Self::Leaving
+        } else if answer.status().is_server_error() {
+            Self::Unknown
+        } else {
+            Self::Serving
+        }
+    }
+}
+
 /// Statement of a target about its rate limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum LimitStatement {
@@ -37,7 +62,7 @@
         for value in values(&answer.fields, &names.rate_limit) {
             limit = limit.stricter(parse_rate(value));
         }
-        let leaving = values(&answer.fields, &names.leaving).any(|value| value == LEAVING);
+        let leaving = values(&answer.fields, &names.leaving).any(is_leaving);
         Some(Self { limit, leaving })
     }
 
@@ -59,6 +84,10 @@
     }
 }
 
+fn is_leaving(value: &[u8]) -> bool {
+    value.trim_ascii() == LEAVING
+}
+
 fn values<'a>(fields: &'a [Field], name: &'a HeaderName) -> impl Iterator<Item = &'a [u8]> {
     let name = name.as_str().as_bytes();
     let named = fields.iter().filter(move |Field(other, _)| other.eq_ignore_ascii_case(name));
--- a/node/src/proxy/target/client.rs
+++ b/node/src/proxy/target/client.rs
@@ -23,7 +23,7 @@
 use crate::proxy::fields;
 use crate::proxy::frame::{Call, TargetResponse};
 use crate::proxy::ports::HeaderNames;
-use crate::proxy::statement::TargetStatement;
+use crate::proxy::statement::{Health, TargetStatement};
 use crate::proxy::target::limited_stream::{LimitedStream, ReadBudget};
 use crate::servers::body_reader::{BodyError, BodyReader};
 
@@ -39,6 +39,8 @@
 const HEAD_LIMIT_BYTES: usize = 128 << 10;
 /// Largest read buffer of a connection, in bytes; a larger response head fails the exchange.
 const BUFFER_BYTES: usize = 64 << 10;
+/// Timeout for the answer to a health check; a slow target answers it as slowly as any request.
+const HEALTH_TIMEOUT: Duration = Duration::from_secs(5);
 /// Divisor of the memory of the process that gives the memory for answers being read.
 const ANSWERS_MEMORY_DIVISOR: u64 = 4;
 /// Divisor of that memory that gives the largest size of one answer, so that one endless answer
@@ -121,6 +123,30 @@
         }
     }
 
+    /// Asks the target at `path`, its health check, whether it is leaving.
+    ///
+    /// The check uses a connection of its own, as its answer need not carry an identifier by which
+    /// a kept connection could be trusted.
+    pub(crate) async fn check_health(&self, path: &Name) -> Health {
+        match tokio::time::timeout(HEALTH_TIMEOUT, self.request_health(path)).await {
+            Ok(Some(resp)) => Health::of(&resp, &self.header_names),
+            Ok(None) | Err(_) => Health::Unknown,
+        }
+    }
+
+    /// Head of the answer to a health check; none if there is none.
+    async fn request_health(&self, path: &Name) -> Option<Response<()>> {
+        let mut req = Request::new(Full::default());
+        *req.uri_mut() = path.as_str().parse().ok()?;
+        let host = HeaderValue::from_str(self.address.as_str()).ok()?;
+        req.headers_mut().insert(header::HOST, host);
+        req.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        let mut connection = self.connect().await.ok()?;
+        connection.read_budget.set(HEAD_LIMIT_BYTES);
+        let resp = connection.sender.send_request(req).await.ok()?;
+        Some(resp.map(|_| ()))
+    }
+
     /// What the target states about itself in `answer`; none if another instance answered.
     pub(crate) fn statement(&self, answer: &TargetResponse) -> Option<TargetStatement> {
         TargetStatement::of(answer, &self.header_names)
--- a/node/src/proxy/target/local_target.rs
+++ b/node/src/proxy/target/local_target.rs
@@ -46,6 +46,10 @@
 /// request after one second.
 const STORE_WAIT: Duration = Duration::from_millis(600);
 
+/// Time after the start of the process within which a heartbeat may have been sent before the
+/// start, so that it does not show that the target is not leaving.
+const LATE_HEARTBEAT_MAX: Duration = Duration::from_secs(5);
+
 /// Periodic statement of a target about itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Announcement {
@@ -95,6 +99,8 @@
 /// Kernel service that maintains the state of the target beside this node.
 pub struct LocalTarget {
     clock: Clock,
+    /// Start of the process.
+    started: Moment,
     config: Arc<NodeConfig>,
     logger: Logger,
     admission: Arc<AdmissionController>,
@@ -115,6 +121,9 @@
 #[derive(Debug, Default)]
 struct State {
     target: Option<Announcement>,
+    /// Whether the target has shown since the start of this process that it is not leaving. Until
+    /// then, an earlier process may have acknowledged a leave of which no trace is left.
+    confirmed: bool,
     last_announced: Moment,
     /// Time of the last announcement or answer of the current lifetime.
     last_alive: Moment,
@@ -174,6 +183,7 @@
         let (lifetime, stored) = (watch::Sender::new(None), watch::Sender::new(None));
         Self {
             clock,
+            started: clock.now(),
             config,
             logger,
             admission,
@@ -194,7 +204,30 @@
     /// A target that announced that it is draining or has left gets no calls again in the same
     /// lifetime, whatever it announces later.
     pub fn announce(&self, announcement: Announcement) -> AnnouncementOutcome {
-        self.apply(announcement, true)
+        let serving = announcement.stage == Stage::Serving;
+        let outcome = self.apply(announcement, true);
+        let late = self.clock.now().since(self.started) < LATE_HEARTBEAT_MAX;
+        if outcome == AnnouncementOutcome::Accepted && serving && !late {
+            self.record_confirmed();
+        }
+        outcome
+    }
+
+    /// Records that the target has shown that it is not leaving, so that calls may be sent to it.
+    pub(crate) fn record_confirmed(&self) {
+        if !std::mem::replace(&mut self.lock().confirmed, true) {
+            info!(self.logger, "target: known not to be leaving");
+        }
+    }
+
+    /// Whether the target has shown since the start of the process that it is not leaving.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        self.lock().confirmed
+    }
+
+    /// Current lifetime of the target, and its changes.
+    pub(crate) fn lifetimes(&self) -> watch::Receiver<Option<TargetLifetime>> {
+        self.lifetime.subscribe()
     }
 
     /// Applies an announcement; a change is published if `publishes` is set or if the instance has
@@ -312,9 +345,14 @@
                 }
             }
         }
-        if !statement.leaving {
-            return;
+        if statement.leaving {
+            self.mark_leaving(lifetime);
         }
+    }
+
+    /// Marks the target as draining, because its lifetime `lifetime` stated in an answer that it is
+    /// leaving.
+    pub(crate) fn mark_leaving(&self, lifetime: TargetLifetime) {
         let known = self.lock().target.clone();
         if let Some(known) = known.filter(|known| known.is(lifetime))
             && known.stage == Stage::Serving
@@ -372,9 +410,14 @@
         info!(self.logger, "target: rate limit changed"; "rate" => rate.map(f64::from));
     }
 
-    /// Instance and stage of the target, if one is known.
-    pub(crate) fn target(&self) -> Option<(InstanceId, Stage)> {
-        self.lock().target.as_ref().map(|target| (target.instance.clone(), target.stage))
+    /// Error kind with which to refuse a call for `instance`, if the target cannot run it.
+    pub(crate) fn refusal_kind(&self, instance: &InstanceId) -> Option<ErrorKind> {
+        let state = self.lock();
+        match state.target.as_ref().filter(|target| target.instance == *instance) {
+            None => Some(ErrorKind::NoTarget),
+            Some(target) if target.stage > Stage::Serving => Some(ErrorKind::Draining),
+            Some(_) => (!state.confirmed).then_some(ErrorKind::NoTarget),
+        }
     }
 
     /// Decides whether a request for `instance` may be sent to the target now, and returns the
--- a/node/src/proxy/target/mod.rs
+++ b/node/src/proxy/target/mod.rs
@@ -2,6 +2,7 @@
 //! the target's announcements.
 
 pub(crate) mod client;
+pub(crate) mod health_check;
 pub(crate) mod limited_stream;
 pub(crate) mod local_target;
 pub(crate) mod run;
--- a/node/src/proxy/target/run.rs
+++ b/node/src/proxy/target/run.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    CallResult, ErrorKind, Fingerprint, InstanceId, Moment, Outcome, PathLevel, Stage,
-    TargetLifetime, TargetResult,
+    CallResult, ErrorKind, Fingerprint, InstanceId, Moment, Outcome, PathLevel, TargetLifetime,
+    TargetResult,
 };
 use poplar_kernel::Clock;
 
@@ -168,15 +168,7 @@
     /// Error kind with which to refuse a call for `instance`, if the target beside this node cannot
     /// run it.
     fn refusal_kind(&self, instance: &InstanceId) -> Option<ErrorKind> {
-        if let Some(kind) = self.refusal.get() {
-            return Some(*kind);
-        }
-        match self.local_target.target() {
-            None => Some(ErrorKind::NoTarget),
-            Some((current, _)) if current != *instance => Some(ErrorKind::NoTarget),
-            Some((_, Stage::Serving)) => None,
-            Some(_) => Some(ErrorKind::Draining),
-        }
+        self.refusal.get().copied().or_else(|| self.local_target.refusal_kind(instance))
     }
 }
 
