--- a/node/src/servers/body_reader.rs
+++ b/node/src/servers/body_reader.rs
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub(crate) struct ReceivedBody {
     pub(crate) body: Bytes,
-    _permits: Vec<OwnedSemaphorePermit>,
+    _permit: Option<OwnedSemaphorePermit>,
 }
 
 /// Why a body was not received; a call whose own body was not received is not run.
@@ -71,17 +71,23 @@
         B: Body<Data = Bytes> + Unpin,
     {
         let mut segments = Segments::default();
-        let mut permits = Vec::new();
+        let mut permit: Option<OwnedSemaphorePermit> = None;
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| BodyError::Incomplete)?;
             let Ok(data) = frame.into_data() else { continue };
             if segments.len + data.len() > limit {
                 return Err(BodyError::TooLarge(limit));
             }
-            permits.extend(self.reserve(segments.len, data.len())?);
+            // One permit for the whole body, because a body may consist of millions of frames.
+            if let Some(more) = self.reserve(segments.len, data.len())? {
+                match &mut permit {
+                    Some(held) => held.merge(more),
+                    None => permit = Some(more),
+                }
+            }
             segments.push(&data);
         }
-        Ok(ReceivedBody { body: segments.join(), _permits: permits })
+        Ok(ReceivedBody { body: segments.join(), _permit: permit })
     }
 
     /// Reserves shared memory for `more` bytes after the first `held`, except for what falls in the
