--- a/node/src/proxy/target/client.rs
+++ b/node/src/proxy/target/client.rs
@@ -168,8 +168,11 @@
         let resp = match connection.sender.try_send_request(req).await {
             Ok(resp) => resp,
             Err(mut error) => {
+                // A target that sends something else than an answer has not ended.
+                let answered = error.error().is_parse() || connection.read_budget.is_exceeded();
                 return match error.take_message() {
                     Some(req) => Err(Unsent(Box::new(req))),
+                    None if answered => Ok(TargetResult::BadAnswer),
                     None => Ok(TargetResult::ConnectionLost),
                 };
             }
--- a/node/src/proxy/target/limited_stream.rs
+++ b/node/src/proxy/target/limited_stream.rs
@@ -6,7 +6,7 @@
 use std::io::{Error, Result};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -14,18 +14,30 @@
 
 /// Number of bytes that may still be read, shared between a stream and its owner.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct ReadBudget(Arc<AtomicUsize>);
+pub(crate) struct ReadBudget(Arc<Budget>);
+
+#[derive(Debug, Default)]
+struct Budget {
+    left: AtomicUsize,
+    exceeded: AtomicBool,
+}
 
 impl ReadBudget {
     /// Sets the number of bytes that may be read from now on.
     pub(crate) fn set(&self, bytes: usize) {
-        self.0.store(bytes, Ordering::Relaxed);
+        self.0.left.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Whether a read has failed because it exceeded the budget.
+    pub(crate) fn is_exceeded(&self) -> bool {
+        self.0.exceeded.load(Ordering::Relaxed)
     }
 
     fn spend(&self, bytes: usize) -> Result<()> {
-        let left = self.0.load(Ordering::Relaxed);
-        self.0.store(left.saturating_sub(bytes), Ordering::Relaxed);
+        let left = self.0.left.load(Ordering::Relaxed);
+        self.0.left.store(left.saturating_sub(bytes), Ordering::Relaxed);
         if bytes > left {
+            self.0.exceeded.store(true, Ordering::Relaxed);
             Err(Error::other(format!("read of {bytes} bytes exceeds the remaining {left} bytes")))
         } else {
             Ok(())
