--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -78,6 +78,9 @@
     pub(crate) open_connections: AtomicUsize,
     /// Set to shut all connections down gracefully, each after its pending response.
     pub(crate) shutdown: watch::Sender<bool>,
+    /// Set to give up all requests that have been sent to targets, because the process is about to
+    /// exit.
+    pub(crate) given_up: watch::Sender<bool>,
 }
 
 impl CallerServer {
@@ -169,9 +172,15 @@
         let left = request.deadline.since(self.clock.now());
         let mut history = SendHistory::default();
         let dispatched = self.dispatcher.dispatch(route, request, &mut history);
-        let outcome = tokio::time::timeout(left, dispatched)
-            .await
-            .unwrap_or(Outcome::Unknown { kind: ErrorKind::Deadline });
+        let mut given_up = self.given_up.subscribe();
+        let outcome = tokio::select! {
+            outcome = tokio::time::timeout(left, dispatched) => {
+                outcome.unwrap_or(Outcome::Unknown { kind: ErrorKind::Deadline })
+            }
+            _ = given_up.wait_for(|given_up| *given_up) => {
+                Outcome::Unknown { kind: ErrorKind::Draining }
+            }
+        };
         let took = self.clock.now().since(began);
         self.metrics.record_answer(&route.name, &outcome, took);
         if !history.internal {
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -41,8 +41,11 @@
 /// Longest time after [`READINESS_DELAY`] for which calls that the local target makes are still
 /// accepted.
 const CALL_DRAIN_TIME: Duration = Duration::from_millis(600);
-/// Fraction of the grace time after which a stopping node abandons whatever is still in flight. The
-/// rest is left for the process to exit on a slow machine.
+/// Fraction of the grace time after which a stopping node gives up the requests that are still in
+/// flight, and answers their callers that the outcome is unknown.
+const GIVE_UP_FRACTION: f64 = 0.85;
+/// Fraction of the grace time after which a stopping node closes the connections on which an answer
+/// is still unsent. The rest is left for the process to exit on a slow machine.
 const GRACE_FRACTION: f64 = 0.88;
 /// Interval at which the calls in flight are checked while draining.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
@@ -189,6 +192,7 @@
             in_flight: AtomicUsize::new(0),
             open_connections: AtomicUsize::new(0),
             shutdown: watch::Sender::new(false),
+            given_up: watch::Sender::new(false),
         });
         registry.register(rules.clone());
         registry.register(admission.clone());
@@ -302,8 +306,14 @@
         callers.shutdown.send_replace(true);
         // An answer counts as sent only once it has been written to its socket.
         let unsent = || callers.open_connections() + usize::from(traffic.unwritten() > 0);
-        let limit = began + config.bounds.grace.mul_f64(GRACE_FRACTION);
-        wait_until(clock, limit, || in_flight() + unsent() == 0).await;
+        let after = |fraction| began + config.bounds.grace.mul_f64(fraction);
+        wait_until(clock, after(GIVE_UP_FRACTION), || in_flight() + unsent() == 0).await;
+        if callers.in_flight() > 0 {
+            warn!(logger, "process: requests given up at the end of the grace time";
+                "requests" => callers.in_flight());
+            callers.given_up.send_replace(true);
+        }
+        wait_until(clock, after(GRACE_FRACTION), || in_flight() + unsent() == 0).await;
         if in_flight() + unsent() > 0 {
             warn!(logger, "process: calls cut off by the end of the grace time";
                 "calls" => in_flight(), "unsent" => unsent());
