Repeat health checks after a second at most

A target that starts again after its node, and is not known yet not to be leaving, waited up to 4 s for the next check although it serves. Checks of a target that fails them end with its heartbeat 5 s after the start at the latest.

--- a/node/src/proxy/target/health_check.rs
+++ b/node/src/proxy/target/health_check.rs
@@ -19,7 +19,7 @@
 /// Pause after the first check without a result; it doubles from one check to the next.
 const PAUSE_MIN: Duration = Duration::from_millis(200);
 /// Longest pause between two checks.
-const PAUSE_MAX: Duration = Duration::from_secs(4);
+const PAUSE_MAX: Duration = Duration::from_secs(1);
 
 /// Asks the target beside this node whether it is leaving, until it is known that it is not.
 pub(crate) struct HealthCheck {
