Deliver ready answers at the end of the grace time, and name things plainly

Read as a newcomer: the select that gives requests up could pass over an answer that is ready at the same moment; it looks for the answer first now. A variable with two meanings and a detour over integers go.

--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -174,6 +174,8 @@
         let dispatched = self.dispatcher.dispatch(route, request, &mut history);
         let mut given_up = self.given_up.subscribe();
         let outcome = tokio::select! {
+            // An answer that is ready is delivered, also at the end of the grace time.
+            biased;
             outcome = tokio::time::timeout(left, dispatched) => {
                 outcome.unwrap_or(Outcome::Unknown { kind: ErrorKind::Deadline })
             }
--- a/node/src/proxy/sync/store_sync.rs
+++ b/node/src/proxy/sync/store_sync.rs
@@ -158,14 +158,14 @@
     /// Logs each return of the store from an older copy; returns when the process exits.
     pub(crate) async fn log_eras(self: Arc<Self>) {
         let mut eras = self.platform.era();
-        let mut known = None;
+        let mut known: Option<Era> = None;
         while eras.changed().await.is_ok() {
             let era = *eras.borrow_and_update();
-            if let (Some(before), Some(Era(now))) = (known, era) {
+            if let (Some(before), Some(now)) = (known, era) {
                 warn!(self.logger, "store: came back from an older copy";
-                    "era_before" => before, "era" => now);
+                    "era_before" => before.0, "era" => now.0);
             }
-            known = era.map(|era: Era| era.0);
+            known = era;
         }
     }
 
--- a/node/src/proxy/target/local_target.rs
+++ b/node/src/proxy/target/local_target.rs
@@ -206,8 +206,8 @@
     pub fn announce(&self, announcement: Announcement) -> AnnouncementOutcome {
         let serving = announcement.stage == Stage::Serving;
         let outcome = self.apply(announcement, true);
-        let late = self.clock.now().since(self.started) < LATE_HEARTBEAT_MAX;
-        if outcome == AnnouncementOutcome::Accepted && serving && !late {
+        let sent_since_start = self.clock.now().since(self.started) >= LATE_HEARTBEAT_MAX;
+        if outcome == AnnouncementOutcome::Accepted && serving && sent_since_start {
             self.record_confirmed();
         }
         outcome
