--- a/node/src/proxy/sync/store_sync.rs
+++ b/node/src/proxy/sync/store_sync.rs
@@ -243,18 +243,34 @@
     async fn follow_stream(&self, stream: Stream, apply: impl Fn(&Page), batch_delay: Duration) {
         let mut plan = self.plan.clone();
         loop {
-            if plan.wait_for(|plan| plan_includes(plan, stream)).await.is_err() {
+            if plan.wait_for(|plan| self.must_read(plan, stream)).await.is_err() {
                 return;
             }
             tokio::select! {
                 () = self.read_stream(stream, &apply, batch_delay) => {}
-                _ = plan.wait_for(|plan| !plan_includes(plan, stream)) => {}
+                () = self.wait_dispensable(&mut plan, stream) => {}
             }
             self.health.reset(stream);
             info!(self.logger, "store: reading stopped"; "stream" => ?stream);
         }
     }
 
+    /// Whether this node must read a stream itself: the plan includes it, or it has not read the
+    /// records of targets yet, without which it is not ready, whoever else reads them.
+    fn must_read(&self, plan: &ReadPlan, stream: Stream) -> bool {
+        plan_includes(plan, stream) || (stream == Stream::Targets && !*self.targets_read.borrow())
+    }
+
+    /// Waits until this node need not read a stream itself any more.
+    async fn wait_dispensable(&self, plan: &mut watch::Receiver<ReadPlan>, stream: Stream) {
+        if stream == Stream::Targets {
+            // The sender is a field of this value.
+            let _ = self.targets_read.subscribe().wait_for(|read| *read).await;
+        }
+        // Without a sender the process is about to exit.
+        let _ = plan.wait_for(|plan| !plan_includes(plan, stream)).await;
+    }
+
     /// Reads a stream until it is cancelled.
     async fn read_stream(&self, stream: Stream, apply: impl Fn(&Page), batch_delay: Duration) {
         let mut cursor = StreamCursor::default();
