Introduce readers again to members whose subscription ended

What callers saw: a process that is killed and starts while the store turns its machine away knew no other node for as long as the store was away, so that requests for services on other machines were refused there.

Cause: a reader introduces itself to members of its zone that do not subscribe to it, but took the subscription of an earlier process at the same address for that of the new one. Attempts that reached nobody counted, too.

Ruled out: the first read of the target records was not given up in any trace; digests agree as soon as the process has a source.

--- a/core/src/introductions.rs
+++ b/core/src/introductions.rs
@@ -14,13 +14,18 @@
 /// Time after which the reader first introduces itself to a new member that has not subscribed;
 /// most members subscribe within a second. The delay doubles from one attempt to the next.
 const FIRST_DELAY: Duration = Duration::from_millis(1_000);
-/// Number of attempts for one member. They span half a minute, by which time its start is over.
+/// Longest delay between two attempts for one member.
+const MAX_DELAY: Duration = Duration::from_secs(16);
+/// Number of introductions that one member gets. They span half a minute, by which time its start
+/// is over.
 const ATTEMPTS_PER_MEMBER: u32 = 5;
 
 #[derive(Debug)]
 struct Member {
     due: Moment,
-    attempts: u32,
+    delay: Duration,
+    /// Number of introductions that it still gets.
+    remaining: u32,
 }
 
 /// Members of the own zone, and when this node is to introduce itself to each of them.
@@ -33,30 +38,50 @@
     /// Sets the members of the zone; members that were already known keep their schedule.
     pub fn set_members<'a>(&mut self, now: Moment, members: impl IntoIterator<Item = &'a Name>) {
         let mut known = std::mem::take(&mut self.members);
-        let to_member = |peer: &Name| {
-            let new = Member { due: now + FIRST_DELAY, attempts: 0 };
-            (peer.clone(), known.remove(peer).unwrap_or(new))
-        };
+        let to_member =
+            |peer: &Name| (peer.clone(), known.remove(peer).unwrap_or_else(|| Member::new(now)));
         self.members = members.into_iter().map(to_member).collect();
     }
 
     /// Records that a member subscribes, so it needs no introduction.
     pub fn on_subscribe(&mut self, member: &Name) {
         if let Some(member) = self.members.get_mut(member) {
-            member.attempts = ATTEMPTS_PER_MEMBER;
+            member.remaining = 0;
         }
     }
 
-    /// Members that this node is to introduce itself to now; counts an attempt for each.
+    /// Records that the subscription of a member ended. The schedule starts again, because a new
+    /// process at the same address may know no reader.
+    pub fn on_unsubscribe(&mut self, now: Moment, member: &Name) {
+        if let Some(member) = self.members.get_mut(member) {
+            *member = Member::new(now);
+        }
+    }
+
+    /// Records that an introduction did not reach the member, so it does not count.
+    pub fn on_unreachable(&mut self, member: &Name) {
+        if let Some(member) = self.members.get_mut(member) {
+            member.remaining = ATTEMPTS_PER_MEMBER.min(member.remaining + 1);
+        }
+    }
+
+    /// Members that this node is to introduce itself to now; counts an introduction for each.
     pub fn due(&mut self, now: Moment) -> Vec<Name> {
         let mut due = Vec::new();
         for (peer, member) in &mut self.members {
-            if member.attempts < ATTEMPTS_PER_MEMBER && now >= member.due {
-                member.due = now + FIRST_DELAY * 2_u32.pow(member.attempts + 1);
-                member.attempts += 1;
+            if member.remaining > 0 && now >= member.due {
+                member.delay = MAX_DELAY.min(member.delay * 2);
+                member.due = now + member.delay;
+                member.remaining -= 1;
                 due.push(peer.clone());
             }
         }
         due
     }
 }
+
+impl Member {
+    fn new(now: Moment) -> Self {
+        Self { due: now + FIRST_DELAY, delay: FIRST_DELAY, remaining: ATTEMPTS_PER_MEMBER }
+    }
+}
--- a/node/src/proxy/sync/peer_sync.rs
+++ b/node/src/proxy/sync/peer_sync.rs
@@ -102,8 +102,17 @@
     peer_sightings: PeerSightings,
 }
 
-/// Source to which a link was requested, and the link's outbox if the attempt succeeded.
-type ConnectResult = (Name, Option<Arc<Outbox>>);
+/// Reason for which a link to a node was requested.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Purpose {
+    /// The node is a source to subscribe to.
+    Subscription,
+    /// The node is a member of the zone that may not know any node to subscribe to.
+    Introduction,
+}
+
+/// Node to which a link was requested, why, and the link's outbox if the attempt succeeded.
+type ConnectResult = (Name, Purpose, Option<Arc<Outbox>>);
 
 impl PeerSync {
     /// Handles messages, changes and timers until the process exits.
@@ -151,7 +160,7 @@
             self.plan.send_replace(plan.clone());
         }
         if plan.reads.rules {
-            self.send_introductions(now);
+            self.send_introductions(now, connects);
         }
         self.crashes.expire();
         let sightings = self.graph.export_sightings();
@@ -199,35 +208,57 @@
             }
             None if !source.connecting => {
                 source.connecting = true;
-                let (peers, peer, connects) = (self.peers.clone(), peer.clone(), connects.clone());
-                tokio::spawn(async move {
-                    let outbox = peers.outbox_to(&peer).await;
-                    // Without a receiver the process is about to exit.
-                    let _ = connects.send((peer, outbox));
-                });
+                self.connect(peer.clone(), Purpose::Subscription, connects);
             }
             None => {}
         }
     }
 
-    /// Sends the record of the local target to members of the zone that may not know any node to
-    /// subscribe to; the record gives them the address of this node.
-    fn send_introductions(&mut self, now: Moment) {
-        let Some(own) = self.local_target.record() else { return };
+    /// Establishes a link to a node, and sends the result to `connects`.
+    fn connect(
+        &self,
+        peer: Name,
+        purpose: Purpose,
+        connects: &mpsc::UnboundedSender<ConnectResult>,
+    ) {
+        let (peers, connects) = (self.peers.clone(), connects.clone());
+        tokio::spawn(async move {
+            let outbox = peers.outbox_to(&peer).await;
+            // Without a receiver the process is about to exit.
+            let _ = connects.send((peer, purpose, outbox));
+        });
+    }
+
+    /// Connects to members of the zone that may not know any node to subscribe to, to send them the
+    /// record of the local target; the record gives them the address of this node.
+    fn send_introductions(&mut self, now: Moment, connects: &mpsc::UnboundedSender<ConnectResult>) {
+        if self.local_target.record().is_none() {
+            return;
+        }
         for peer in self.state.introductions.due(now) {
-            let (peers, own) = (self.peers.clone(), own.clone());
+            self.connect(peer, Purpose::Introduction, connects);
+        }
+    }
+
+    fn handle_connect(&mut self, (peer, purpose, outbox): ConnectResult) {
+        match purpose {
+            Purpose::Subscription => self.handle_source(peer, outbox),
+            Purpose::Introduction => self.introduce(&peer, outbox.as_deref()),
+        }
+    }
+
+    /// Sends the record of the local target to a member of the zone.
+    fn introduce(&mut self, peer: &Name, outbox: Option<&Outbox>) {
+        let Some(own) = self.local_target.record() else { return };
+        if outbox.is_some_and(|outbox| outbox.push(&Message::Targets(vec![own]))) {
             info!(self.logger, "news: record sent to a member that has not subscribed"; "peer" => %peer);
-            tokio::spawn(async move {
-                // If the connection fails, the record is sent again later.
-                if let Some(outbox) = peers.outbox_to(&peer).await {
-                    outbox.push(&Message::Targets(vec![own]));
-                }
-            });
+        } else {
+            self.state.introductions.on_unreachable(peer);
         }
     }
 
     /// Subscribes to a source to which a link was made, or records that it cannot be reached.
-    fn handle_connect(&mut self, (peer, outbox): ConnectResult) {
+    fn handle_source(&mut self, peer: Name, outbox: Option<Arc<Outbox>>) {
         let now = self.clock.now();
         let summary = self.local_summary();
         let outbox = outbox.filter(|outbox| outbox.supports_digests());
@@ -249,8 +280,14 @@
     /// not renewed their subscription.
     fn send_beats(&mut self, now: Moment, sightings: &[Sighting]) {
         let (summary, reads) = (self.local_summary(), self.health.current_reads(now));
-        self.state.subscribers.retain(|_, subscriber| {
-            !subscriber.outbox.is_closed() && now.since(subscriber.renewed) < SUBSCRIPTION_TTL
+        let State { subscribers, introductions, .. } = &mut self.state;
+        subscribers.retain(|node, subscriber| {
+            let subscribed =
+                !subscriber.outbox.is_closed() && now.since(subscriber.renewed) < SUBSCRIPTION_TTL;
+            if !subscribed {
+                introductions.on_unsubscribe(now, node);
+            }
+            subscribed
         });
         for subscriber in self.state.subscribers.values_mut() {
             let pause =
