Check the key of a request and forward its workspace

The importance of the workspace replaces that of the route. Rules without workspaces are encoded as before.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -38,6 +38,7 @@
 mod suspects;
 mod time;
 mod work;
+mod workspace;
 
 pub use admission::{
     Admission, Arrival, Level, LevelMap, LevelSource, Rank, Refusal, RelayedLevel, Release,
@@ -107,3 +108,4 @@
 };
 pub use time::Moment;
 pub use work::WorkSum;
+pub use workspace::{KeyDigest, Workspace, WorkspaceError, WorkspaceIndex, WorkspaceRate};
--- a/core/src/outcome.rs
+++ b/core/src/outcome.rs
@@ -136,6 +136,10 @@
     BadAnswer,
     /// The target's answer is larger than the contract allows.
     AnswerTooLarge,
+    /// The request carries no key, or one that belongs to no workspace.
+    UnknownKey,
+    /// The workspace of the request has used up its rate limit.
+    WorkspaceLimit,
 }
 
 /// HTTP answer for an error kind.
@@ -151,7 +155,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of the table in the operators' documentation.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 18] = [
         Self::BadRequest,
         Self::UnknownClass,
         Self::OnceInRepeatable,
@@ -168,6 +172,8 @@
         Self::BindingNeeded,
         Self::BadAnswer,
         Self::AnswerTooLarge,
+        Self::UnknownKey,
+        Self::WorkspaceLimit,
     ];
 
     /// HTTP answer for this kind.
@@ -191,6 +197,8 @@
             Self::BindingNeeded => (428, true, "send the request again with this binding"),
             Self::BadAnswer => (502, false, "the target's answer was not whole"),
             Self::AnswerTooLarge => (502, false, "the answer is larger than the contract allows"),
+            Self::UnknownKey => (401, false, "the request carries no valid key"),
+            Self::WorkspaceLimit => (429, true, "the workspace exceeds its rate limit"),
         };
         ErrorReply { status, retryable, text }
     }
@@ -214,6 +222,8 @@
             Self::BindingNeeded => "binding-needed",
             Self::BadAnswer => "bad-answer",
             Self::AnswerTooLarge => "answer-too-large",
+            Self::UnknownKey => "unknown-key",
+            Self::WorkspaceLimit => "workspace-limit",
         }
     }
 }
--- a/core/src/rules.rs
+++ b/core/src/rules.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{Importance, Name, Revision};
+use crate::workspace::Workspace;
 
 /// Whether a request may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +51,10 @@
     pub importance: Importance,
     /// Maximum number of targets that one request may be sent to.
     pub attempts: u32,
+    /// Whether a request needs no key although there are workspaces. Not encoded if false, so that
+    /// nodes of earlier versions can read rules without workspaces.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 /// Settings of a service that apply to all its targets.
@@ -74,8 +79,8 @@
     pub idle_time: Duration,
 }
 
-/// One revision of the routes, services and limits.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// One revision of the routes, services, limits and workspaces.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RuleSet {
     /// Revision; a larger one is newer.
     pub revision: Revision,
@@ -85,6 +90,10 @@
     pub services: BTreeMap<Name, ServiceRule>,
     /// Limits for the requests of callers.
     pub limits: CallerLimits,
+    /// Workspaces; none if requests carry no keys. Not encoded if none, so that nodes of earlier
+    /// versions can read the rules.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspaces: Option<Vec<Workspace>>,
 }
 
 /// Index that finds the route of a request; built once for each [`RuleSet`].
--- a/core/tests/rules.rs
+++ b/core/tests/rules.rs
@@ -31,7 +31,7 @@
         head_time: Duration::from_secs(1),
         idle_time: Duration::from_secs(1),
     };
-    RuleSet { revision: Revision(1), routes, services: BTreeMap::new(), limits }
+    RuleSet { revision: Revision(1), routes, services: BTreeMap::new(), limits, workspaces: None }
 }
 
 fn found<'a>(rules: &'a RuleSet, host: &str, path: &str) -> Option<&'a str> {
--- a/node/src/proxy/callers/dispatch.rs
+++ b/node/src/proxy/callers/dispatch.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    CrashAdmission, ErrorKind, Fingerprint, InstanceId, Level, Moment, Name, Observation, Outcome,
-    ResendBudget, ResendCause, RouteRule, WorkSum,
+    CrashAdmission, ErrorKind, Fingerprint, Importance, InstanceId, Level, Moment, Name,
+    Observation, Outcome, ResendBudget, ResendCause, RouteRule, WorkSum,
 };
 use poplar_kernel::Clock;
 
@@ -40,6 +40,10 @@
     pub(crate) fields: Vec<Field>,
     /// Whole body.
     pub(crate) body: Bytes,
+    /// Workspace of the caller; none if it proved none.
+    pub(crate) workspace: Option<Name>,
+    /// Importance of the request among the requests of all callers.
+    pub(crate) importance: Importance,
     /// Moment after which the caller no longer waits for the answer.
     pub(crate) deadline: Moment,
 }
@@ -88,7 +92,7 @@
         let Some(service) = route.pick(fastrand::u32(..)) else {
             return not_run(ErrorKind::NoTarget, NO_TARGET_RETRY);
         };
-        let context = match self.graph.admit(service, route, &request.id) {
+        let context = match self.graph.admit(service, route, request.importance, &request.id) {
             Ok(context) => context,
             Err(retry_after) => return not_run(ErrorKind::Overload, retry_after),
         };
--- a/node/src/proxy/callers/reply.rs
+++ b/node/src/proxy/callers/reply.rs
@@ -23,10 +23,11 @@
     }
 }
 
-/// Error response for a request that has not run and will not run; a 503 carries `Retry-After`.
+/// Error response for a request that has not run and will not run; a 429 or 503 carries
+/// `Retry-After`.
 pub(crate) fn refused(kind: ErrorKind, retry_after: Duration) -> Reply {
     let mut reply = error(not_run_status(kind), kind);
-    if reply.status() == StatusCode::SERVICE_UNAVAILABLE {
+    if matches!(reply.status(), StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) {
         let seconds = format!("{:.3}", retry_after.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             reply.headers_mut().insert(header::RETRY_AFTER, value);
@@ -55,6 +56,8 @@
     match kind {
         ErrorKind::BadRequest => StatusCode::BAD_REQUEST,
         ErrorKind::UnknownClass => StatusCode::NOT_FOUND,
+        ErrorKind::UnknownKey => StatusCode::UNAUTHORIZED,
+        ErrorKind::WorkspaceLimit => StatusCode::TOO_MANY_REQUESTS,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -15,7 +15,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use poplar_core::{CallerLimits, ErrorKind, Moment, Outcome, Revision, RouteRule};
+use poplar_core::{
+    CallerLimits, ErrorKind, Importance, Moment, Name, Outcome, PathLevel, Revision, RouteRule,
+};
 use poplar_kernel::Clock;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -25,7 +27,7 @@
 use crate::proxy::callers::reply::{self, Reply};
 use crate::proxy::decisions::{Decision, DecisionLog};
 use crate::proxy::fields;
-use crate::proxy::frame::TargetResponse;
+use crate::proxy::frame::{Field, TargetResponse};
 use crate::proxy::in_flight::InFlightGuard;
 use crate::proxy::metrics::Metrics;
 use crate::proxy::ports::HeaderNames;
@@ -151,6 +153,10 @@
             return reply::error(StatusCode::BAD_REQUEST, ErrorKind::BadRequest);
         };
         let request = Bytes::copy_from_slice(request.as_bytes());
+        let Ok(origin) = self.origin(&active, route, &head) else {
+            let refusal = Refusal { kind: ErrorKind::UnknownKey, retry_after: Duration::ZERO };
+            return self.refuse(began, &active, route, request, None, refusal);
+        };
         let wait = requested_timeout(&head, &self.header_names.deadline).unwrap_or(route.timeout);
         let deadline = began + wait.min(route.timeout);
         let wait = deadline.since(began).min(BODY_TIMEOUT);
@@ -158,10 +164,39 @@
             Ok(body) => body,
             Err(error) => return body_error_reply(error),
         };
-        let request = self.inbound_request(head, request, body.body.clone(), deadline);
+        let request = self.inbound_request(head, request, body.body.clone(), deadline, origin);
         self.forward(began, active.rules.revision, route, &request).await
     }
 
+    /// Refuses a request before its dispatch and records the refusal.
+    fn refuse(
+        &self,
+        began: Moment,
+        active: &ActiveRules,
+        route: &RouteRule,
+        request: Bytes,
+        workspace: Option<Name>,
+        refusal: Refusal,
+    ) -> Reply {
+        let Refusal { kind, retry_after } = refusal;
+        let outcome = Outcome::NotRun { kind, retry_after };
+        let took = self.clock.now().since(began);
+        self.metrics.record_answer(&route.name, &outcome, took);
+        self.decisions.write(&outcome, || Decision {
+            request,
+            route: route.name.clone(),
+            workspace,
+            fingerprint: None,
+            place: "entry",
+            revision: active.rules.revision.0,
+            tried: String::new(),
+            path_level: PathLevel::default(),
+            passing: 1.0,
+            took,
+        });
+        reply::from_outcome(outcome)
+    }
+
     async fn forward(
         &self,
         began: Moment,
@@ -190,11 +225,12 @@
             self.record_result(route, &outcome);
         }
         self.decisions.write(&outcome, || {
-            let (path_level, passing) = self.dispatcher.graph.path_level(route);
+            let (path_level, passing) = self.dispatcher.graph.path_level(route, request.importance);
             Decision {
                 request: request.id.clone(),
                 route: route.name.clone(),
-                fingerprint: self.dispatcher.fingerprint(route, request),
+                workspace: request.workspace.clone(),
+                fingerprint: Some(self.dispatcher.fingerprint(route, request)),
                 place: "entry",
                 revision: revision.0,
                 tried: history.tried.iter().map(ToString::to_string).collect::<Vec<_>>().join(" "),
@@ -217,32 +253,87 @@
         }
     }
 
+    /// Origin of a request with this head; an error if its route needs a key and the request has
+    /// no valid one.
+    ///
+    /// A key that is sent although the route needs none still names the workspace, but has no
+    /// influence otherwise if it is unknown.
+    fn origin(
+        &self,
+        active: &ActiveRules,
+        route: &RouteRule,
+        head: &Parts,
+    ) -> Result<Origin, UnknownKey> {
+        let key = head.headers.get(&self.header_names.credential);
+        let workspace = key.and_then(|key| active.workspace(key.as_bytes()));
+        if workspace.is_none() && active.needs_key(route) {
+            return Err(UnknownKey);
+        }
+        Ok(Origin {
+            workspaces: active.rules.workspaces.is_some(),
+            name: workspace.map(|workspace| workspace.name.clone()),
+            importance: workspace
+                .and_then(|workspace| workspace.importance)
+                .unwrap_or(route.importance),
+        })
+    }
+
     fn inbound_request(
         &self,
         head: Parts,
         request: Bytes,
         body: Bytes,
         deadline: Moment,
+        origin: Origin,
     ) -> InboundRequest {
         let header_names = &self.header_names;
-        let replaced = [
+        let mut replaced = vec![
             &header_names.request_id,
             &header_names.deadline,
             &header_names.instance,
             &header_names.caller_service,
         ];
+        if origin.workspaces {
+            replaced.extend([&header_names.credential, &header_names.workspace]);
+        }
+        let mut fields = fields::end_to_end(&head.headers, &replaced);
+        fields.extend(origin.name.as_ref().map(|name| {
+            let field = header_names.workspace.as_str();
+            Field(Bytes::copy_from_slice(field.as_bytes()), name.as_str().to_owned().into())
+        }));
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
         InboundRequest {
             id: request,
             method: head.method.to_string(),
             path: path.to_owned(),
-            fields: fields::end_to_end(&head.headers, &replaced),
+            fields,
             body,
+            workspace: origin.name,
+            importance: origin.importance,
             deadline,
         }
     }
 }
 
+/// Who sent a request, as proved by its key.
+struct Origin {
+    /// Whether the rules define workspaces, so that the headers that name them belong to the node.
+    workspaces: bool,
+    /// Name of the workspace.
+    name: Option<Name>,
+    /// Importance of the request.
+    importance: Importance,
+}
+
+/// Reason for which a request is refused before its dispatch, and when the caller may retry.
+struct Refusal {
+    kind: ErrorKind,
+    retry_after: Duration,
+}
+
+/// The request carries no valid key although its route needs one.
+struct UnknownKey;
+
 /// Response to a request whose body could not be read; no target received the request.
 fn body_error_reply(error: BodyError) -> Reply {
     match error {
--- a/node/src/proxy/decisions.rs
+++ b/node/src/proxy/decisions.rs
@@ -30,8 +30,11 @@
     pub(crate) request: Bytes,
     /// Route that the request matched.
     pub(crate) route: Name,
-    /// Hash that identifies the request when it is sent again under another identifier.
-    pub(crate) fingerprint: Fingerprint,
+    /// Workspace of the caller; none if it is not known here.
+    pub(crate) workspace: Option<Name>,
+    /// Hash that identifies the request when it is sent again under another identifier; none if
+    /// the request was refused before it was computed.
+    pub(crate) fingerprint: Option<Fingerprint>,
     /// Where the decision was made: `entry`, or `target` for the node beside the target.
     pub(crate) place: &'static str,
     /// Revision of the rules that applied to the request.
@@ -130,8 +133,10 @@
         // Served requests are logged without their fingerprint, which is derived from their
         // content.
         let fingerprint = matches!(outcome, Outcome::Unknown { .. } | Outcome::NotRun { .. })
-            .then(|| decision.fingerprint.to_string());
+            .then(|| decision.fingerprint.map(|fingerprint| fingerprint.to_string()))
+            .flatten();
         info!(self.logger, "request: {result}"; "id" => %id, "route" => %decision.route,
+            "workspace" => decision.workspace.as_ref().map(Name::as_str),
             "print" => fingerprint, "place" => decision.place,
             "reason" => reason, "status" => status, "revision" => decision.revision,
             "tried" => &decision.tried, "level" => u32::from(path_level.level.rank()),
--- a/node/src/proxy/ports.rs
+++ b/node/src/proxy/ports.rs
@@ -23,6 +23,10 @@
     pub instance: HeaderName,
     /// Service on whose machine the request entered.
     pub caller_service: HeaderName,
+    /// Key of the caller's workspace. It is not forwarded.
+    pub credential: HeaderName,
+    /// Name of the workspace that the request belongs to; set by the node.
+    pub workspace: HeaderName,
     /// Set by a target in its answer if it did not start to run the request.
     pub not_run: HeaderName,
     /// Rate limit that a target states in its answers: the number of requests a second that it
--- a/node/src/proxy/state/graph.rs
+++ b/node/src/proxy/state/graph.rs
@@ -102,18 +102,19 @@
         &self,
         service: &Name,
         route: &RouteRule,
+        importance: Importance,
         request: &Bytes,
     ) -> Result<RequestContext, Duration> {
         let now = self.clock.now();
         let mut state = self.lock();
         state.origins.record_request(now, &route.name, &self.own_service);
-        let rank = Rank::of(route.importance, RequestId(xxh3_128(request)));
+        let rank = Rank::of(importance, RequestId(xxh3_128(request)));
         if let Some(context) = state.internal_context(now, route, request, rank) {
             return Ok(context);
         }
         match state.admit(now, route, rank) {
             Some(fraction) => {
-                let mix = ImportanceMix::sampled(route.importance, fraction);
+                let mix = ImportanceMix::sampled(importance, fraction);
                 Ok(RequestContext { rank, mix, internal: false, repeat: false, parent: None })
             }
             None => {
@@ -195,12 +196,12 @@
     }
 
     /// Highest known level among the services that a request of `route` reaches, and the fraction
-    /// of the route's requests that is admitted.
-    pub(crate) fn path_level(&self, route: &RouteRule) -> (PathLevel, f64) {
+    /// of the route's requests of this importance that is admitted.
+    pub(crate) fn path_level(&self, route: &RouteRule, importance: Importance) -> (PathLevel, f64) {
         let now = self.clock.now();
         let state = self.lock();
         let path_level = state.path_level(now, route);
-        let fraction = state.admitted_fraction(route, path_level.level);
+        let fraction = state.admitted_fraction(route, importance, path_level.level);
         (path_level, fraction)
     }
 
@@ -237,14 +238,14 @@
     fn admit(&mut self, now: Moment, route: &RouteRule, rank: Rank) -> Option<f64> {
         let level = self.path_level(now, route).level;
         let admitted = level.admits(rank) && self.breaker.admits(now, &route.name, rank.tiebreak());
-        admitted.then(|| self.admitted_fraction(route, level))
+        admitted.then(|| self.admitted_fraction(route, rank.importance(), level))
     }
 
     /// Fraction of the requests of `route` that is admitted. The level and the breaker both admit
     /// the requests with the highest tiebreaks, so together they admit the smaller of their
     /// fractions.
-    fn admitted_fraction(&self, route: &RouteRule, level: Level) -> f64 {
-        level.pass_fraction(route.importance).min(self.breaker.admitted_fraction(&route.name))
+    fn admitted_fraction(&self, route: &RouteRule, importance: Importance, level: Level) -> f64 {
+        level.pass_fraction(importance).min(self.breaker.admitted_fraction(&route.name))
     }
 
     fn path_level(&self, now: Moment, route: &RouteRule) -> PathLevel {
--- a/node/src/proxy/state/rules.rs
+++ b/node/src/proxy/state/rules.rs
@@ -3,7 +3,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use poplar_core::{
-    Importance, ImportanceScale, Moment, Name, Revision, RouteIndex, RouteRule, RuleSet,
+    Importance, ImportanceScale, KeyDigest, Moment, Name, Revision, RouteIndex, RouteRule, RuleSet,
+    Workspace, WorkspaceIndex,
 };
 use poplar_kernel::Service;
 use serde_json::{Value, json};
@@ -14,6 +15,7 @@
 pub(crate) struct ActiveRules {
     pub(crate) rules: RuleSet,
     index: RouteIndex,
+    keys: WorkspaceIndex,
 }
 
 impl ActiveRules {
@@ -22,18 +24,31 @@
         self.index.find(&self.rules, host, path).map(|idx| &self.rules.routes[idx])
     }
 
+    /// Workspace that holds `key`.
+    pub(crate) fn workspace(&self, key: &[u8]) -> Option<&Workspace> {
+        let idx = self.keys.find(&KeyDigest::of(key))?;
+        self.rules.workspaces.as_ref()?.get(idx)
+    }
+
+    /// Whether a request of `route` needs a key.
+    pub(crate) fn needs_key(&self, route: &RouteRule) -> bool {
+        self.rules.workspaces.is_some() && !route.public
+    }
+
     /// Path of the health check of a service's targets; none if the rules do not name one.
     pub(crate) fn check_path(&self, service: &Name) -> Option<Name> {
         self.rules.services.get(service)?.health.clone()
     }
 
-    /// Scale of the importances that the routes have.
+    /// Scale of the importances that the routes and workspaces have.
     pub(crate) fn importance_scale(&self) -> ImportanceScale {
         ImportanceScale::new(self.importances())
     }
 
     fn importances(&self) -> impl Iterator<Item = Importance> + '_ {
-        self.rules.routes.iter().map(|route| route.importance)
+        let workspaces = self.rules.workspaces.iter().flatten();
+        let replaced = workspaces.filter_map(|workspace| workspace.importance);
+        self.rules.routes.iter().map(|route| route.importance).chain(replaced)
     }
 }
 
@@ -60,15 +75,18 @@
         self.current.borrow().as_ref().map_or(Revision::default(), |active| active.rules.revision)
     }
 
-    /// Installs `rules` if their revision is newer than the current one; returns whether it is.
+    /// Installs `rules` if they are valid and their revision is newer than the current one; returns
+    /// whether they are.
     pub(crate) fn install(&self, now: Moment, rules: RuleSet) -> bool {
+        let workspaces = rules.workspaces.as_deref().unwrap_or_default();
+        let Ok(keys) = WorkspaceIndex::new(workspaces) else { return false };
         let installed = self.current.send_if_modified(|current| {
             let known = current.as_ref().map(|active| active.rules.revision);
             if known.is_some_and(|known| known >= rules.revision) {
                 return false;
             }
             let index = RouteIndex::new(&rules);
-            *current = Some(Arc::new(ActiveRules { rules, index }));
+            *current = Some(Arc::new(ActiveRules { rules, index, keys }));
             true
         });
         if installed {
@@ -95,6 +113,7 @@
             "revision": active.rules.revision,
             "age_ms": now.since(since).as_millis() as u64,
             "routes": active.rules.routes.len(),
+            "workspaces": active.rules.workspaces.as_ref().map(Vec::len),
         })
     }
 }
--- a/node/src/proxy/target/run.rs
+++ b/node/src/proxy/target/run.rs
@@ -92,7 +92,8 @@
         self.decisions.write(&answer.outcome, || Decision {
             request: call.request.clone(),
             route: call.route.clone(),
-            fingerprint: call.fingerprint(),
+            workspace: None,
+            fingerprint: Some(call.fingerprint()),
             place: "target",
             revision: self.rules.revision().0,
             tried: call.instance.to_string(),
