Start pipelined requests that may run more than once ahead

Cause: hyper answers the requests of a connection one after the other, so that a client which sends several at once waits for the sum of their times.

Change: a stream wrapper between hyper and the socket passes hyper one head at a time and reads on while an answer is pending. hyper asks for bytes then only if its buffer is empty, so the next byte is the first one of the next request. Complete heads without a body are parsed, and those whose route may run more than once are started, each in a task that ends with the connection. When hyper reaches such a head, the service takes its answer over. The decisions and limits are in core::Pipeline. A stopping node closes a connection only with the answer to the last request that was started.

Ruled out: a server of our own in place of hyper (a second parser for all requests); implementing hyper's Read directly, which needs unsafe code or a copy of each head, where tokio's AsyncRead under TokioIo needs neither.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -26,6 +26,7 @@
 mod mix;
 mod origin;
 mod outcome;
+mod pipeline;
 mod publish;
 mod rate_limit;
 mod read_planner;
@@ -88,6 +89,7 @@
 pub use mix::{ImportanceMix, ImportanceMixSum};
 pub use origin::{PeerSightings, RouteOrigins, Sighting};
 pub use outcome::{ErrorKind, ErrorReply, Outcome, SHED_NOT_RUN, TargetResult};
+pub use pipeline::{Pipeline, PipelineBudget, PipelineLimits, PipelinedHead, StartDecision};
 pub use publish::{
     PublishAction, PublishPlan, PublishResult, Publisher, RESEND_INTERVAL, publish_id,
 };
--- a/node/src/proxy/callers/mod.rs
+++ b/node/src/proxy/callers/mod.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod dispatch;
 pub(crate) mod entry_stats;
+pub(crate) mod read_ahead;
 pub(crate) mod reply;
 pub(crate) mod serve;
--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -2,16 +2,19 @@
 //! connections.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{self, HeaderValue};
 use http::request::Parts;
-use http::{HeaderName, Request, StatusCode};
-use hyper::body::Incoming;
+use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
+use http_body_util::Empty;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -21,9 +24,11 @@
 use poplar_kernel::Clock;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::proxy::callers::dispatch::{Dispatcher, InboundRequest, SendHistory};
 use crate::proxy::callers::entry_stats::EntryStats;
+use crate::proxy::callers::read_ahead::{Connection, Reached, ReadAhead, ReadAheadTotals};
 use crate::proxy::callers::reply::{self, Reply};
 use crate::proxy::decisions::{Decision, DecisionLog};
 use crate::proxy::fields;
@@ -53,7 +58,7 @@
 /// before the timeout is still read.
 const IDLE_SLACK: Duration = Duration::from_secs(2);
 /// Largest number of header fields of a request.
-const HEADER_FIELDS_MAX: usize = 256;
+pub(crate) const HEADER_FIELDS_MAX: usize = 256;
 /// Time limit for reading a request body; the caller's deadline and the route's timeout may set a
 /// shorter one.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -70,7 +75,10 @@
     pub(crate) stats: Arc<EntryStats>,
     pub(crate) decisions: Arc<DecisionLog>,
     pub(crate) body_reader: BodyReader,
-    /// Set when the process begins to stop: each response then carries `Connection: close`.
+    /// What the connections have read ahead.
+    pub(crate) read_ahead: Arc<ReadAheadTotals>,
+    /// Set when the process begins to stop: no request is started ahead any more, and each response
+    /// without such requests behind it carries `Connection: close`.
     pub(crate) closing: AtomicBool,
     /// Set when a stopping process refuses all further requests.
     pub(crate) refusing: AtomicBool,
@@ -102,23 +110,37 @@
         let limits = active.as_ref().map(|active| active.rules.limits);
         // A connection's limits are set once, so one opened without the operator's limits is closed
         // after its first response.
-        let provisional = limits.is_none();
-        let callers = self.clone();
-        let service = service_fn(move |req| {
-            let callers = callers.clone();
-            async move { Ok::<_, Infallible>(callers.answer(req, provisional).await) }
+        let connection = Arc::new(Connection::new(self.clone(), limits.as_ref()));
+        let service = service_fn({
+            let (callers, connection) = (self.clone(), connection.clone());
+            move |req| {
+                let (callers, connection) = (callers.clone(), connection.clone());
+                let reached = connection.reach(&req);
+                async move { Ok::<_, Infallible>(callers.answer(req, reached, &connection).await) }
+            }
         });
         let _open = InFlightGuard::begin(&self.open_connections);
         let mut shutdown = self.shutdown.subscribe();
-        let mut connection =
-            pin!(http_builder(limits).serve_connection(TokioIo::new(socket), service));
+        let stream = TokioIo::new(ReadAhead::new(socket, connection.clone()));
+        let mut served = pin!(http_builder(limits).serve_connection(stream, service));
         // Connection errors are ignored: if the connection ends, hyper drops the pending request's
-        // future, which cancels it.
+        // future, which cancels it, and those that were started ahead are cancelled with
+        // `connection`.
         tokio::select! {
-            _ = connection.as_mut() => return,
-            _ = shutdown.wait_for(|shutdown| *shutdown) => connection.as_mut().graceful_shutdown(),
+            _ = served.as_mut() => return,
+            _ = shutdown.wait_for(|shutdown| *shutdown) => {}
+        }
+        // hyper closes the connection after its pending response, so it must have reached all
+        // requests that were started.
+        let ended = poll_fn(|cx| match served.as_mut().poll(cx) {
+            Poll::Ready(_) => Poll::Ready(true),
+            Poll::Pending if connection.started() == 0 => Poll::Ready(false),
+            Poll::Pending => Poll::Pending,
+        });
+        if !ended.await {
+            served.as_mut().graceful_shutdown();
+            let _ = served.await;
         }
-        let _ = connection.await;
     }
 
     /// Number of open connections; a connection closes only after its last response is written.
@@ -126,27 +148,66 @@
         self.open_connections.load(Ordering::Acquire)
     }
 
-    /// Answers a request; a `provisional` connection closes after the response.
-    async fn answer(&self, req: Request<Incoming>, provisional: bool) -> Reply {
-        let began = self.clock.now();
+    /// Answers a request that the server has reached.
+    async fn answer(
+        &self,
+        req: Request<Incoming>,
+        reached: Reached,
+        connection: &Connection,
+    ) -> Reply {
         let _in_flight = InFlightGuard::begin(&self.in_flight);
-        let mut reply = if self.refusing.load(Ordering::Acquire) {
-            reply::refused(ErrorKind::Draining, STOPPED_RETRY)
-        } else {
-            self.handle(began, req).await
+        let mut reply = match reached.answer {
+            // An error means that the request panicked; a target may have run it.
+            Some(answer) => answer
+                .await
+                .unwrap_or_else(|_| reply::error(StatusCode::BAD_GATEWAY, ErrorKind::Connection)),
+            None => {
+                let began = reached.read_at.unwrap_or_else(|| self.clock.now());
+                self.admit(began, req).await
+            }
         };
-        if provisional || self.closing.load(Ordering::Acquire) {
+        if connection.finish() {
             reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         reply
     }
 
-    async fn handle(&self, began: Moment, req: Request<Incoming>) -> Reply {
+    /// Starts a request without a body ahead of the server; it is cancelled if the handle is
+    /// dropped.
+    pub(crate) fn start(self: Arc<Self>, began: Moment, head: Parts) -> AbortOnDropHandle<Reply> {
+        let req = Request::from_parts(head, Empty::<Bytes>::new());
+        AbortOnDropHandle::new(tokio::spawn(async move {
+            let _in_flight = InFlightGuard::begin(&self.in_flight);
+            self.admit(began, req).await
+        }))
+    }
+
+    /// Whether a request with this head matches a route and may run more than once.
+    pub(crate) fn is_repeatable(&self, uri: &Uri, headers: &HeaderMap) -> bool {
+        let active = self.rules.current();
+        let route = active.as_ref().and_then(|active| find_route(active, uri, headers));
+        route.is_some_and(RouteRule::is_idempotent)
+    }
+
+    async fn admit<B>(&self, began: Moment, req: Request<B>) -> Reply
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        if self.refusing.load(Ordering::Acquire) {
+            return reply::refused(ErrorKind::Draining, STOPPED_RETRY);
+        }
+        self.handle(began, req).await
+    }
+
+    async fn handle<B>(&self, began: Moment, req: Request<B>) -> Reply
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
         let Some(active) = self.rules.current() else {
             return reply::refused(ErrorKind::NoContract, NO_RULES_RETRY);
         };
         let (head, body) = req.into_parts();
-        let Some(route) = find_route(&active, &head) else {
+        let Some(route) = find_route(&active, &head.uri, &head.headers) else {
             return reply::error(StatusCode::NOT_FOUND, ErrorKind::UnknownClass);
         };
         let Some(request) = head.headers.get(&self.header_names.request_id) else {
@@ -363,10 +424,14 @@
 }
 
 /// Finds the route of a request by its host and path.
-fn find_route<'a>(active: &'a ActiveRules, head: &Parts) -> Option<&'a RouteRule> {
-    let host_header = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-    let host = head.uri.host().or(host_header)?;
-    active.route(host, head.uri.path())
+fn find_route<'a>(
+    active: &'a ActiveRules,
+    uri: &Uri,
+    headers: &HeaderMap,
+) -> Option<&'a RouteRule> {
+    let host_header = headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = uri.host().or(host_header)?;
+    active.route(host, uri.path())
 }
 
 /// Time for which the caller waits, from the header `name`, which holds milliseconds.
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -17,6 +17,7 @@
 use super::decisions::DecisionLog;
 use crate::admission::AdmissionController;
 use crate::proxy::callers::entry_stats::EntryStats;
+use crate::proxy::callers::read_ahead::ReadAheadTotals;
 use crate::proxy::links::traffic::Traffic;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
@@ -72,6 +73,7 @@
         stats: &EntryStats,
         traffic: &Traffic,
         health: &StoreHealth,
+        read_ahead: &ReadAheadTotals,
     ) -> Self {
         let mut registry = Registry::with_prefix("poplar");
         let requests = Family::<AnswerLabels, Counter>::default();
@@ -88,6 +90,12 @@
         let help = "Bytes handed to links to other nodes";
         registry.register_with_unit("links_sent", help, Unit::Bytes, traffic.family());
         registry.register("store_calls", "Calls to the store", health.calls());
+        let help = "Requests started before the ones in front of them were answered";
+        registry.register("read_ahead_started", help, read_ahead.started());
+        let help = "Requests started ahead whose connection ended before their turn";
+        registry.register("read_ahead_cancelled", help, read_ahead.cancelled());
+        let help = "Times that a limit stopped the reading ahead on a connection";
+        registry.register("read_ahead_limited", help, read_ahead.limited());
         gauges.register(&mut registry);
         let registry = Mutex::new(registry);
         Self { registry, requests, latency, gauges, admission, roster, rules }
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -19,6 +19,7 @@
 use crate::admission::AdmissionController;
 use crate::proxy::callers::dispatch::Dispatcher;
 use crate::proxy::callers::entry_stats::EntryStats;
+use crate::proxy::callers::read_ahead::ReadAheadTotals;
 use crate::proxy::callers::serve::CallerServer;
 use crate::proxy::links::peers::{CHECK_INTERVAL, PeerLinks, Peers, RECEIVED_MAX};
 use crate::proxy::links::runs::RunTable;
@@ -158,6 +159,9 @@
         });
         let entry_stats = Arc::new(EntryStats::default());
         let health = Arc::new(StoreHealth::default());
+        let read_ahead =
+            ReadAheadTotals::new(config.memory_bytes, component_logger(root, "listen"));
+        let read_ahead = Arc::new(read_ahead);
         let metrics = Metrics::new(
             admission.clone(),
             roster.clone(),
@@ -166,6 +170,7 @@
             &entry_stats,
             &traffic,
             &health,
+            &read_ahead,
         );
         let metrics = Arc::new(metrics);
         let dispatcher = Dispatcher {
@@ -187,6 +192,7 @@
             stats: entry_stats.clone(),
             decisions,
             body_reader: CallerServer::body_reader(config.memory_bytes),
+            read_ahead: read_ahead.clone(),
             closing: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -202,6 +208,7 @@
         registry.register(metrics.clone());
         registry.register(graph.clone());
         registry.register(crashes.clone());
+        registry.register(read_ahead);
         let (plan, plan_receiver) = watch::channel(ReadPlan::default());
         registry.register(Arc::new(PlanView(plan_receiver.clone())));
         let peer_sync = PeerSync {
