Choose targets by estimated load among a few of the own zone

Cause: a target of the own zone with a reported load below 0.7 was taken without a comparison, and a report older than 1 s was forgotten. A node of many that calls a service with many targets hears of each about once a second, so it chose nearly at random, by the number of targets and not by what they can take.

Change: the load of a target is estimated from its last report, moving to the mean of the service with the report's age. A node compares three targets of its own zone, drawn by weights that it learns from the reports, so that work goes by capacity and not by announced slots. A node with few calls draws among few targets, different ones at each node, so that its reports are recent. The zone counts less when the service is nearly full, and more for calls with large bodies. Nothing is added to messages.

Ruled out: random by spare capacity, flatter with the age of reports, and remembering the last choice all left stalled targets full for longer.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -21,6 +21,7 @@
 mod introductions;
 mod limit;
 mod load_controller;
+mod load_estimate;
 mod log_reader;
 mod membership;
 mod mix;
@@ -45,7 +46,7 @@
     Shedding, Ticket, Verdict as AdmissionVerdict,
 };
 pub use answer::{AnswerError, AnswerHead, Exchange, Expected, Idle, VerifiedAnswer, Waiting};
-pub use balancer::{Balancer, Choice, Observation, TargetInfo};
+pub use balancer::{Balancer, Choice, LoadView, Observation, TargetInfo};
 pub use binding::{
     AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, BindingError,
     BindingMode, BoundCall, Handover, HandoverEntry, HandoverError, NotRunProof, Repeatability,
