--- a/node/src/proxy/callers/dispatch.rs
+++ b/node/src/proxy/callers/dispatch.rs
@@ -101,7 +101,8 @@
         loop {
             let chosen = match self.crashes.restriction(|| self.fingerprint(route, request)) {
                 CrashAdmission::Unrestricted => {
-                    self.roster.choose(service, context.rank, &history.tried)
+                    let bytes = request.body.len();
+                    self.roster.choose(service, context.rank, bytes, &history.tried)
                 }
                 CrashAdmission::Isolated => self.roster.choose_isolated(
                     service,
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -226,7 +226,7 @@
             platform: Arc::new(platform),
             node_config: config.clone(),
             rules: rules.clone(),
-            roster,
+            roster: roster.clone(),
             local_target: own.clone(),
             crashes,
             logger: component_logger(root, "store"),
@@ -242,6 +242,7 @@
             entry_stats.clone(),
             traffic.clone(),
             health,
+            roster,
             component_logger(root, "load"),
         ));
         let listen_logger = component_logger(root, "listen");
