Pipelining: search for heads in core, time since reading, tests

Cause: where a head ends decides which bytes may be taken as a request, and was tested only through the process. A request that waited behind others longer than its caller waits was still sent to a target.

Change: the search for the end of a head is core::HeadEnd; a test compares it with httparse on random heads in random divisions. A request whose time ended while it waited is refused as not run. The counters are added to the metrics in a function of their own.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,6 +16,7 @@
 mod contract_state;
 mod crashes;
 mod dependencies;
+mod head_end;
 mod held;
 mod ids;
 mod introductions;
@@ -69,6 +70,7 @@
     CrashAdmission, CrashHistory, CrashMark, CrashNews, SuccessReport, TargetLifetime,
 };
 pub use dependencies::{PathLevel, RouteDependencies};
+pub use head_end::{HeadEnd, HeadSearch};
 pub use held::{CallId, ClaimResult, HeldLimits, HeldRuns, LinkId};
 pub use ids::{
     AttemptId, Era, Importance, Incarnation, InstanceId, Name, Offset, PublishId, RequestId,
--- a/core/tests/pipeline.rs
+++ b/core/tests/pipeline.rs
@@ -5,8 +5,10 @@
 use std::time::Duration;
 
 use poplar_core::{
-    CallerLimits, Pipeline, PipelineBudget, PipelineLimits, PipelinedHead, StartDecision,
+    CallerLimits, HeadEnd, HeadSearch, Pipeline, PipelineBudget, PipelineLimits, PipelinedHead,
+    StartDecision,
 };
+use quickcheck::{Gen, QuickCheck};
 
 const LIMITS: PipelineLimits = PipelineLimits {
     connection_requests: 3,
@@ -128,3 +130,66 @@
     let large = Pipeline::new(LIMITS, Some(&CallerLimits { head: 600, ..CALLERS }));
     assert_eq!(large.read_room(400, &budget), 800);
 }
+
+/// Parts of heads, which random inputs are composed of.
+const PARTS: [&str; 16] = [
+    "GET /a HTTP/1.1",
+    "POST /b HTTP/1.0",
+    "\r\n",
+    "\r\n",
+    "\r\n",
+    "\n",
+    "\r",
+    "\r\n\r\n",
+    "\n\n",
+    "host: a",
+    "x: ",
+    ":",
+    " ",
+    "\t",
+    "x:\r\n y",
+    "\u{e9}",
+];
+
+/// Bytes behind the end of a head must not be taken as part of it, and the other way around,
+/// however lines end and however the bytes are divided into reads.
+#[test]
+fn the_end_of_a_head_is_where_the_parser_of_the_server_finds_it() {
+    fn agrees(parts: Vec<usize>, divisions: Vec<usize>) -> bool {
+        let begin = ["GET /a HTTP/1.1", "\r\nGET /a HTTP/1.1\nhost: a"][parts.len() % 2];
+        let parts = parts.into_iter().map(|idx| PARTS[idx % PARTS.len()]);
+        let input: String = [begin].into_iter().chain(parts).collect();
+        let mut fields = [httparse::EMPTY_HEADER; 64];
+        let Ok(parsed) = httparse::Request::new(&mut fields).parse(input.as_bytes()) else {
+            return true;
+        };
+        let (mut finder, mut rest, mut searched) = (HeadEnd::default(), input.as_bytes(), 0);
+        let mut divisions = divisions.into_iter().map(|len| 1 + len % 7);
+        let mut found = None;
+        while !rest.is_empty() && found.is_none() {
+            let len = divisions.next().unwrap_or(rest.len()).min(rest.len());
+            let (bytes, behind) = rest.split_at(len);
+            if let HeadSearch::At(end) = finder.find(bytes) {
+                found = Some(searched + end);
+            }
+            (rest, searched) = (behind, searched + len);
+        }
+        match parsed {
+            httparse::Status::Complete(end) => found == Some(end),
+            httparse::Status::Partial => found.is_none(),
+        }
+    }
+    QuickCheck::new()
+        .rng(Gen::new(12))
+        .tests(200_000)
+        .max_tests(200_000)
+        .quickcheck(agrees as fn(Vec<usize>, Vec<usize>) -> bool);
+}
+
+/// Bytes behind an end that was already found belong to another head.
+#[test]
+fn a_search_behind_the_end_finds_nothing() {
+    let mut finder = HeadEnd::default();
+    assert_eq!(finder.find(b"GET / HTTP/1.1\r\n\r\n"), HeadSearch::At(18));
+    assert_eq!(finder.find(b"GET / HTTP/1.1\r\n\r\n"), HeadSearch::Before);
+}
--- a/node/src/proxy/callers/read_ahead.rs
+++ b/node/src/proxy/callers/read_ahead.rs
@@ -22,7 +22,8 @@
 use http::{Method, Request, Uri, Version};
 use hyper::body::{Body, Incoming};
 use poplar_core::{
-    CallerLimits, Moment, Pipeline, PipelineBudget, PipelineLimits, PipelinedHead, StartDecision,
+    CallerLimits, HeadEnd, HeadSearch, Moment, Pipeline, PipelineBudget, PipelineLimits,
+    PipelinedHead, StartDecision,
 };
 use poplar_kernel::Service;
 use prometheus_client::metrics::counter::Counter;
@@ -294,9 +295,9 @@
         let mut len = self.held.len().min(buf.remaining());
         if let Phase::Head { end } = &mut self.phase {
             match end.as_mut().map(|finder| finder.find(&self.held[..len])) {
-                Some(Found::At(end)) => len = end,
-                Some(Found::Not) | None => {}
-                Some(Found::Before) => {
+                Some(HeadSearch::At(end)) => len = end,
+                Some(HeadSearch::Not) | None => {}
+                Some(HeadSearch::Before) => {
                     // hyper does not take the head that it got as complete.
                     *end = None;
                     self.cancel_started();
@@ -359,8 +360,8 @@
     fn find_end(&mut self, held: &[u8]) -> Option<usize> {
         if self.end.is_none() {
             match self.finder.find(&held[self.scanned..]) {
-                Found::At(end) => self.end = Some(self.scanned + end),
-                Found::Not | Found::Before => {}
+                HeadSearch::At(end) => self.end = Some(self.scanned + end),
+                HeadSearch::Not | HeadSearch::Before => {}
             }
             self.scanned = held.len();
         }
@@ -403,17 +404,17 @@
         let Some(finder) = end else { return Poll::Ready(Ok(())) };
         let bytes = &buf.filled()[before..];
         match finder.find(bytes) {
-            Found::Not => {}
-            Found::At(len) if len == bytes.len() => {}
-            Found::At(len) if state.totals.budget().has_room(bytes.len() - len) => {
+            HeadSearch::Not => {}
+            HeadSearch::At(len) if len == bytes.len() => {}
+            HeadSearch::At(len) if state.totals.budget().has_room(bytes.len() - len) => {
                 state.hold(now(), &bytes[len..]);
                 buf.set_filled(before + len);
             }
-            Found::At(_) => {
+            HeadSearch::At(_) => {
                 state.note_limit();
                 state.phase = Phase::Head { end: None };
             }
-            Found::Before => state.phase = Phase::Head { end: None },
+            HeadSearch::Before => state.phase = Phase::Head { end: None },
         }
         Poll::Ready(Ok(()))
     }
@@ -520,63 +521,6 @@
     }
 }
 
-/// Finder of the end of a request head: the first empty line after a line that is not empty, as
-/// in `httparse`, which hyper parses with. Bytes are searched once, in any division.
-#[derive(Debug, Default)]
-struct HeadEnd {
-    line: Line,
-}
-
-/// Place of the next byte in a head.
-#[derive(Debug, Default)]
-enum Line {
-    /// Before the first line that is not empty.
-    #[default]
-    Leading,
-    Inside,
-    Begin,
-    /// After a carriage return at the begin of a line.
-    CarriageReturn,
-    /// Behind the head.
-    Behind,
-}
-
-/// Result of a search for the end of a head.
-#[derive(Debug, PartialEq, Eq)]
-enum Found {
-    /// The head ends behind this many bytes.
-    At(usize),
-    /// The bytes do not contain the end.
-    Not,
-    /// An earlier search found the end.
-    Before,
-}
-
-impl HeadEnd {
-    fn find(&mut self, bytes: &[u8]) -> Found {
-        let mut idx = 0;
-        while let Some(byte) = bytes.get(idx) {
-            idx += 1;
-            self.line = match (&self.line, byte) {
-                (Line::Behind, _) => return Found::Before,
-                (Line::Leading, b'\r' | b'\n') => Line::Leading,
-                (Line::Begin | Line::CarriageReturn, b'\n') => {
-                    self.line = Line::Behind;
-                    return Found::At(idx);
-                }
-                (Line::Begin, b'\r') => Line::CarriageReturn,
-                (Line::Inside, b'\n') => Line::Begin,
-                _ => {
-                    let line = &bytes[idx..];
-                    idx += line.iter().position(|byte| *byte == b'\n').unwrap_or(line.len());
-                    Line::Inside
-                }
-            };
-        }
-        Found::Not
-    }
-}
-
 /// Parses a complete head with the parser and the conversions that hyper uses; none if it is not
 /// exactly one head.
 fn parse(head: &[u8]) -> Option<Parts> {
--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -220,6 +220,11 @@
         };
         let wait = requested_timeout(&head, &self.header_names.deadline).unwrap_or(route.timeout);
         let deadline = began + wait.min(route.timeout);
+        if !wait.is_zero() && deadline <= self.clock.now() {
+            // It was read ahead, and waited behind other requests until its caller was gone.
+            let refusal = Refusal { kind: ErrorKind::Deadline, retry_after: Duration::ZERO };
+            return self.refuse(began, &active, route, request, origin.name, refusal);
+        }
         let wait = deadline.since(began).min(BODY_TIMEOUT);
         let body = match self.body_reader.read(body, active.rules.limits.body, wait).await {
             Ok(body) => body,
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -73,7 +73,6 @@
         stats: &EntryStats,
         traffic: &Traffic,
         health: &StoreHealth,
-        read_ahead: &ReadAheadTotals,
     ) -> Self {
         let mut registry = Registry::with_prefix("poplar");
         let requests = Family::<AnswerLabels, Counter>::default();
@@ -90,15 +89,20 @@
         let help = "Bytes handed to links to other nodes";
         registry.register_with_unit("links_sent", help, Unit::Bytes, traffic.family());
         registry.register("store_calls", "Calls to the store", health.calls());
+        gauges.register(&mut registry);
+        let registry = Mutex::new(registry);
+        Self { registry, requests, latency, gauges, admission, roster, rules }
+    }
+
+    /// Adds the counters of requests that are read ahead.
+    pub(crate) fn add_read_ahead(&self, read_ahead: &ReadAheadTotals) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let help = "Requests started before the ones in front of them were answered";
         registry.register("read_ahead_started", help, read_ahead.started());
         let help = "Requests started ahead whose connection ended before their turn";
         registry.register("read_ahead_cancelled", help, read_ahead.cancelled());
         let help = "Times that a limit stopped the reading ahead on a connection";
         registry.register("read_ahead_limited", help, read_ahead.limited());
-        gauges.register(&mut registry);
-        let registry = Mutex::new(registry);
-        Self { registry, requests, latency, gauges, admission, roster, rules }
     }
 
     /// Records the final outcome of a request and its latency.
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -159,9 +159,6 @@
         });
         let entry_stats = Arc::new(EntryStats::default());
         let health = Arc::new(StoreHealth::default());
-        let read_ahead =
-            ReadAheadTotals::new(config.memory_bytes, component_logger(root, "listen"));
-        let read_ahead = Arc::new(read_ahead);
         let metrics = Metrics::new(
             admission.clone(),
             roster.clone(),
@@ -170,9 +167,12 @@
             &entry_stats,
             &traffic,
             &health,
-            &read_ahead,
         );
         let metrics = Arc::new(metrics);
+        let read_ahead =
+            ReadAheadTotals::new(config.memory_bytes, component_logger(root, "listen"));
+        let read_ahead = Arc::new(read_ahead);
+        metrics.add_read_ahead(&read_ahead);
         let dispatcher = Dispatcher {
             clock,
             header_names: header_names.clone(),
