Core: budget for answers that are held for callers

Decisions only, with the present time as an argument: whether an answer fits, which connection gives way (the one that has taken no byte for longest, and only if closing makes enough room), whether a request is refused before it is sent, which connection is closed in favour of a new one, and the usual answer size of a route. Tested with fixed cases and with any order of events; nothing uses it yet.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -23,6 +23,7 @@
 mod load_controller;
 mod log_reader;
 mod membership;
+mod memory_budget;
 mod mix;
 mod origin;
 mod outcome;
@@ -85,6 +86,7 @@
     OutgoingRequest, Peer, ProbeId, Sample, SampleRequest, TICK_TIME, Verdict as MemberVerdict,
     VerdictReport, ViewError,
 };
+pub use memory_budget::{Accepted, ConnectionId, MemoryBudget, MemoryLimits, MemoryUse, Room};
 pub use mix::{ImportanceMix, ImportanceMixSum};
 pub use origin::{PeerSightings, RouteOrigins, Sighting};
 pub use outcome::{ErrorKind, ErrorReply, Outcome, SHED_NOT_RUN, TargetResult};
