Limit the memory and the descriptors that callers and slow nodes take

Cause: an entry held each answer until its caller had read it, without a limit on all of them; the node beside the target returned the memory of a body when it was read, although a copy stayed in the outbox of the link; a full outbox closed the link with all its calls; and any number of connections was accepted.

Change: `CallerMemory` (decisions in core/src/memory_budget.rs) has one budget a process, a quarter of its memory. A link takes room before it reads a large answer; without room the answer is discarded and only its call fails. The room is returned when hyper has written the body. Room for the usual answer of a route is reserved before a request is sent, or it is refused with 503. A connection that takes no byte for a second gives way to other answers, the longest first, and is closed after 10 s in any case. At `max_fds` minus what links, target, store and files need, an idle connection gives way to a new one.

Bodies from 16 KiB on are no longer copied: they refer to the frame in which they arrived, and links queue them beside the encoded frame, so that a body occupies its memory once and counts until the link has written it. A body without room in the queue of its link is left out, and the link stays open. Frames that arrive in parts count as signs of life of the link.

Ruled out: a body type of our own for replies (`Bytes` with an owner does the same and leaves the reply type as it is); flow control by stream or by link (a change of the protocol between nodes).

--- a/core/src/memory_budget.rs
+++ b/core/src/memory_budget.rs
@@ -127,14 +127,15 @@
         } else if self.replaced >= REPLACED_MAX {
             return Accepted::Refused;
         } else {
-            let Some(id) = self.longest_idle().or_else(|| self.longest_stalled(now)) else {
+            let Some(id) =
+                self.idle().min().map(|(_, id)| id).or_else(|| self.longest_stalled(now))
+            else {
                 return Accepted::Refused;
             };
             Some(id)
         };
-        if let Some(connection) = given_up.and_then(|id| self.connections.get_mut(&id)) {
-            connection.closing = Some(Closing::Replaced);
-            self.replaced += 1;
+        if let Some(given_up) = given_up {
+            self.replace(given_up);
         }
         let id = ConnectionId(self.next);
         self.next += 1;
@@ -144,6 +145,16 @@
         given_up.map_or(Accepted::Opened(id), |given_up| Accepted::Replaces(id, given_up))
     }
 
+    /// Idle connections that must be closed because fewer than before may be open.
+    pub fn trim(&mut self, connections_max: usize) -> Vec<ConnectionId> {
+        let excess = (self.connections.len() - self.replaced).saturating_sub(connections_max);
+        let mut idle: Vec<_> = self.idle().collect();
+        idle.sort_unstable();
+        let trimmed: Vec<_> = idle.into_iter().take(excess).map(|(_, id)| id).collect();
+        trimmed.iter().for_each(|id| self.replace(*id));
+        trimmed
+    }
+
     /// Removes a connection that was closed. Its answers count until they are released.
     pub fn close(&mut self, id: ConnectionId) {
         let closed = self.connections.remove(&id);
@@ -311,13 +322,21 @@
         self.stalled(now).min().map(|(_, _, id)| id)
     }
 
-    /// Connection that has had no request in progress, and nothing to send, for the longest time.
-    fn longest_idle(&self) -> Option<ConnectionId> {
-        let idle = self.connections.iter().filter_map(|(id, connection)| {
+    /// Connections without a request in progress and with nothing to send, with the time since
+    /// which that is so.
+    fn idle(&self) -> impl Iterator<Item = (Moment, ConnectionId)> + '_ {
+        self.connections.iter().filter_map(|(id, connection)| {
             let sent = connection.held == 0 && connection.stalled_since.is_none();
             let since = connection.idle_since?;
             (sent && connection.closing.is_none()).then_some((since, *id))
-        });
-        idle.min().map(|(_, id)| id)
+        })
+    }
+
+    /// Marks a connection as one that is being closed to make room for another.
+    fn replace(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.closing = Some(Closing::Replaced);
+            self.replaced += 1;
+        }
     }
 }
--- a/core/tests/memory_budget.rs
+++ b/core/tests/memory_budget.rs
@@ -174,6 +174,20 @@
     assert!(matches!(budget.open(at(100), 50), Accepted::Replaces(..)));
 }
 
+/// Guards against connections that were opened while more were allowed and stay open.
+#[test]
+fn idle_connections_are_closed_when_fewer_are_allowed() {
+    let mut budget = MemoryBudget::new(LIMITS);
+    let ids: Vec<_> = (0..6).map(|ms| open(&mut budget, at(ms))).collect();
+    budget.begin_request(ids[0]);
+    assert_eq!(budget.trim(6), []);
+    assert_eq!(budget.trim(4), [ids[1], ids[2]]);
+    assert_eq!(budget.trim(4), []);
+    assert_eq!(budget.trim(0), [ids[3], ids[4], ids[5]]);
+    ids.iter().for_each(|id| budget.close(*id));
+    assert_eq!(budget.usage(), MemoryUse::default());
+}
+
 /// Any order of events: what is granted stays within the limit, apart from what connections that
 /// are being closed still hold, and nothing is left when all have ended.
 #[test]
--- a/node/src/proxy/callers/dispatch.rs
+++ b/node/src/proxy/callers/dispatch.rs
@@ -72,6 +72,8 @@
     unknown_kind: Option<ErrorKind>,
     /// Instances that were chosen, in the order of the sends.
     pub(crate) tried: Vec<InstanceId>,
+    /// Whether this node had no memory for the answer; a further one would find none either.
+    answer_discarded: bool,
     /// Whether the request is a call made on behalf of a request for which work was already done.
     pub(crate) internal: bool,
     /// Slot time by service, as reported with the answers.
@@ -130,7 +132,10 @@
                     history.work.add_call(service, answer.ran, &answer.work);
                     answer.outcome
                 }
-                Err(kind) => Outcome::Unknown { kind },
+                Err(kind) => {
+                    history.answer_discarded = kind == ErrorKind::AnswerTooLarge;
+                    Outcome::Unknown { kind }
+                }
             };
             if let Outcome::Unknown { kind } = &last {
                 history.unknown_kind = Some(*kind);
@@ -167,6 +172,7 @@
             Outcome::Unknown { .. } => route.is_idempotent(),
         };
         retryable
+            && !history.answer_discarded
             && history.offers < route.attempts
             && history.refusals < REFUSALS_MAX
             && self.clock.now() < request.deadline
@@ -209,7 +215,8 @@
     ///
     /// # Errors
     ///
-    /// The error kind for an unknown outcome, if the call may have run but no answer came.
+    /// The error kind for an unknown outcome, if the call may have run but no answer came, or none
+    /// that this node had memory for.
     async fn send(
         &self,
         service: &Name,
@@ -237,6 +244,7 @@
                 Observation::Unreachable
             }
             Ok(_) => Observation::Refused { level: Level::OPEN },
+            Err(LinkError::Discarded(_)) => Observation::Done { latency: took, level: Level::OPEN },
             Err(_) => Observation::Unreachable,
         });
         let answer = match answer {
@@ -247,6 +255,9 @@
         };
         match answer {
             Ok(mut answer) => {
+                if let Outcome::Done(response) = &answer.outcome {
+                    self.peers.memory.record_size(&route, response.body.len());
+                }
                 if matches!(&answer.outcome, Outcome::Done(response) if !response.is_failure()) {
                     self.crashes.record_success_if_marked(fingerprint);
                 }
@@ -266,6 +277,10 @@
                 let kind = ErrorKind::Connection;
                 Ok(CallAnswer::refused(kind, NO_TARGET_RETRY))
             }
+            Err(LinkError::Discarded(bytes)) => {
+                self.peers.memory.record_size(&route, bytes);
+                Err(ErrorKind::AnswerTooLarge)
+            }
             Err(LinkError::Broken | LinkError::Held(_)) => {
                 if let Some(lifetime) = lifetime {
                     self.crashes.record_crash(fingerprint(), lifetime, sent, self.clock.now());
--- a/node/src/proxy/callers/mod.rs
+++ b/node/src/proxy/callers/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod entry_stats;
 pub(crate) mod reply;
 pub(crate) mod serve;
+pub(crate) mod watched_stream;
--- a/node/src/proxy/callers/reply.rs
+++ b/node/src/proxy/callers/reply.rs
@@ -1,5 +1,6 @@
 //! Responses to callers: a target's response, passed on, or an error response from this node.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,6 +11,7 @@
 
 use crate::proxy::fields;
 use crate::proxy::frame::TargetResponse;
+use crate::proxy::memory::AnswerShare;
 
 /// Response in the form in which the HTTP server sends it.
 pub(crate) type Reply = Response<Full<Bytes>>;
@@ -43,10 +45,23 @@
     reply
 }
 
+/// Takes the memory share of a reply, which its body holds as well.
+pub(crate) fn take_share(reply: &mut Reply) -> Option<Arc<AnswerShare>> {
+    reply.extensions_mut().remove()
+}
+
 fn from_target(response: TargetResponse) -> Reply {
-    let mut reply = Response::new(Full::new(response.body));
-    *reply.status_mut() = StatusCode::from_u16(response.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    fields::append(&response.fields, reply.headers_mut());
+    let TargetResponse { status, fields, body, share } = response;
+    let mut reply = match share {
+        Some(share) => {
+            let mut reply = Response::new(Full::new(share.clone().attach(body)));
+            reply.extensions_mut().insert(share);
+            reply
+        }
+        None => Response::new(Full::new(body)),
+    };
+    *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    fields::append(&fields, reply.headers_mut());
     reply
 }
 
--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -19,16 +19,19 @@
     CallerLimits, ErrorKind, Importance, Moment, Name, Outcome, PathLevel, Revision, RouteRule,
 };
 use poplar_kernel::Clock;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
 use crate::proxy::callers::dispatch::{Dispatcher, InboundRequest, SendHistory};
 use crate::proxy::callers::entry_stats::EntryStats;
 use crate::proxy::callers::reply::{self, Reply};
+use crate::proxy::callers::watched_stream::WatchedStream;
 use crate::proxy::decisions::{Decision, DecisionLog};
 use crate::proxy::fields;
 use crate::proxy::frame::{Field, TargetResponse};
 use crate::proxy::in_flight::InFlightGuard;
+use crate::proxy::memory::{CallerConnection, CallerMemory};
 use crate::proxy::metrics::Metrics;
 use crate::proxy::ports::HeaderNames;
 use crate::proxy::state::rules::{ActiveRules, Rules};
@@ -38,6 +41,12 @@
 const NO_RULES_RETRY: Duration = Duration::from_millis(300);
 /// Retry delay sent to a caller whose body does not fit into the memory left for bodies.
 const BODY_MEMORY_RETRY: Duration = Duration::from_millis(300);
+/// Mean retry delay sent to a caller for whose answer there is no memory; in that time a connection
+/// that takes no bytes can be closed.
+const ANSWER_MEMORY_RETRY: Duration = Duration::from_millis(1_000);
+/// Bytes that the kernel takes from a connection beyond those it can send. A small number makes it
+/// tell early that a slow client has taken some.
+const UNSENT_BYTES: u32 = 128 << 10;
 /// Retry delay sent to callers of a stopping node; a restart takes about this long.
 const STOPPED_RETRY: Duration = Duration::from_millis(1_000);
 /// Largest request head accepted while no rules are known, in bytes.
@@ -70,6 +79,7 @@
     pub(crate) stats: Arc<EntryStats>,
     pub(crate) decisions: Arc<DecisionLog>,
     pub(crate) body_reader: BodyReader,
+    pub(crate) memory: Arc<CallerMemory>,
     /// Set when the process begins to stop: each response then carries `Connection: close`.
     pub(crate) closing: AtomicBool,
     /// Set when a stopping process refuses all further requests.
@@ -96,22 +106,45 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
-    /// Serves one connection until either end closes it.
-    pub(crate) async fn serve(self: Arc<Self>, socket: TcpStream) {
+    /// Serves one connection until either end closes it, or a limit for callers does.
+    pub(crate) fn serve(
+        self: Arc<Self>,
+        socket: TcpStream,
+    ) -> impl Future<Output = ()> + Send + 'static {
+        // Before the task begins, so that a refused connection returns its descriptor at once.
+        let open = self.memory.open().map(|connection| (Arc::new(connection), socket));
+        async move {
+            let Some((connection, socket)) = open else { return };
+            // An error is ignored because without this option stalls are only noticed later.
+            let _ = SockRef::from(&socket).set_tcp_notsent_lowat(UNSENT_BYTES);
+            tokio::select! {
+                () = self.serve_open(socket, connection.clone()) => {}
+                () = connection.closing() => {}
+            }
+        }
+    }
+
+    async fn serve_open(self: Arc<Self>, socket: TcpStream, caller: Arc<CallerConnection>) {
         let active = self.rules.current();
         let limits = active.as_ref().map(|active| active.rules.limits);
         // A connection's limits are set once, so one opened without the operator's limits is closed
         // after its first response.
         let provisional = limits.is_none();
+        let stream = WatchedStream::new(socket, caller.clone());
         let callers = self.clone();
         let service = service_fn(move |req| {
-            let callers = callers.clone();
-            async move { Ok::<_, Infallible>(callers.answer(req, provisional).await) }
+            let (callers, caller) = (callers.clone(), caller.clone());
+            async move {
+                caller.begin_request();
+                let mut reply = callers.answer(req, provisional).await;
+                caller.end_request(reply::take_share(&mut reply).as_deref());
+                Ok::<_, Infallible>(reply)
+            }
         });
         let _open = InFlightGuard::begin(&self.open_connections);
         let mut shutdown = self.shutdown.subscribe();
         let mut connection =
-            pin!(http_builder(limits).serve_connection(TokioIo::new(socket), service));
+            pin!(http_builder(limits).serve_connection(TokioIo::new(stream), service));
         // Connection errors are ignored: if the connection ends, hyper drops the pending request's
         // future, which cancels it.
         tokio::select! {
@@ -164,6 +197,11 @@
             Ok(body) => body,
             Err(error) => return body_error_reply(error),
         };
+        let Some(_expected) = self.memory.expect(&route.name) else {
+            let retry_after = ANSWER_MEMORY_RETRY.mul_f64(0.5 + fastrand::f64());
+            let refusal = Refusal { kind: ErrorKind::Overload, retry_after };
+            return self.refuse(began, &active, route, request, origin.name, refusal);
+        };
         let request = self.inbound_request(head, request, body.body.clone(), deadline, origin);
         self.forward(began, active.rules.revision, route, &request).await
     }
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -3,6 +3,7 @@
 //! A frame is a big-endian length of four bytes followed by a message in MessagePack. See
 //! [platform](../../../docs/design/platform.md).
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -13,10 +14,13 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::proxy::body_codec::{self, SplitWriter};
+use crate::proxy::memory::AnswerShare;
+
 /// Largest message, in bytes: the largest body that rules allow at present, plus room for its head.
 const FRAME_LIMIT_BYTES: usize = 72 << 20;
 /// Size of the length that precedes each message, in bytes.
-const LENGTH_BYTES: usize = 4;
+pub(crate) const LENGTH_BYTES: usize = 4;
 
 /// Number of a call or claim on its link, assigned by the sending end.
 pub(crate) type CallNumber = u32;
@@ -167,6 +171,7 @@
     /// Time left until the deadline.
     pub(crate) left: Duration,
     /// Whole body.
+    #[serde(deserialize_with = "body_codec::deserialize")]
     pub(crate) body: Bytes,
 }
 
@@ -191,14 +196,18 @@
 }
 
 /// Complete HTTP response of a target.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct TargetResponse {
     /// HTTP status code.
     pub(crate) status: u16,
     /// End-to-end header fields.
     pub(crate) fields: Vec<Field>,
     /// Whole body.
+    #[serde(deserialize_with = "body_codec::deserialize")]
     pub(crate) body: Bytes,
+    /// Memory that the body occupies; none if it is small.
+    #[serde(skip)]
+    pub(crate) share: Option<Arc<AnswerShare>>,
 }
 
 impl TargetResponse {
@@ -242,6 +251,17 @@
         }
     }
 
+    /// This answer without the target's response, which could not be passed on.
+    pub(crate) fn without_response(&self) -> Self {
+        let kind = ErrorKind::AnswerTooLarge;
+        Self {
+            outcome: Outcome::Unknown { kind },
+            told: self.told.clone(),
+            work: self.work.clone(),
+            ..*self
+        }
+    }
+
     /// Refusal of a call of which the target has received nothing.
     pub(crate) fn refused(kind: ErrorKind, retry_after: Duration) -> Self {
         Self::new(Outcome::NotRun { kind, retry_after }, false)
@@ -260,35 +280,55 @@
 }
 
 /// Appends the frame of `message` to `out`, which stays unchanged on an error.
-pub(crate) fn encode(message: &Message, out: &mut BytesMut) -> Result<(), FrameError> {
-    let start = out.len();
-    out.put_u32(0);
-    let result = rmp_serde::encode::write(&mut (&mut *out).writer(), message);
-    let len = out.len() - start - LENGTH_BYTES;
+pub(crate) fn encode(message: &Message, out: &mut SplitWriter<'_>) -> Result<(), FrameError> {
+    let start = out.written().len();
+    out.written().put_u32(0);
+    let result = rmp_serde::encode::write(out, message);
+    let len = out.written().len() - start - LENGTH_BYTES + out.left_out();
     if let Err(error) = result {
-        out.truncate(start);
+        out.written().truncate(start);
         return Err(error.into());
     }
     if len > FRAME_LIMIT_BYTES {
-        out.truncate(start);
+        out.written().truncate(start);
         return Err(FrameError::TooLong(len));
     }
-    out[start..start + LENGTH_BYTES].copy_from_slice(&(len as u32).to_be_bytes());
+    out.written()[start..start + LENGTH_BYTES].copy_from_slice(&(len as u32).to_be_bytes());
     Ok(())
 }
 
-/// Removes the first complete frame from the buffer and decodes it; none if more bytes are needed.
-pub(crate) fn decode(buffer: &mut BytesMut) -> Result<Option<Message>, FrameError> {
+/// Length of the message at the beginning of the buffer; none if that is not known yet.
+pub(crate) fn next_len(buffer: &BytesMut) -> Result<Option<usize>, FrameError> {
     let Some(length) = buffer.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
     let len = u32::from_be_bytes(*length) as usize;
     if len > FRAME_LIMIT_BYTES {
         return Err(FrameError::TooLong(len));
     }
+    Ok(Some(len))
+}
+
+/// Removes the first complete frame from the buffer and decodes it; none if more bytes are needed.
+pub(crate) fn decode(buffer: &mut BytesMut) -> Result<Option<Message>, FrameError> {
+    let Some(len) = next_len(buffer)? else { return Ok(None) };
     if buffer.len() < LENGTH_BYTES + len {
-        buffer.reserve(LENGTH_BYTES + len - buffer.len());
         return Ok(None);
     }
     buffer.advance(LENGTH_BYTES);
     let frame = buffer.split_to(len);
     Ok(Some(rmp_serde::from_slice(&frame)?))
 }
+
+/// Decodes a message without its length. Its body refers to `frame`, and holds `share` if the
+/// message is an answer.
+pub(crate) fn decode_shared(
+    frame: &Bytes,
+    share: Option<Arc<AnswerShare>>,
+) -> Result<Message, FrameError> {
+    let mut message = body_codec::decode_shared(frame)?;
+    if let Message::Answer(_, answer) = &mut message
+        && let Outcome::Done(response) = &mut answer.outcome
+    {
+        response.share = share;
+    }
+    Ok(message)
+}
--- a/node/src/proxy/links/link.rs
+++ b/node/src/proxy/links/link.rs
@@ -13,6 +13,7 @@
 
 use bytes::BytesMut;
 use poplar_core::{CallId, LinkId, Moment};
+use poplar_kernel::Clock;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -20,8 +21,11 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::proxy::frame::{self, Call, CallAnswer, CallNumber, FrameError, Message, StateSummary};
+use crate::proxy::links::backlog::{Backlog, NotQueued};
+use crate::proxy::links::large_frame::{Intake, LargeFrame, LargeFrames};
 use crate::proxy::links::traffic::Traffic;
 use crate::proxy::locality::Locality;
+use crate::proxy::memory::CallerMemory;
 
 /// Time without a message from the peer after which a link with waiting calls is pinged.
 const PING_AFTER: Duration = Duration::from_millis(400);
@@ -31,8 +35,8 @@
 /// Time without a message from the peer after which a link without waiting calls is closed. A peer
 /// that receives calls or a subscription sends messages far more often.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Bytes that may be queued for a peer that does not read; beyond that the link is closed.
-const BACKLOG_BYTES: usize = 32 << 20;
+/// Largest number of bytes that are read at once after a pause.
+const CATCH_UP_BYTES: usize = 32 << 20;
 /// Time between two reads from which on this process may have been suspended in between.
 const SUSPEND_THRESHOLD: Duration = Duration::from_millis(300);
 /// Initial size of the read buffer; holds several typical calls.
@@ -54,12 +58,15 @@
     /// claim.
     #[error("the link broke before the answer to a held call arrived")]
     Held(CallId),
+    /// The target answered with this many bytes, for which this node had no memory.
+    #[error("no memory for the answer of {0} bytes")]
+    Discarded(usize),
 }
 
 /// Sending side of a link: a buffer of encoded frames that a task writes to the socket.
 #[derive(Debug)]
 pub(crate) struct Outbox {
-    buffer: Mutex<BytesMut>,
+    backlog: Mutex<Backlog>,
     filled: Notify,
     closed: AtomicBool,
     close_signal: Notify,
@@ -84,11 +91,17 @@
 }
 
 impl Outbox {
-    /// Creates the sending side of a link that counts its bytes in `traffic`.
-    pub(crate) fn new(traffic: Arc<Traffic>, locality: Locality, version: ProtocolVersion) -> Self {
-        let (buffer, closed) = (Mutex::default(), AtomicBool::new(false));
+    /// Creates the sending side of a link that counts its bytes in `traffic` and queues up to
+    /// `limit` bytes of bodies.
+    pub(crate) fn new(
+        traffic: Arc<Traffic>,
+        locality: Locality,
+        version: ProtocolVersion,
+        limit: usize,
+    ) -> Self {
+        let (backlog, closed) = (Mutex::new(Backlog::new(limit)), AtomicBool::new(false));
         let (filled, close_signal) = (Notify::new(), Notify::new());
-        Self { buffer, filled, closed, close_signal, traffic, locality, version }
+        Self { backlog, filled, closed, close_signal, traffic, locality, version }
     }
 
     /// Whether the other end is in the availability zone of this node.
@@ -122,27 +135,33 @@
         self.version >= ProtocolVersion::Digests
     }
 
-    /// Queues a message. Returns false if the link is or becomes closed; nothing of the message is
-    /// sent then.
+    /// Queues a message. Returns false if the link is or becomes closed, or if there is no room for
+    /// the body of a call; nothing of the message is sent then. An answer without room for its body
+    /// is replaced by one without it.
     pub(crate) fn push(&self, message: &Message) -> bool {
         if self.closed.load(Ordering::Acquire) {
             return false;
         }
-        let mut buffer = lock(&self.buffer);
-        let start = buffer.len();
-        let written = frame::encode(message, &mut buffer);
-        self.traffic.record_queued(message.kind(), self.locality, buffer.len() - start);
-        if written.is_err() || buffer.len() > BACKLOG_BYTES {
-            // Callers rely on `false` to mean that nothing was sent, so the frame is removed.
-            self.traffic.record_written(buffer.len() - start);
-            buffer.truncate(start);
-            drop(buffer);
-            self.close();
-            return false;
+        let mut backlog = lock(&self.backlog);
+        match (backlog.push(message), message) {
+            (Ok(size), _) => {
+                self.traffic.record_queued(message.kind(), self.locality, size);
+                drop(backlog);
+                self.filled.notify_one();
+                true
+            }
+            (Err(NotQueued::NoRoom), Message::Answer(number, answer)) => {
+                drop(backlog);
+                self.traffic.record_not_sent();
+                self.push(&Message::Answer(*number, Box::new(answer.without_response())))
+            }
+            (Err(NotQueued::NoRoom), _) => false,
+            (Err(NotQueued::Unusable), _) => {
+                drop(backlog);
+                self.close();
+                false
+            }
         }
-        drop(buffer);
-        self.filled.notify_one();
-        true
     }
 
     /// Closes the link.
@@ -159,23 +178,29 @@
 
     async fn write_all(&self, mut socket: OwnedWriteHalf) {
         while !self.is_closed() {
-            let pending = lock(&self.buffer).split();
-            if pending.is_empty() {
+            let next = lock(&self.backlog).pop();
+            let Some(pending) = next else {
                 self.filled.notified().await;
                 continue;
-            }
+            };
             let guard = WriteGuard { traffic: &self.traffic, bytes: pending.len() };
             if socket.write_all(&pending).await.is_err() {
                 self.close();
             }
             drop(guard);
+            lock(&self.backlog).record_written();
         }
     }
+
+    /// Drops what is queued on a closed link, and with it the memory of the bodies.
+    fn discard(&self) {
+        self.traffic.record_written(lock(&self.backlog).clear());
+    }
 }
 
 impl Drop for Outbox {
     fn drop(&mut self) {
-        self.traffic.record_written(lock(&self.buffer).len());
+        self.discard();
     }
 }
 
@@ -193,28 +218,31 @@
 }
 
 /// Runs a link until it closes: writes the queued frames of `outbox` to the socket and passes each
-/// received message to `handle`.
+/// received message to `handle`, large ones only if `intake` admits them.
 ///
 /// `unread` holds the bytes that were read from the socket together with the upgrade.
 pub(crate) async fn drive(
     socket: TcpStream,
     unread: &[u8],
     outbox: &Outbox,
+    mut intake: impl LargeFrames,
     mut handle: impl FnMut(Message),
 ) {
     let (reader, writer) = socket.into_split();
     tokio::select! {
         () = outbox.write_all(writer) => {}
         // Any error closes the link, and the calls on it fail with `LinkError::Broken`.
-        _ = read_all(reader, unread, &mut handle) => {}
+        _ = read_all(reader, unread, &mut intake, &mut handle) => {}
         () = outbox.close_signal.notified() => {}
     }
     outbox.close();
+    outbox.discard();
 }
 
 async fn read_all(
     mut socket: OwnedReadHalf,
     unread: &[u8],
+    intake: &mut impl LargeFrames,
     handle: &mut impl FnMut(Message),
 ) -> Result<(), FrameError> {
     let mut buffer = BytesMut::with_capacity(READ_BUFFER_BYTES);
@@ -224,15 +252,24 @@
         while let Some(message) = frame::decode(&mut buffer)? {
             handle(message);
         }
-        buffer.reserve(READ_BUFFER_BYTES);
-        match socket.read_buf(&mut buffer).await {
-            Ok(0) | Err(_) => return Ok(()),
-            Ok(_) => {}
+        let mut longest_pause = Duration::ZERO;
+        if let Some(large) = LargeFrame::begin(&buffer)? {
+            let Some(read) = large.read(&mut socket, &mut buffer, intake).await? else {
+                return Ok(());
+            };
+            read.message.into_iter().for_each(&mut *handle);
+            longest_pause = read.longest_pause;
+        } else {
+            buffer.reserve(READ_BUFFER_BYTES);
+            match socket.read_buf(&mut buffer).await {
+                Ok(0) | Err(_) => return Ok(()),
+                Ok(_) => {}
+            }
         }
         // If this process was suspended, the peer may have closed the link after sending what
         // arrived in the meantime. It no longer waits for calls on a closed link, so these are
         // dropped; other messages, such as answers, are still valid.
-        let paused = last.elapsed() > SUSPEND_THRESHOLD;
+        let paused = last.elapsed().max(longest_pause) > SUSPEND_THRESHOLD;
         last = Instant::now();
         if paused && has_ended(&socket, &mut buffer) {
             while let Some(message) = frame::decode(&mut buffer)? {
@@ -252,7 +289,7 @@
 fn has_ended(socket: &OwnedReadHalf, buffer: &mut BytesMut) -> bool {
     let socket = SockRef::from(socket.as_ref());
     let mut chunk = [0; READ_BUFFER_BYTES];
-    while buffer.len() < BACKLOG_BYTES {
+    while buffer.len() < CATCH_UP_BYTES {
         match (&*socket).read(&mut chunk) {
             Ok(0) => return true,
             Ok(len) => buffer.extend_from_slice(&chunk[..len]),
@@ -263,12 +300,15 @@
     false
 }
 
+/// Answer to a call, or the reason why there is none.
+type CallResult = Result<CallAnswer, LinkError>;
+
 /// Calling end of a link: sends calls and matches answers to them.
 #[derive(Debug)]
 pub(crate) struct Link {
     id: LinkId,
     pub(crate) outbox: Arc<Outbox>,
-    waiting: Mutex<HashMap<CallNumber, oneshot::Sender<CallAnswer>>>,
+    waiting: Mutex<HashMap<CallNumber, oneshot::Sender<CallResult>>>,
     next: AtomicU32,
     liveness: Mutex<Liveness>,
 }
@@ -284,7 +324,7 @@
 pub(crate) struct PendingCall<'a> {
     link: &'a Link,
     number: CallNumber,
-    answer: oneshot::Receiver<CallAnswer>,
+    answer: oneshot::Receiver<CallResult>,
 }
 
 impl Link {
@@ -327,7 +367,15 @@
     pub(crate) fn complete(&self, number: CallNumber, answer: CallAnswer) {
         if let Some(sender) = lock(&self.waiting).remove(&number) {
             // The send fails only if the caller has stopped waiting.
-            let _ = sender.send(answer);
+            let _ = sender.send(Ok(answer));
+        }
+    }
+
+    /// Fails the call whose answer of `bytes` is discarded.
+    fn discard(&self, number: CallNumber, bytes: usize) {
+        if let Some(sender) = lock(&self.waiting).remove(&number) {
+            // The send fails only if the caller has stopped waiting.
+            let _ = sender.send(Err(LinkError::Discarded(bytes)));
         }
     }
 
@@ -380,7 +428,7 @@
 
     /// Waits for the answer.
     pub(crate) async fn answer(mut self) -> Result<CallAnswer, LinkError> {
-        (&mut self.answer).await.map_err(|_| LinkError::Broken)
+        (&mut self.answer).await.unwrap_or(Err(LinkError::Broken))
     }
 }
 
@@ -392,6 +440,34 @@
     }
 }
 
+/// Takes in the large answers that are waited for and for which there is memory.
+pub(crate) struct AnswerIntake<'a> {
+    pub(crate) link: &'a Link,
+    pub(crate) memory: &'a Arc<CallerMemory>,
+    pub(crate) clock: Clock,
+}
+
+impl LargeFrames for AnswerIntake<'_> {
+    fn admit(&mut self, answered: Option<CallNumber>, len: usize) -> Intake {
+        let Some(number) = answered else { return Intake::Read(None) };
+        if !lock(&self.link.waiting).contains_key(&number) {
+            return Intake::Discard;
+        }
+        match self.memory.take(len) {
+            Some(share) => Intake::Read(Some(share)),
+            None => {
+                self.link.discard(number, len);
+                Intake::Discard
+            }
+        }
+    }
+
+    /// A large frame may take longer than the time in which a ping must be answered.
+    fn record_progress(&mut self) {
+        self.link.record_received(self.clock.now());
+    }
+}
+
 /// Locks a mutex, ignoring poisoning: no holder leaves the guarded data inconsistent when it
 /// panics.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -22,10 +22,14 @@
 use tokio::sync::mpsc;
 
 use crate::proxy::frame::{Call, CallAnswer, Message, StateSummary, TargetResponse};
-use crate::proxy::links::link::{Link, LinkError, Outbox, ProtocolVersion, drive, lock};
+use crate::proxy::links::large_frame::AdmitAll;
+use crate::proxy::links::link::{
+    AnswerIntake, Link, LinkError, Outbox, ProtocolVersion, drive, lock,
+};
 use crate::proxy::links::runs::RunTable;
 use crate::proxy::links::traffic::Traffic;
 use crate::proxy::locality::Locality;
+use crate::proxy::memory::{COUNTED_BYTES, CallerMemory};
 use crate::proxy::state::crashes::CrashRecords;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
@@ -83,6 +87,9 @@
     pub(crate) runner: Arc<Runner>,
     pub(crate) crashes: Arc<CrashRecords>,
     pub(crate) traffic: Arc<Traffic>,
+    pub(crate) memory: Arc<CallerMemory>,
+    /// Bytes of bodies that may be queued for one link.
+    pub(crate) backlog_bytes: usize,
     /// Queue for received messages that belong to no call.
     pub(crate) received: mpsc::Sender<ReceivedMessage>,
     pub(crate) logger: Logger,
@@ -134,7 +141,18 @@
     }
 }
 
+/// Largest number of bytes of bodies that may be queued for one link.
+const BACKLOG_BYTES: usize = 32 << 20;
+/// Divisor of the memory of the process that gives the bytes that may be queued for one link, if
+/// they are fewer: half of the memory for answers of the target.
+const BACKLOG_DIVISOR: u64 = 8;
+
 impl Peers {
+    /// Bytes of bodies that may be queued for one link of a process that may use `memory` bytes.
+    pub(crate) fn backlog_bytes(memory: u64) -> usize {
+        usize::try_from(memory / BACKLOG_DIVISOR).unwrap_or(usize::MAX).min(BACKLOG_BYTES)
+    }
+
     /// Sends a call to the node at `peer` and waits for its answer; a call to this node runs
     /// directly.
     ///
@@ -153,7 +171,7 @@
             if let Some((lifetime, rate)) = self.refusing_limit(&answer) {
                 self.roster.adopt_limit(peer, lifetime, rate);
             }
-            return Ok(answer);
+            return self.hold_for_caller(answer);
         }
         let link = self.get_or_connect(peer).await?;
         if !(once && link.outbox.supports_claims()) {
@@ -168,6 +186,19 @@
         })
     }
 
+    /// Counts the answer of the local target as held for its caller rather than as read from the
+    /// target, so that it does not stand in the way of answers for other nodes.
+    fn hold_for_caller(&self, mut answer: CallAnswer) -> Result<CallAnswer, LinkError> {
+        if let Outcome::Done(response) = &mut answer.outcome {
+            let bytes = response.body.len();
+            if bytes >= COUNTED_BYTES {
+                let share = self.memory.take(bytes).ok_or(LinkError::Discarded(bytes))?;
+                response.share = Some(share);
+            }
+        }
+        Ok(answer)
+    }
+
     /// Claims the answer of a call whose link broke from the node at `peer`, until the node
     /// answers, its process is gone, or `CLAIM_TIMEOUT` or the deadline has passed.
     pub(crate) async fn claim(
@@ -203,6 +234,7 @@
             match result {
                 Ok(answer) => return Ok(answer),
                 Err(LinkError::NotListening) => return Err(LinkError::Broken),
+                Err(error @ LinkError::Discarded(_)) => return Err(error),
                 Err(_) => {}
             }
             tokio::time::sleep(CLAIM_INTERVAL).await;
@@ -292,6 +324,7 @@
             self.traffic.clone(),
             if near { Locality::SameZone } else { Locality::CrossZone },
             version,
+            self.backlog_bytes,
         )
     }
 
@@ -315,7 +348,8 @@
                 other => self.receive(&sender, other),
             }
         };
-        drive(socket, &unread, &link.outbox, handle).await;
+        let intake = AnswerIntake { link: &link, memory: &self.memory, clock: self.clock };
+        drive(socket, &unread, &link.outbox, intake, handle).await;
         info!(self.logger, "link: lost"; "peer" => %peer, "calls" => link.waiting());
         link.abandon();
     }
@@ -395,7 +429,7 @@
             Message::StatedLimit(lifetime, rate) => self.local_target.adopt_limit(lifetime, rate),
             other => self.receive(&sender, other),
         };
-        drive(socket, &unread, &outbox, handle).await;
+        drive(socket, &unread, &outbox, AdmitAll, handle).await;
         runs.close(self.clock.now());
     }
 
--- a/node/src/proxy/links/runs.rs
+++ b/node/src/proxy/links/runs.rs
@@ -18,6 +18,9 @@
 const HELD_TIMEOUT: Duration = Duration::from_secs(6);
 /// Largest total size of the answers kept for claims, in bytes.
 const HELD_BYTES: usize = 8 << 20;
+/// Divisor of the memory of the process that gives that size, if it is smaller: an eighth of the
+/// memory for answers of the target.
+const HELD_DIVISOR: u64 = 32;
 /// Retry delay sent to a caller whose held call never arrived.
 const LOST_RETRY: Duration = Duration::from_millis(100);
 
@@ -47,15 +50,15 @@
     claimed: Option<CallId>,
 }
 
-impl Default for RunTable {
-    fn default() -> Self {
-        let limits = HeldLimits { retention: HELD_TIMEOUT, bytes: HELD_BYTES };
+impl RunTable {
+    /// Table of a process that may use `memory` bytes.
+    pub(crate) fn new(memory: u64) -> Self {
+        let bytes = usize::try_from(memory / HELD_DIVISOR).unwrap_or(usize::MAX).min(HELD_BYTES);
+        let limits = HeldLimits { retention: HELD_TIMEOUT, bytes };
         let held = Arc::new(Mutex::new(HeldRuns::new(limits)));
         Self { held, run_ended: Arc::default() }
     }
-}
 
-impl RunTable {
     /// Registers a new link, on which answers are sent through `outbox`.
     pub(crate) fn open_link(&self, link: LinkId, outbox: &Arc<Outbox>) -> LinkRuns {
         lock(&self.held).open_link(link);
--- a/node/src/proxy/links/traffic.rs
+++ b/node/src/proxy/links/traffic.rs
@@ -8,6 +8,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 
 use crate::proxy::frame::MessageKind;
 use crate::proxy::locality::Locality;
@@ -30,7 +31,9 @@
     counters: [[Counter; 2]; MessageKind::ALL.len()],
     opened: AtomicU64,
     /// Bytes that are queued but not written to a socket yet.
-    unwritten: AtomicU64,
+    unwritten: Gauge,
+    /// Answers that were not sent because their link had no room for them.
+    not_sent: Counter,
 }
 
 impl Default for Traffic {
@@ -40,7 +43,13 @@
             family.get_or_create(&SentLabels { kind: kind.label(), zone }).clone()
         };
         let counters = MessageKind::ALL.map(|kind| [counter(kind, "own"), counter(kind, "other")]);
-        Self { family, counters, opened: AtomicU64::new(0), unwritten: AtomicU64::new(0) }
+        Self {
+            family,
+            counters,
+            opened: AtomicU64::new(0),
+            unwritten: Gauge::default(),
+            not_sent: Counter::default(),
+        }
     }
 }
 
@@ -48,17 +57,32 @@
     /// Counts the bytes of a message that was queued on a link.
     pub(crate) fn record_queued(&self, kind: MessageKind, locality: Locality, bytes: usize) {
         self.counters[kind as usize][locality as usize].inc_by(bytes as u64);
-        self.unwritten.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.unwritten.inc_by(bytes as i64);
     }
 
     /// Records that queued bytes were written, or were dropped with their link.
     pub(crate) fn record_written(&self, bytes: usize) {
-        self.unwritten.fetch_sub(bytes as u64, Ordering::Relaxed);
+        self.unwritten.dec_by(bytes as i64);
     }
 
     /// Number of bytes that are queued but not written to a socket yet.
-    pub(crate) fn unwritten(&self) -> u64 {
-        self.unwritten.load(Ordering::Relaxed)
+    pub(crate) fn unwritten(&self) -> i64 {
+        self.unwritten.get()
+    }
+
+    /// Gauge of the unwritten bytes, for registration with the metrics.
+    pub(crate) fn unwritten_gauge(&self) -> Gauge {
+        self.unwritten.clone()
+    }
+
+    /// Counts an answer that was not sent because its link had no room for it.
+    pub(crate) fn record_not_sent(&self) {
+        self.not_sent.inc();
+    }
+
+    /// Counter of the answers that were not sent.
+    pub(crate) fn not_sent(&self) -> Counter {
+        self.not_sent.clone()
     }
 
     /// Counts a link that this node established.
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -18,6 +18,7 @@
 use crate::admission::AdmissionController;
 use crate::proxy::callers::entry_stats::EntryStats;
 use crate::proxy::links::traffic::Traffic;
+use crate::proxy::memory::CallerMemory;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
 use crate::proxy::sync::store_sync::StoreHealth;
@@ -50,6 +51,7 @@
     admission: Arc<AdmissionController>,
     roster: Arc<Roster>,
     rules: Arc<Rules>,
+    memory: Arc<CallerMemory>,
 }
 
 /// Gauges that are updated when the metrics are scraped.
@@ -72,6 +74,7 @@
         stats: &EntryStats,
         traffic: &Traffic,
         health: &StoreHealth,
+        memory: Arc<CallerMemory>,
     ) -> Self {
         let mut registry = Registry::with_prefix("poplar");
         let requests = Family::<AnswerLabels, Counter>::default();
@@ -87,10 +90,18 @@
         registry.register_with_unit("work", help, Unit::Seconds, stats.work_counters());
         let help = "Bytes handed to links to other nodes";
         registry.register_with_unit("links_sent", help, Unit::Bytes, traffic.family());
+        let help = "Bytes queued on links to other nodes and not written yet";
+        registry.register_with_unit(
+            "links_unwritten",
+            help,
+            Unit::Bytes,
+            traffic.unwritten_gauge(),
+        );
+        memory.register(&mut registry);
         registry.register("store_calls", "Calls to the store", health.calls());
         gauges.register(&mut registry);
         let registry = Mutex::new(registry);
-        Self { registry, requests, latency, gauges, admission, roster, rules }
+        Self { registry, requests, latency, gauges, admission, roster, rules, memory }
     }
 
     /// Records the final outcome of a request and its latency.
@@ -111,6 +122,7 @@
         self.gauges.level.set(u32::from(load.level.rank()).into());
         self.gauges.targets.set(self.roster.len() as i64);
         self.gauges.revision.set(self.rules.revision().0 as i64);
+        self.memory.update_gauges();
         let mut text = String::new();
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         // Writing to a string cannot fail.
--- a/node/src/proxy/mod.rs
+++ b/node/src/proxy/mod.rs
@@ -13,6 +13,7 @@
 
 mod accept;
 mod admin;
+mod body_codec;
 mod callers;
 mod decisions;
 mod fields;
@@ -20,6 +21,7 @@
 mod in_flight;
 mod links;
 mod locality;
+mod memory;
 mod metrics;
 mod ports;
 mod process;
--- a/node/src/proxy/ports.rs
+++ b/node/src/proxy/ports.rs
@@ -146,6 +146,9 @@
     pub admin: SocketAddr,
     /// Memory that the process may use, in bytes.
     pub memory_bytes: u64,
+    /// File descriptors that the process may open, including those of files; none if they are not
+    /// limited.
+    pub max_fds: Option<usize>,
     /// Limits of the installation.
     pub bounds: Bounds,
 }
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -13,6 +13,7 @@
 use super::accept::accept;
 use super::admin::{self, Admin};
 use super::decisions::DecisionLog;
+use super::memory::{self, CallerMemory};
 use super::metrics::Metrics;
 use super::ports::{HeaderNames, NodeConfig, Platform};
 use super::report;
@@ -140,6 +141,15 @@
             decisions.clone(),
         ));
         let traffic = Arc::new(Traffic::default());
+        let memory = CallerMemory::new(
+            clock,
+            component_logger(root, "caller"),
+            config.memory_bytes,
+            config.max_fds,
+            traffic.not_sent(),
+        );
+        let memory = Arc::new(memory);
+        tokio::spawn(check_memory(memory.clone(), roster.clone(), admission.clone()));
         let (received, received_messages) = mpsc::channel(RECEIVED_MAX);
         let peers = Arc::new(Peers {
             clock,
@@ -151,10 +161,12 @@
             runner: runner.clone(),
             crashes: crashes.clone(),
             traffic: traffic.clone(),
+            memory: memory.clone(),
+            backlog_bytes: Peers::backlog_bytes(config.memory_bytes),
             received,
             logger: component_logger(root, "link"),
             links: PeerLinks::default(),
-            runs: RunTable::default(),
+            runs: RunTable::new(config.memory_bytes),
         });
         let entry_stats = Arc::new(EntryStats::default());
         let health = Arc::new(StoreHealth::default());
@@ -166,6 +178,7 @@
             &entry_stats,
             &traffic,
             &health,
+            memory.clone(),
         );
         let metrics = Arc::new(metrics);
         let dispatcher = Dispatcher {
@@ -187,6 +200,7 @@
             stats: entry_stats.clone(),
             decisions,
             body_reader: CallerServer::body_reader(config.memory_bytes),
+            memory: memory.clone(),
             closing: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -202,6 +216,7 @@
         registry.register(metrics.clone());
         registry.register(graph.clone());
         registry.register(crashes.clone());
+        registry.register(memory.clone());
         let (plan, plan_receiver) = watch::channel(ReadPlan::default());
         registry.register(Arc::new(PlanView(plan_receiver.clone())));
         let peer_sync = PeerSync {
@@ -362,6 +377,18 @@
     }
 }
 
+/// Keeps callers within the memory and the descriptors of the process.
+async fn check_memory(
+    memory: Arc<CallerMemory>,
+    roster: Arc<Roster>,
+    admission: Arc<AdmissionController>,
+) {
+    loop {
+        memory.check(roster.len(), admission.load().limit as usize);
+        tokio::time::sleep(memory::CHECK_INTERVAL).await;
+    }
+}
+
 async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(|error| StartError::Listen(address, error))
 }
--- a/node/src/proxy/report.rs
+++ b/node/src/proxy/report.rs
@@ -52,6 +52,7 @@
         let _ = write!(text, "{}={near}+{far} ", kind.label());
     }
     info!(logger, "load: links"; "opened" => opened, "sent" => text.trim_end(),
+        "unwritten" => traffic.unwritten(),
         "store" => health.call_counts());
 }
 
--- a/node/src/proxy/target/client.rs
+++ b/node/src/proxy/target/client.rs
@@ -22,6 +22,7 @@
 
 use crate::proxy::fields;
 use crate::proxy::frame::{Call, TargetResponse};
+use crate::proxy::memory::AnswerShare;
 use crate::proxy::ports::HeaderNames;
 use crate::proxy::statement::{Health, TargetStatement};
 use crate::proxy::target::limited_stream::{LimitedStream, ReadBudget};
@@ -199,7 +200,7 @@
         let (head, body) = resp.into_parts();
         let framed = body.is_end_stream() || body.size_hint().exact().is_some();
         let body = match self.body_reader.read(body, self.reply_limit, left).await {
-            Ok(read) => read.body,
+            Ok(read) => read,
             Err(BodyError::TooLarge(_) | BodyError::NoMemory) => return TargetResult::TooLarge,
             Err(BodyError::Incomplete) => return TargetResult::BadAnswer,
             Err(BodyError::Timeout) => return TargetResult::Deadline,
@@ -211,7 +212,9 @@
         let shed = head.headers.contains_key(&self.header_names.not_run)
             || head.status == http::StatusCode::MISDIRECTED_REQUEST;
         let fields = fields::end_to_end(&head.headers, &[&header::DATE]);
-        let answer = TargetResponse { status: head.status.as_u16(), fields, body };
+        let (body, permit) = body.into_parts();
+        let share = permit.map(|permit| Arc::new(AnswerShare::Target { _permit: permit }));
+        let answer = TargetResponse { status: head.status.as_u16(), fields, body, share };
         TargetResult::Answer { answer, shed: shed.then(|| SHED_NOT_RUN.to_owned()), calls: 0 }
     }
 
--- a/node/src/servers/body_reader.rs
+++ b/node/src/servers/body_reader.rs
@@ -23,7 +23,14 @@
 #[derive(Debug)]
 pub(crate) struct ReceivedBody {
     pub(crate) body: Bytes,
-    _permit: Option<OwnedSemaphorePermit>,
+    permit: Option<OwnedSemaphorePermit>,
+}
+
+impl ReceivedBody {
+    /// The body and its part of the shared memory.
+    pub(crate) fn into_parts(self) -> (Bytes, Option<OwnedSemaphorePermit>) {
+        (self.body, self.permit)
+    }
 }
 
 /// Why a body was not received; a call whose own body was not received is not run.
@@ -87,7 +94,7 @@
             }
             segments.push(&data);
         }
-        Ok(ReceivedBody { body: segments.join(), _permit: permit })
+        Ok(ReceivedBody { body: segments.join(), permit })
     }
 
     /// Reserves shared memory for `more` bytes after the first `held`, except for what falls in the
