--- a/node/src/proxy/callers/mod.rs
+++ b/node/src/proxy/callers/mod.rs
@@ -5,3 +5,4 @@
 pub(crate) mod read_ahead;
 pub(crate) mod reply;
 pub(crate) mod serve;
+pub(crate) mod watched_stream;
--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -22,6 +22,7 @@
     CallerLimits, ErrorKind, Importance, Moment, Name, Outcome, PathLevel, Revision, RouteRule,
 };
 use poplar_kernel::Clock;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio_util::task::AbortOnDropHandle;
@@ -30,10 +31,12 @@
 use crate::proxy::callers::entry_stats::EntryStats;
 use crate::proxy::callers::read_ahead::{Connection, Reached, ReadAhead, ReadAheadTotals};
 use crate::proxy::callers::reply::{self, Reply};
+use crate::proxy::callers::watched_stream::WatchedStream;
 use crate::proxy::decisions::{Decision, DecisionLog};
 use crate::proxy::fields;
 use crate::proxy::frame::{Field, TargetResponse};
 use crate::proxy::in_flight::InFlightGuard;
+use crate::proxy::memory::{CallerConnection, CallerMemory};
 use crate::proxy::metrics::Metrics;
 use crate::proxy::ports::HeaderNames;
 use crate::proxy::state::rules::{ActiveRules, Rules};
@@ -43,6 +46,12 @@
 const NO_RULES_RETRY: Duration = Duration::from_millis(300);
 /// Retry delay sent to a caller whose body does not fit into the memory left for bodies.
 const BODY_MEMORY_RETRY: Duration = Duration::from_millis(300);
+/// Mean retry delay sent to a caller for whose answer there is no memory; in that time a connection
+/// that takes no bytes can be closed.
+const ANSWER_MEMORY_RETRY: Duration = Duration::from_millis(1_000);
+/// Bytes that the kernel takes from a connection beyond those it can send. A small number makes it
+/// tell early that a slow client has taken some.
+const UNSENT_BYTES: u32 = 128 << 10;
 /// Retry delay sent to callers of a stopping node; a restart takes about this long.
 const STOPPED_RETRY: Duration = Duration::from_millis(1_000);
 /// Largest request head accepted while no rules are known, in bytes.
@@ -77,6 +86,7 @@
     pub(crate) body_reader: BodyReader,
     /// What the connections have read ahead.
     pub(crate) read_ahead: Arc<ReadAheadTotals>,
+    pub(crate) memory: Arc<CallerMemory>,
     /// Set when the process begins to stop: no request is started ahead any more, and each response
     /// without such requests behind it carries `Connection: close`.
     pub(crate) closing: AtomicBool,
@@ -104,24 +114,48 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
-    /// Serves one connection until either end closes it.
-    pub(crate) async fn serve(self: Arc<Self>, socket: TcpStream) {
+    /// Serves one connection until either end closes it, or a limit for callers does.
+    pub(crate) fn serve(
+        self: Arc<Self>,
+        socket: TcpStream,
+    ) -> impl Future<Output = ()> + Send + 'static {
+        // Before the task begins, so that a refused connection returns its descriptor at once.
+        let open = self.memory.open().map(|connection| (Arc::new(connection), socket));
+        async move {
+            let Some((connection, socket)) = open else { return };
+            // An error is ignored because without this option stalls are only noticed later.
+            let _ = SockRef::from(&socket).set_tcp_notsent_lowat(UNSENT_BYTES);
+            tokio::select! {
+                () = self.serve_open(socket, connection.clone()) => {}
+                () = connection.closing() => {}
+            }
+        }
+    }
+
+    async fn serve_open(self: Arc<Self>, socket: TcpStream, caller: Arc<CallerConnection>) {
         let active = self.rules.current();
         let limits = active.as_ref().map(|active| active.rules.limits);
         // A connection's limits are set once, so one opened without the operator's limits is closed
         // after its first response.
         let connection = Arc::new(Connection::new(self.clone(), limits.as_ref()));
         let service = service_fn({
-            let (callers, connection) = (self.clone(), connection.clone());
+            let (callers, connection, caller) = (self.clone(), connection.clone(), caller.clone());
             move |req| {
-                let (callers, connection) = (callers.clone(), connection.clone());
+                let (callers, connection, caller) =
+                    (callers.clone(), connection.clone(), caller.clone());
                 let reached = connection.reach(&req);
-                async move { Ok::<_, Infallible>(callers.answer(req, reached, &connection).await) }
+                async move {
+                    caller.begin_request();
+                    let mut reply = callers.answer(req, reached, &connection).await;
+                    caller.end_request(reply::take_share(&mut reply).as_deref());
+                    Ok::<_, Infallible>(reply)
+                }
             }
         });
         let _open = InFlightGuard::begin(&self.open_connections);
         let mut shutdown = self.shutdown.subscribe();
-        let stream = TokioIo::new(ReadAhead::new(socket, connection.clone()));
+        let stream = ReadAhead::new(socket, connection.clone());
+        let stream = TokioIo::new(WatchedStream::new(stream, caller));
         let mut served = pin!(http_builder(limits).serve_connection(stream, service));
         // Connection errors are ignored: if the connection ends, hyper drops the pending request's
         // future, which cancels it, and those that were started ahead are cancelled with
@@ -230,6 +264,11 @@
             Ok(body) => body,
             Err(error) => return body_error_reply(error),
         };
+        let Some(_expected) = self.memory.expect(&route.name) else {
+            let retry_after = ANSWER_MEMORY_RETRY.mul_f64(0.5 + fastrand::f64());
+            let refusal = Refusal { kind: ErrorKind::Overload, retry_after };
+            return self.refuse(began, &active, route, request, origin.name, refusal);
+        };
         let request = self.inbound_request(head, request, body.body.clone(), deadline, origin);
         self.forward(began, active.rules.revision, route, &request).await
     }
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -19,6 +19,7 @@
 use crate::proxy::callers::entry_stats::EntryStats;
 use crate::proxy::callers::read_ahead::ReadAheadTotals;
 use crate::proxy::links::traffic::Traffic;
+use crate::proxy::memory::CallerMemory;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
 use crate::proxy::sync::store_sync::StoreHealth;
@@ -57,6 +58,7 @@
     admission: Arc<AdmissionController>,
     roster: Arc<Roster>,
     rules: Arc<Rules>,
+    memory: Arc<CallerMemory>,
 }
 
 /// Gauges that are updated when the metrics are scraped.
@@ -81,6 +83,7 @@
         stats: &EntryStats,
         traffic: &Traffic,
         health: &StoreHealth,
+        memory: Arc<CallerMemory>,
     ) -> Self {
         let mut registry = Registry::with_prefix("poplar");
         let requests = Family::<AnswerLabels, Counter>::default();
@@ -96,10 +99,18 @@
         registry.register_with_unit("work", help, Unit::Seconds, stats.work_counters());
         let help = "Bytes handed to links to other nodes";
         registry.register_with_unit("links_sent", help, Unit::Bytes, traffic.family());
+        let help = "Bytes queued on links to other nodes and not written yet";
+        registry.register_with_unit(
+            "links_unwritten",
+            help,
+            Unit::Bytes,
+            traffic.unwritten_gauge(),
+        );
+        memory.register(&mut registry);
         registry.register("store_calls", "Calls to the store", health.calls());
         gauges.register(&mut registry);
         let registry = Mutex::new(registry);
-        Self { registry, requests, latency, gauges, admission, roster, rules }
+        Self { registry, requests, latency, gauges, admission, roster, rules, memory }
     }
 
     /// Adds the counters of requests that are read ahead.
@@ -138,6 +149,7 @@
             self.gauges.report_age.get_or_create(&labels).set(view.age.as_secs_f64());
             self.gauges.load_peak.get_or_create(&labels).set(view.peak);
         }
+        self.memory.update_gauges();
         let mut text = String::new();
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         // Writing to a string cannot fail.
