Accept only final statuses of HTTP from targets and other nodes

Cause: the HTTP client accepts every status of three digits from 100 on, and takes 101 for the end of HTTP. The status then went to the caller unchecked.

Change: core::is_final_status, 200 to 599, decides. The node beside the target takes any other status for a bad answer and closes the connection; the entry does the same with what comes over a link, as a node of an earlier version does not check. The caller gets 502, and the target counts as having failed the call.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -88,7 +88,7 @@
 };
 pub use mix::{ImportanceMix, ImportanceMixSum};
 pub use origin::{PeerSightings, RouteOrigins, Sighting};
-pub use outcome::{ErrorKind, ErrorReply, Outcome, SHED_NOT_RUN, TargetResult};
+pub use outcome::{ErrorKind, ErrorReply, Outcome, SHED_NOT_RUN, TargetResult, is_final_status};
 pub use publish::{
     PublishAction, PublishPlan, PublishResult, Publisher, RESEND_INTERVAL, publish_id,
 };
--- a/core/src/outcome.rs
+++ b/core/src/outcome.rs
@@ -67,6 +67,14 @@
     },
 }
 
+/// Whether a target may end an exchange with this HTTP status.
+///
+/// Statuses from 100 to 199 announce another one, and HTTP has none beyond 599. A caller cannot know
+/// what such a status says about its request.
+pub fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 /// Value of the shed header with which a target reports that it did not start the request.
 pub const SHED_NOT_RUN: &str = "not-run";
 
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -9,7 +9,7 @@
 use poplar_core::{
     CallId, CrashNews, Digest, ErrorKind, Fingerprint, ImportanceMix, InstanceId, Level, Name,
     Outcome, Ranges, Rank, Rate, Reads, RelayedLevel, Revision, RuleSet, Sighting, TargetLifetime,
-    TargetRecord, WorkSum,
+    TargetRecord, WorkSum, is_final_status,
 };
 use serde::{Deserialize, Serialize};
 
@@ -242,6 +242,18 @@
         }
     }
 
+    /// The answer as the entry uses it: a response with a status that is none counts as a bad answer.
+    ///
+    /// A node checks the status of its target, but one of an earlier version does not.
+    pub(crate) fn checked(self) -> Self {
+        match &self.outcome {
+            Outcome::Done(response) if !is_final_status(response.status) => {
+                Self { outcome: Outcome::Unknown { kind: ErrorKind::BadAnswer }, ..self }
+            }
+            _ => self,
+        }
+    }
+
     /// Refusal of a call of which the target has received nothing.
     pub(crate) fn refused(kind: ErrorKind, retry_after: Duration) -> Self {
         Self::new(Outcome::NotRun { kind, retry_after }, false)
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -307,7 +307,7 @@
         let handle = |message| {
             link.record_received(self.clock.now());
             match message {
-                Message::Answer(number, answer) => link.complete(number, *answer),
+                Message::Answer(number, answer) => link.complete(number, answer.checked()),
                 // Applied here, so that it takes effect before the refusal that follows it.
                 Message::StatedLimit(lifetime, rate) => {
                     self.roster.adopt_limit(&peer, lifetime, rate);
--- a/node/src/proxy/target/client.rs
+++ b/node/src/proxy/target/client.rs
@@ -15,7 +15,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use poplar_core::{InstanceId, Moment, Name, SHED_NOT_RUN, TargetResult};
+use poplar_core::{InstanceId, Moment, Name, SHED_NOT_RUN, TargetResult, is_final_status};
 use poplar_kernel::Clock;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -177,6 +177,9 @@
                 };
             }
         };
+        if !is_final_status(resp.status().as_u16()) {
+            return Ok(TargetResult::BadAnswer);
+        }
         if resp
             .headers()
             .get(&self.header_names.request_id)
