--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -93,7 +93,7 @@
 pub use memory_budget::{Accepted, ConnectionId, MemoryBudget, MemoryLimits, MemoryUse, Room};
 pub use mix::{ImportanceMix, ImportanceMixSum};
 pub use origin::{PeerSightings, RouteOrigins, Sighting};
-pub use outcome::{ErrorKind, ErrorReply, Outcome, SHED_NOT_RUN, TargetResult};
+pub use outcome::{ErrorKind, ErrorReply, Outcome, SHED_NOT_RUN, TargetResult, is_final_status};
 pub use pipeline::{Pipeline, PipelineBudget, PipelineLimits, PipelinedHead, StartDecision};
 pub use publish::{
     PublishAction, PublishPlan, PublishResult, Publisher, RESEND_INTERVAL, publish_id,
