Refuse requests that calls to a refusing service would fail

A service whose targets refuse calls whatever the load now sends a second level with its answers: entry nodes admit, most important first, as many of the requests that reach it through calls as the retry budget carries to success.

--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -67,6 +67,8 @@
 /// Second value of that header, of nodes that accept messages about the rate limits of targets.
 /// Nodes that do not know it read the first value only.
 const LIMITS_FEATURE: &str = "limits";
+/// Third value of that header, of nodes that accept answers with refusal levels.
+const REFUSALS_FEATURE: &str = "refusals";
 /// Header with the number that identifies the link in claims.
 const LINK_HEADER: &str = "poplar-link";
 /// Capacity of the queue of received messages, for all links together.
@@ -361,6 +363,7 @@
         resp.headers_mut().insert(VERSION_HEADER, HeaderValue::from_static(VERSION));
         resp.headers_mut().insert(FEATURES_HEADER, HeaderValue::from_static(CRASHES_FEATURE));
         resp.headers_mut().append(FEATURES_HEADER, HeaderValue::from_static(LIMITS_FEATURE));
+        resp.headers_mut().append(FEATURES_HEADER, HeaderValue::from_static(REFUSALS_FEATURE));
         resp
     }
 
@@ -376,7 +379,10 @@
         let run = |call: Box<Call>| {
             let (peers, outbox) = (self.clone(), outbox.clone());
             async move {
-                let answer = peers.runner.run(&call).await;
+                let mut answer = peers.runner.run(&call).await;
+                if !outbox.supports_refusals() {
+                    answer.refusals.clear();
+                }
                 peers.send_crashes(&call, &answer, &outbox);
                 if outbox.supports_limits()
                     && let Some((lifetime, rate)) = peers.refusing_limit(&answer)
@@ -482,6 +488,7 @@
         .header(VERSION_HEADER, VERSION)
         .header(FEATURES_HEADER, CRASHES_FEATURE)
         .header(FEATURES_HEADER, LIMITS_FEATURE)
+        .header(FEATURES_HEADER, REFUSALS_FEATURE)
         .header(LINK_HEADER, id.0)
         .body(Empty::<Bytes>::new())
         .map_err(std::io::Error::other)?;
@@ -507,7 +514,11 @@
     let supports =
         |feature: &str| headers.get_all(FEATURES_HEADER).iter().any(|value| value == feature);
     let (crashes, limits) = (supports(CRASHES_FEATURE), supports(LIMITS_FEATURE));
+    let refusals = supports(REFUSALS_FEATURE);
     match headers.get(VERSION_HEADER).map(HeaderValue::as_bytes) {
+        Some(value) if value == VERSION.as_bytes() && crashes && limits && refusals => {
+            ProtocolVersion::Refusals
+        }
         Some(value) if value == VERSION.as_bytes() && crashes && limits => ProtocolVersion::Limits,
         Some(value) if value == VERSION.as_bytes() && crashes => ProtocolVersion::Crashes,
         Some(value) if value == VERSION.as_bytes() => ProtocolVersion::Claims,
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -18,6 +18,7 @@
 use crate::admission::AdmissionController;
 use crate::proxy::callers::entry_stats::EntryStats;
 use crate::proxy::links::traffic::Traffic;
+use crate::proxy::state::refusals::RefusedFamily;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
 use crate::proxy::sync::store_sync::StoreHealth;
@@ -93,6 +94,13 @@
         Self { registry, requests, latency, gauges, admission, roster, rules }
     }
 
+    /// Registers the counter of the requests that refusal levels refuse here.
+    pub(crate) fn register_refused(&self, counter: RefusedFamily) {
+        let help = "Requests refused here because a service that they reach refuses its calls";
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        registry.register("refusal_level_refused", help, counter);
+    }
+
     /// Records the final outcome of a request and its latency.
     pub(crate) fn record_answer<A>(&self, route: &Name, outcome: &Outcome<A>, took: Duration) {
         let (outcome, error) = outcome.labels();
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -128,7 +128,8 @@
             local_target: own.clone(),
         };
         tokio::spawn(health_check.run());
-        let graph = Arc::new(CallGraph::new(clock, config.service.clone()));
+        let graph =
+            Arc::new(CallGraph::new(clock, config.service.clone(), config.bounds.resends.ratio));
         let decisions = Arc::new(DecisionLog::new(clock, component_logger(root, "request")));
         let runner = Arc::new(Runner::new(
             clock,
@@ -167,6 +168,7 @@
             &traffic,
             &health,
         );
+        metrics.register_refused(graph.refused_counter());
         let metrics = Arc::new(metrics);
         let dispatcher = Dispatcher {
             clock,
--- a/node/src/proxy/state/mod.rs
+++ b/node/src/proxy/state/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod crashes;
 pub(crate) mod graph;
+pub(crate) mod refusals;
 pub(crate) mod roster;
 pub(crate) mod rules;
 
