Decide the rate limit of a workspace over all nodes

Cause: each node can only count the requests that enter there, so a limit over all nodes needs tokens from one place.

Change: core/src/quota decides, without I/O, who owns the bucket of a workspace (rendezvous order, second node, predecessor of a new owner), how the owner grants tokens, and how entry nodes lease and spend them. A node that is not the owner passes requests on to the owner while it reaches it, grants nothing for 2.5 s after the owner became silent, and never holds the burst. An entry that reaches neither node uses a share of the tolerance, not of the rate.

Ruled out: a new owner that grants from an empty bucket at once (two buckets at the full rate while views differ), and rate / nodes at nodes that are cut off (a quarter of the nodes adds a quarter to the limit).

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -27,6 +27,7 @@
 mod origin;
 mod outcome;
 mod publish;
+mod quota;
 mod rate_limit;
 mod read_planner;
 mod resend;
@@ -91,6 +92,11 @@
 pub use publish::{
     PublishAction, PublishPlan, PublishResult, Publisher, RESEND_INTERVAL, publish_id,
 };
+pub use quota::{
+    Answerer, EntryQuotas, LEASE_TIME, LEASE_TIMEOUT, LeaseAnswer, LeaseRequest, LeaseToken,
+    LimitedWorkspace, PeerFailure, QuotaMembers, QuotaOwner, RELAY_TIMEOUT, Ranking, Reachability,
+    Settlement, TOKEN_WAIT, TokenGrant, TokenResult, WorkspaceHash,
+};
 pub use rate_limit::{Rate, RateError, StatedLimit};
 pub use read_planner::{
     LOCAL_HEARTBEAT, REMOTE_HEARTBEAT, RENEWAL_INTERVAL, ReadPlan, ReadPlanner, Reads,
