Lease tokens of limited workspaces between nodes

Cause: nothing kept the rate of a workspace over all nodes.

Change: an entry node takes a token before it dispatches a request of a workspace with a rate, and refuses the request with 429 and Retry-After if there is none. The token of a request that ends as not run is put back for the rest of its lease. Tokens come from the owner's node over the existing links, with the messages Lease and Leased of the feature 'leases'; a node that does not state it counts as one that grants nothing. Metrics by workspace, log lines for a limit that is reached and a changed owner, and the state dump.

The relay of the tests that imitates earlier versions drops all features above the version instead of the last one, since there are now three; each earlier version is checked as before, and nodes without leases are checked too.

Ruled out: one message for several workspaces (with 75 workspaces on 65 nodes, two of them seldom need the same owner at the same moment; messages pushed during a write share it anyway).

--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -16,7 +16,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use poplar_core::{
-    CallerLimits, ErrorKind, Importance, Moment, Name, Outcome, PathLevel, Revision, RouteRule,
+    CallerLimits, ErrorKind, Importance, LimitedWorkspace, Moment, Name, Outcome, PathLevel,
+    Revision, RouteRule, WorkspaceHash,
 };
 use poplar_kernel::Clock;
 use tokio::net::TcpStream;
@@ -29,6 +30,7 @@
 use crate::proxy::fields;
 use crate::proxy::frame::{Field, TargetResponse};
 use crate::proxy::in_flight::InFlightGuard;
+use crate::proxy::links::leases;
 use crate::proxy::metrics::Metrics;
 use crate::proxy::ports::HeaderNames;
 use crate::proxy::state::rules::{ActiveRules, Rules};
@@ -164,8 +166,25 @@
             Ok(body) => body,
             Err(error) => return body_error_reply(error),
         };
+        let limited = origin.limited;
+        let token = match (&origin.name, limited) {
+            (Some(name), Some(workspace)) => {
+                match leases::take(&self.dispatcher.peers, name, workspace).await {
+                    Ok(token) => Some((workspace.hash, token)),
+                    Err(retry_after) => {
+                        let refusal = Refusal { kind: ErrorKind::WorkspaceLimit, retry_after };
+                        return self.refuse(began, &active, route, request, origin.name, refusal);
+                    }
+                }
+            }
+            _ => None,
+        };
         let request = self.inbound_request(head, request, body.body.clone(), deadline, origin);
-        self.forward(began, active.rules.revision, route, &request).await
+        let outcome = self.forward(began, active.rules.revision, route, &request).await;
+        if let (Outcome::NotRun { .. }, Some((workspace, token))) = (&outcome, token) {
+            self.dispatcher.peers.quotas.put_back(workspace, token);
+        }
+        reply::from_outcome(outcome)
     }
 
     /// Refuses a request before its dispatch and records the refusal.
@@ -203,7 +222,7 @@
         revision: Revision,
         route: &RouteRule,
         request: &InboundRequest,
-    ) -> Reply {
+    ) -> Outcome<TargetResponse> {
         let left = request.deadline.since(self.clock.now());
         let mut history = SendHistory::default();
         let dispatched = self.dispatcher.dispatch(route, request, &mut history);
@@ -239,7 +258,7 @@
                 took,
             }
         });
-        reply::from_outcome(outcome)
+        outcome
     }
 
     /// Reports to the call graph whether a request that a target may have run completed.
@@ -272,6 +291,10 @@
         Ok(Origin {
             workspaces: active.rules.workspaces.is_some(),
             name: workspace.map(|workspace| workspace.name.clone()),
+            limited: workspace.and_then(|workspace| {
+                let hash = WorkspaceHash::of(&workspace.name);
+                Some(LimitedWorkspace { hash, rate: workspace.rate? })
+            }),
             importance: workspace
                 .and_then(|workspace| workspace.importance)
                 .unwrap_or(route.importance),
@@ -321,6 +344,8 @@
     workspaces: bool,
     /// Name of the workspace.
     name: Option<Name>,
+    /// Workspace, if it has a rate limit.
+    limited: Option<LimitedWorkspace>,
     /// Importance of the request.
     importance: Importance,
 }
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -7,9 +7,9 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use poplar_core::{
-    CallId, CrashNews, Digest, ErrorKind, Fingerprint, ImportanceMix, InstanceId, Level, Name,
-    Outcome, Ranges, Rank, Rate, Reads, RelayedLevel, Revision, RuleSet, Sighting, TargetLifetime,
-    TargetRecord, WorkSum,
+    CallId, CrashNews, Digest, ErrorKind, Fingerprint, ImportanceMix, InstanceId, LeaseAnswer,
+    LeaseRequest, Level, Name, Outcome, Ranges, Rank, Rate, Reads, RelayedLevel, Revision, RuleSet,
+    Sighting, TargetLifetime, TargetRecord, WorkSum,
 };
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +21,9 @@
 /// Number of a call or claim on its link, assigned by the sending end.
 pub(crate) type CallNumber = u32;
 
+/// Number of a request for tokens, assigned by the sending node.
+pub(crate) type LeaseNumber = u32;
+
 /// Message between two nodes. Variant names and the order of fields are the wire format.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) enum Message {
@@ -64,6 +67,10 @@
     /// first message on a link, since the receiver may have restarted, and of the sender's target
     /// ahead of a refusal.
     StatedLimit(TargetLifetime, Rate),
+    /// Requests tokens of a workspace.
+    Lease(LeaseNumber, LeaseRequest),
+    /// Answers a request for tokens.
+    Leased(LeaseNumber, LeaseAnswer),
 }
 
 /// Kind of a message, by which traffic is counted.
@@ -76,11 +83,12 @@
     Targets,
     Sightings,
     Crashes,
+    Leases,
 }
 
 impl MessageKind {
     /// All kinds, in the order of their discriminants.
-    pub(crate) const ALL: [Self; 7] = [
+    pub(crate) const ALL: [Self; 8] = [
         Self::Call,
         Self::Answer,
         Self::KeepAlive,
@@ -88,6 +96,7 @@
         Self::Targets,
         Self::Sightings,
         Self::Crashes,
+        Self::Leases,
     ];
 
     /// Name of the kind in metrics and logs.
@@ -100,6 +109,7 @@
             Self::Targets => "targets",
             Self::Sightings => "sightings",
             Self::Crashes => "crashes",
+            Self::Leases => "leases",
         }
     }
 }
@@ -121,6 +131,7 @@
             Self::Targets(_) | Self::Compare(_) | Self::Differ(..) => MessageKind::Targets,
             Self::Sightings(_) => MessageKind::Sightings,
             Self::Crashes(_) => MessageKind::Crashes,
+            Self::Lease(..) | Self::Leased(..) => MessageKind::Leases,
         }
     }
 }
--- a/node/src/proxy/links/link.rs
+++ b/node/src/proxy/links/link.rs
@@ -81,6 +81,8 @@
     Crashes,
     /// As `Crashes`, with messages about the rate limits of targets.
     Limits,
+    /// As `Limits`, with messages about the rate limits of workspaces.
+    Leases,
 }
 
 impl Outbox {
@@ -117,6 +119,11 @@
         self.version >= ProtocolVersion::Limits
     }
 
+    /// Whether the other end accepts messages about the rate limits of workspaces.
+    pub(crate) fn supports_leases(&self) -> bool {
+        self.version >= ProtocolVersion::Leases
+    }
+
     /// Whether the other end supports subscriptions and roster digests.
     pub(crate) fn supports_digests(&self) -> bool {
         self.version >= ProtocolVersion::Digests
--- a/node/src/proxy/links/mod.rs
+++ b/node/src/proxy/links/mod.rs
@@ -1,6 +1,7 @@
 //! Links to other nodes: the connections, the calls and runs on them, and counters of their
 //! traffic.
 
+pub(crate) mod leases;
 pub(crate) mod link;
 pub(crate) mod peers;
 pub(crate) mod runs;
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -22,11 +22,13 @@
 use tokio::sync::mpsc;
 
 use crate::proxy::frame::{Call, CallAnswer, Message, StateSummary, TargetResponse};
+use crate::proxy::links::leases;
 use crate::proxy::links::link::{Link, LinkError, Outbox, ProtocolVersion, drive, lock};
 use crate::proxy::links::runs::RunTable;
 use crate::proxy::links::traffic::Traffic;
 use crate::proxy::locality::Locality;
 use crate::proxy::state::crashes::CrashRecords;
+use crate::proxy::state::quotas::Quotas;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
 use crate::proxy::target::local_target::LocalTarget;
@@ -67,6 +69,8 @@
 /// Second value of that header, of nodes that accept messages about the rate limits of targets.
 /// Nodes that do not know it read the first value only.
 const LIMITS_FEATURE: &str = "limits";
+/// Third value of that header, of nodes that accept messages about the rate limits of workspaces.
+const LEASES_FEATURE: &str = "leases";
 /// Header with the number that identifies the link in claims.
 const LINK_HEADER: &str = "poplar-link";
 /// Capacity of the queue of received messages, for all links together.
@@ -82,6 +86,7 @@
     pub(crate) local_target: Arc<LocalTarget>,
     pub(crate) runner: Arc<Runner>,
     pub(crate) crashes: Arc<CrashRecords>,
+    pub(crate) quotas: Arc<Quotas>,
     pub(crate) traffic: Arc<Traffic>,
     /// Queue for received messages that belong to no call.
     pub(crate) received: mpsc::Sender<ReceivedMessage>,
@@ -235,6 +240,14 @@
         Some(link.outbox.clone())
     }
 
+    /// As [`Self::outbox_to`], with the reason of a failure.
+    pub(crate) async fn connected_outbox(
+        self: &Arc<Self>,
+        peer: &Name,
+    ) -> Result<Arc<Outbox>, LinkError> {
+        Ok(self.get_or_connect(peer).await?.outbox.clone())
+    }
+
     async fn get_or_connect(self: &Arc<Self>, peer: &Name) -> Result<Arc<Link>, LinkError> {
         let started = self.clock.now();
         let peer_link = lock(&self.links).entry(peer.clone()).or_default().clone();
@@ -361,6 +374,7 @@
         resp.headers_mut().insert(VERSION_HEADER, HeaderValue::from_static(VERSION));
         resp.headers_mut().insert(FEATURES_HEADER, HeaderValue::from_static(CRASHES_FEATURE));
         resp.headers_mut().append(FEATURES_HEADER, HeaderValue::from_static(LIMITS_FEATURE));
+        resp.headers_mut().append(FEATURES_HEADER, HeaderValue::from_static(LEASES_FEATURE));
         resp
     }
 
@@ -418,9 +432,17 @@
         refused.then(|| self.local_target.stated_limit()).flatten()
     }
 
-    /// Processes a message that belongs to no call: answers a ping, applies a crash message, and
-    /// queues any other message, as well as the ping, in `received`.
-    fn receive(&self, sender: &LinkPeer, message: Message) {
+    /// Processes a message that belongs to no call: answers a ping or a request for tokens, applies
+    /// a crash message or granted tokens, and queues any other message, as well as the ping, in `received`.
+    fn receive(self: &Arc<Self>, sender: &LinkPeer, message: Message) {
+        let message = match message {
+            Message::Lease(number, request) => {
+                tokio::spawn(leases::serve(self.clone(), sender.outbox.clone(), number, request));
+                return;
+            }
+            Message::Leased(number, answer) => return self.quotas.complete(number, answer),
+            other => other,
+        };
         if matches!(message, Message::Ping(_)) {
             sender.outbox.push(&Message::Pong(self.state_summary()));
         }
@@ -482,6 +504,7 @@
         .header(VERSION_HEADER, VERSION)
         .header(FEATURES_HEADER, CRASHES_FEATURE)
         .header(FEATURES_HEADER, LIMITS_FEATURE)
+        .header(FEATURES_HEADER, LEASES_FEATURE)
         .header(LINK_HEADER, id.0)
         .body(Empty::<Bytes>::new())
         .map_err(std::io::Error::other)?;
@@ -507,7 +530,11 @@
     let supports =
         |feature: &str| headers.get_all(FEATURES_HEADER).iter().any(|value| value == feature);
     let (crashes, limits) = (supports(CRASHES_FEATURE), supports(LIMITS_FEATURE));
+    let leases = supports(LEASES_FEATURE);
     match headers.get(VERSION_HEADER).map(HeaderValue::as_bytes) {
+        Some(value) if value == VERSION.as_bytes() && crashes && limits && leases => {
+            ProtocolVersion::Leases
+        }
         Some(value) if value == VERSION.as_bytes() && crashes && limits => ProtocolVersion::Limits,
         Some(value) if value == VERSION.as_bytes() && crashes => ProtocolVersion::Crashes,
         Some(value) if value == VERSION.as_bytes() => ProtocolVersion::Claims,
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -18,6 +18,7 @@
 use crate::admission::AdmissionController;
 use crate::proxy::callers::entry_stats::EntryStats;
 use crate::proxy::links::traffic::Traffic;
+use crate::proxy::state::quotas::Quotas;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
 use crate::proxy::sync::store_sync::StoreHealth;
@@ -93,6 +94,15 @@
         Self { registry, requests, latency, gauges, admission, roster, rules }
     }
 
+    /// Adds the metrics of the rate limits of workspaces.
+    pub(crate) fn register_quotas(&self, quotas: &Quotas) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let help = "Requests refused here because of the limit of their workspace";
+        registry.register("workspace_refused", help, quotas.refused_counters());
+        let help = "Tokens in the buckets of workspaces that this node holds";
+        registry.register("workspace_tokens", help, quotas.owned_gauges());
+    }
+
     /// Records the final outcome of a request and its latency.
     pub(crate) fn record_answer<A>(&self, route: &Name, outcome: &Outcome<A>, took: Duration) {
         let (outcome, error) = outcome.labels();
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -26,6 +26,7 @@
 use crate::proxy::state::SharedState;
 use crate::proxy::state::crashes::CrashRecords;
 use crate::proxy::state::graph::CallGraph;
+use crate::proxy::state::quotas::{self, Quotas};
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
 use crate::proxy::sync::peer_sync::{PeerSync, PlanView};
@@ -141,6 +142,13 @@
         ));
         let traffic = Arc::new(Traffic::default());
         let (received, received_messages) = mpsc::channel(RECEIVED_MAX);
+        let quotas = Arc::new(Quotas::new(
+            clock,
+            config.record_key(),
+            rules.clone(),
+            roster.clone(),
+            component_logger(root, "quota"),
+        ));
         let peers = Arc::new(Peers {
             clock,
             address: config.record_key(),
@@ -150,6 +158,7 @@
             local_target: own.clone(),
             runner: runner.clone(),
             crashes: crashes.clone(),
+            quotas: quotas.clone(),
             traffic: traffic.clone(),
             received,
             logger: component_logger(root, "link"),
@@ -167,6 +176,7 @@
             &traffic,
             &health,
         );
+        metrics.register_quotas(&quotas);
         let metrics = Arc::new(metrics);
         let dispatcher = Dispatcher {
             clock,
@@ -202,6 +212,7 @@
         registry.register(metrics.clone());
         registry.register(graph.clone());
         registry.register(crashes.clone());
+        registry.register(quotas.clone());
         let (plan, plan_receiver) = watch::channel(ReadPlan::default());
         registry.register(Arc::new(PlanView(plan_receiver.clone())));
         let peer_sync = PeerSync {
@@ -236,6 +247,7 @@
         });
         tokio::spawn(apply_rules(rules.clone(), admission.clone(), graph.clone()));
         tokio::spawn(check_links(peers.clone()));
+        tokio::spawn(tick_quotas(quotas));
         tokio::spawn(report::run(
             admission.clone(),
             graph.clone(),
@@ -362,6 +374,13 @@
     }
 }
 
+async fn tick_quotas(quotas: Arc<Quotas>) {
+    loop {
+        tokio::time::sleep(quotas::TICK).await;
+        quotas.tick();
+    }
+}
+
 async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(|error| StartError::Listen(address, error))
 }
--- a/node/src/proxy/state/mod.rs
+++ b/node/src/proxy/state/mod.rs
@@ -1,9 +1,11 @@
-//! State of the installation as this node knows it: rules, targets, crashes and the call graph.
+//! State of the installation as this node knows it: rules, targets, crashes, rate limits of workspaces and the
+//! call graph.
 
 use std::sync::Arc;
 
 pub(crate) mod crashes;
 pub(crate) mod graph;
+pub(crate) mod quotas;
 pub(crate) mod roster;
 pub(crate) mod rules;
 
--- a/node/src/proxy/sync/peer_sync.rs
+++ b/node/src/proxy/sync/peer_sync.rs
@@ -418,7 +418,9 @@
             | Message::Claim(..)
             | Message::Answer(..)
             | Message::Crashes(_)
-            | Message::StatedLimit(..) => {}
+            | Message::StatedLimit(..)
+            | Message::Lease(..)
+            | Message::Leased(..) => {}
         }
     }
 
