--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -31,6 +31,7 @@
 mod outcome;
 mod pipeline;
 mod publish;
+mod quota;
 mod rate_limit;
 mod read_planner;
 mod refusals;
@@ -99,6 +100,11 @@
 pub use publish::{
     PublishAction, PublishPlan, PublishResult, Publisher, RESEND_INTERVAL, publish_id,
 };
+pub use quota::{
+    Answerer, EntryQuotas, LEASE_TIME, LEASE_TIMEOUT, LeaseAnswer, LeaseRequest, LeaseToken,
+    LimitedWorkspace, PeerFailure, QuotaMembers, QuotaOwner, RELAY_TIMEOUT, Ranking, Reachability,
+    Settlement, TOKEN_WAIT, TokenGrant, TokenResult, WorkspaceHash,
+};
 pub use rate_limit::{Rate, RateError, StatedLimit};
 pub use read_planner::{
     LOCAL_HEARTBEAT, REMOTE_HEARTBEAT, RENEWAL_INTERVAL, ReadPlan, ReadPlanner, Reads,
--- a/node/src/proxy/callers/dispatch.rs
+++ b/node/src/proxy/callers/dispatch.rs
@@ -183,12 +183,8 @@
         history: &SendHistory,
     ) -> Option<ChosenTarget> {
         if history.offers < route.attempts
-            && let Some(chosen) = self.roster.choose(
-                service,
-                context.rank,
-                request.body.len(),
-                &history.tried,
-            )
+            && let Some(chosen) =
+                self.roster.choose(service, context.rank, request.body.len(), &history.tried)
         {
             return Some(chosen);
         }
--- a/node/src/proxy/links/link.rs
+++ b/node/src/proxy/links/link.rs
@@ -90,6 +90,8 @@
     Limits,
     /// As `Limits`, with refusal levels in answers.
     Refusals,
+    /// As `Refusals`, with messages about the rate limits of workspaces.
+    Leases,
 }
 
 impl Outbox {
@@ -137,6 +139,11 @@
         self.version >= ProtocolVersion::Refusals
     }
 
+    /// Whether the other end accepts messages about the rate limits of workspaces.
+    pub(crate) fn supports_leases(&self) -> bool {
+        self.version >= ProtocolVersion::Leases
+    }
+
     /// Whether the other end supports subscriptions and roster digests.
     pub(crate) fn supports_digests(&self) -> bool {
         self.version >= ProtocolVersion::Digests
--- a/node/src/proxy/links/mod.rs
+++ b/node/src/proxy/links/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod backlog;
 pub(crate) mod large_frame;
+pub(crate) mod leases;
 pub(crate) mod link;
 pub(crate) mod peers;
 pub(crate) mod runs;
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -23,6 +23,7 @@
 
 use crate::proxy::frame::{Call, CallAnswer, Message, StateSummary, TargetResponse};
 use crate::proxy::links::large_frame::AdmitAll;
+use crate::proxy::links::leases;
 use crate::proxy::links::link::{
     AnswerIntake, Link, LinkError, Outbox, ProtocolVersion, drive, lock,
 };
@@ -31,6 +32,7 @@
 use crate::proxy::locality::Locality;
 use crate::proxy::memory::{COUNTED_BYTES, CallerMemory};
 use crate::proxy::state::crashes::CrashRecords;
+use crate::proxy::state::quotas::Quotas;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
 use crate::proxy::target::local_target::LocalTarget;
@@ -73,6 +75,8 @@
 const LIMITS_FEATURE: &str = "limits";
 /// Third value of that header, of nodes that accept answers with refusal levels.
 const REFUSALS_FEATURE: &str = "refusals";
+/// Fourth value of that header, of nodes that accept messages about the rate limits of workspaces.
+const LEASES_FEATURE: &str = "leases";
 /// Header with the number that identifies the link in claims.
 const LINK_HEADER: &str = "poplar-link";
 /// Capacity of the queue of received messages, for all links together.
@@ -88,6 +92,7 @@
     pub(crate) local_target: Arc<LocalTarget>,
     pub(crate) runner: Arc<Runner>,
     pub(crate) crashes: Arc<CrashRecords>,
+    pub(crate) quotas: Arc<Quotas>,
     pub(crate) traffic: Arc<Traffic>,
     pub(crate) memory: Arc<CallerMemory>,
     /// Bytes of bodies that may be queued for one link.
@@ -269,6 +274,14 @@
         Some(link.outbox.clone())
     }
 
+    /// As [`Self::outbox_to`], with the reason of a failure.
+    pub(crate) async fn connected_outbox(
+        self: &Arc<Self>,
+        peer: &Name,
+    ) -> Result<Arc<Outbox>, LinkError> {
+        Ok(self.get_or_connect(peer).await?.outbox.clone())
+    }
+
     async fn get_or_connect(self: &Arc<Self>, peer: &Name) -> Result<Arc<Link>, LinkError> {
         let started = self.clock.now();
         let peer_link = lock(&self.links).entry(peer.clone()).or_default().clone();
@@ -398,6 +411,7 @@
         resp.headers_mut().insert(FEATURES_HEADER, HeaderValue::from_static(CRASHES_FEATURE));
         resp.headers_mut().append(FEATURES_HEADER, HeaderValue::from_static(LIMITS_FEATURE));
         resp.headers_mut().append(FEATURES_HEADER, HeaderValue::from_static(REFUSALS_FEATURE));
+        resp.headers_mut().append(FEATURES_HEADER, HeaderValue::from_static(LEASES_FEATURE));
         resp
     }
 
@@ -458,9 +472,17 @@
         refused.then(|| self.local_target.stated_limit()).flatten()
     }
 
-    /// Processes a message that belongs to no call: answers a ping, applies a crash message, and
-    /// queues any other message, as well as the ping, in `received`.
-    fn receive(&self, sender: &LinkPeer, message: Message) {
+    /// Processes a message that belongs to no call: answers a ping or a request for tokens, applies
+    /// a crash message or granted tokens, and queues any other message, as well as the ping, in `received`.
+    fn receive(self: &Arc<Self>, sender: &LinkPeer, message: Message) {
+        let message = match message {
+            Message::Lease(number, request) => {
+                tokio::spawn(leases::serve(self.clone(), sender.outbox.clone(), number, request));
+                return;
+            }
+            Message::Leased(number, answer) => return self.quotas.complete(number, answer),
+            other => other,
+        };
         if matches!(message, Message::Ping(_)) {
             sender.outbox.push(&Message::Pong(self.state_summary()));
         }
@@ -523,6 +545,7 @@
         .header(FEATURES_HEADER, CRASHES_FEATURE)
         .header(FEATURES_HEADER, LIMITS_FEATURE)
         .header(FEATURES_HEADER, REFUSALS_FEATURE)
+        .header(FEATURES_HEADER, LEASES_FEATURE)
         .header(LINK_HEADER, id.0)
         .body(Empty::<Bytes>::new())
         .map_err(std::io::Error::other)?;
@@ -548,8 +571,11 @@
     let supports =
         |feature: &str| headers.get_all(FEATURES_HEADER).iter().any(|value| value == feature);
     let (crashes, limits) = (supports(CRASHES_FEATURE), supports(LIMITS_FEATURE));
-    let refusals = supports(REFUSALS_FEATURE);
+    let (refusals, leases) = (supports(REFUSALS_FEATURE), supports(LEASES_FEATURE));
     match headers.get(VERSION_HEADER).map(HeaderValue::as_bytes) {
+        Some(value) if value == VERSION.as_bytes() && crashes && limits && refusals && leases => {
+            ProtocolVersion::Leases
+        }
         Some(value) if value == VERSION.as_bytes() && crashes && limits && refusals => {
             ProtocolVersion::Refusals
         }
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -20,6 +20,7 @@
 use crate::proxy::callers::read_ahead::ReadAheadTotals;
 use crate::proxy::links::traffic::Traffic;
 use crate::proxy::memory::CallerMemory;
+use crate::proxy::state::quotas::Quotas;
 use crate::proxy::state::refusals::RefusedFamily;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
@@ -132,6 +133,15 @@
         registry.register("refusal_level_refused", help, counter);
     }
 
+    /// Adds the metrics of the rate limits of workspaces.
+    pub(crate) fn register_quotas(&self, quotas: &Quotas) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let help = "Requests refused here because of the limit of their workspace";
+        registry.register("workspace_refused", help, quotas.refused_counters());
+        let help = "Tokens in the buckets of workspaces that this node holds";
+        registry.register("workspace_tokens", help, quotas.owned_gauges());
+    }
+
     /// Records the final outcome of a request and its latency.
     pub(crate) fn record_answer<A>(&self, route: &Name, outcome: &Outcome<A>, took: Duration) {
         let (outcome, error) = outcome.labels();
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -28,6 +28,7 @@
 use crate::proxy::state::SharedState;
 use crate::proxy::state::crashes::CrashRecords;
 use crate::proxy::state::graph::CallGraph;
+use crate::proxy::state::quotas::{self, Quotas};
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
 use crate::proxy::sync::peer_sync::{PeerSync, PlanView};
@@ -153,6 +154,13 @@
         let memory = Arc::new(memory);
         tokio::spawn(check_memory(memory.clone(), roster.clone(), admission.clone()));
         let (received, received_messages) = mpsc::channel(RECEIVED_MAX);
+        let quotas = Arc::new(Quotas::new(
+            clock,
+            config.record_key(),
+            rules.clone(),
+            roster.clone(),
+            component_logger(root, "quota"),
+        ));
         let peers = Arc::new(Peers {
             clock,
             address: config.record_key(),
@@ -162,6 +170,7 @@
             local_target: own.clone(),
             runner: runner.clone(),
             crashes: crashes.clone(),
+            quotas: quotas.clone(),
             traffic: traffic.clone(),
             memory: memory.clone(),
             backlog_bytes: Peers::backlog_bytes(config.memory_bytes),
@@ -183,6 +192,7 @@
             memory.clone(),
         );
         metrics.register_refused(graph.refused_counter());
+        metrics.register_quotas(&quotas);
         let metrics = Arc::new(metrics);
         let read_ahead =
             ReadAheadTotals::new(config.memory_bytes, component_logger(root, "listen"));
@@ -226,6 +236,7 @@
         registry.register(crashes.clone());
         registry.register(read_ahead);
         registry.register(memory.clone());
+        registry.register(quotas.clone());
         let (plan, plan_receiver) = watch::channel(ReadPlan::default());
         registry.register(Arc::new(PlanView(plan_receiver.clone())));
         let peer_sync = PeerSync {
@@ -260,6 +271,7 @@
         });
         tokio::spawn(apply_rules(rules.clone(), admission.clone(), graph.clone()));
         tokio::spawn(check_links(peers.clone()));
+        tokio::spawn(tick_quotas(quotas));
         tokio::spawn(report::run(
             admission.clone(),
             graph.clone(),
@@ -399,6 +411,13 @@
     }
 }
 
+async fn tick_quotas(quotas: Arc<Quotas>) {
+    loop {
+        tokio::time::sleep(quotas::TICK).await;
+        quotas.tick();
+    }
+}
+
 async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, StartError> {
     TcpListener::bind(address).await.map_err(|error| StartError::Listen(address, error))
 }
