--- a/core/src/admission/map.rs
+++ b/core/src/admission/map.rs
@@ -68,8 +68,6 @@
 #[derive(Debug)]
 pub struct LevelMap {
     scale: ImportanceScale,
-    /// Age, relative to the newest level of a class, up to which a level counts in the median.
-    fresh_time: Duration,
     classes: BTreeMap<Name, ClassLevels>,
 }
 
@@ -93,14 +91,7 @@
 impl LevelMap {
     /// Empty map for a contract with the importances of `scale`.
     pub fn new(scale: ImportanceScale) -> Self {
-        Self::with_fresh_time(scale, FRESH_TIME)
-    }
-
-    /// Empty map in which a level counts in the median until it is older than the newest one of its
-    /// class by more than `fresh_time`. The longer it is, the less the level of one instance counts
-    /// that answers more often than the others.
-    pub fn with_fresh_time(scale: ImportanceScale, fresh_time: Duration) -> Self {
-        Self { scale, fresh_time, classes: BTreeMap::new() }
+        Self { scale, classes: BTreeMap::new() }
     }
 
     /// Replaces the importances by those of a new contract revision.
@@ -139,7 +130,8 @@
     pub fn export(&self, now: Moment) -> Vec<RelayedLevel> {
         let mut exported = Vec::new();
         for (service, entry) in &self.classes {
-            let recent = entry.was_raised(now);
+            let recent =
+                entry.last_raised > Moment::default() && now.since(entry.last_raised) < EXPORT_TIME;
             let fresh = entry.levels.iter().filter(|known| now.since(known.set_at) < HOLD_TIME);
             let mut fresh: Vec<_> = fresh.filter(|_| recent).collect();
             fresh.sort_unstable_by_key(|known| Reverse(known.set_at));
@@ -153,11 +145,6 @@
         exported
     }
 
-    /// Whether an instance of `class` had a level above the open one within the last two seconds.
-    pub fn was_raised(&self, now: Moment, class: &Name) -> bool {
-        self.classes.get(class).is_some_and(|entry| entry.was_raised(now))
-    }
-
     /// Removes the levels of an instance that has left.
     pub fn forget(&mut self, instance: &InstanceId) {
         let source = LevelSource::of(instance);
@@ -173,7 +160,7 @@
     /// If an instance has a level of a lower importance, the median is lowered to admit every call
     /// of its own importance, since that instance would evict a less important call.
     pub fn level(&self, now: Moment, class: &Name) -> Level {
-        self.classes.get(class).map_or(Level::OPEN, |entry| entry.level(now, self))
+        self.classes.get(class).map_or(Level::OPEN, |entry| entry.level(now, &self.scale))
     }
 
     /// Median of the levels known for `class`, without the rounding of [`Self::level`].
@@ -182,7 +169,7 @@
     /// others. It is meant for levels that are combined over several hops, where rounding down at
     /// each hop would lose them.
     pub fn median(&self, now: Moment, class: &Name) -> Level {
-        self.classes.get(class).map_or(Level::OPEN, |entry| entry.median(now, self))
+        self.classes.get(class).map_or(Level::OPEN, |entry| entry.median(now, &self.scale))
     }
 
     /// Age of the newest level known for `class`, or `None` if the class is unknown.
@@ -243,7 +230,7 @@
         let mut due = Vec::new();
         for class in classes {
             let Some(entry) = self.classes.get(class) else { continue };
-            if entry.level(now, self).admits(rank) {
+            if entry.level(now, &self.scale).admits(rank) {
                 continue;
             }
             if !entry.is_probe_due(now) {
@@ -261,27 +248,23 @@
 }
 
 impl ClassLevels {
-    fn was_raised(&self, now: Moment) -> bool {
-        self.last_raised > Moment::default() && now.since(self.last_raised) < EXPORT_TIME
-    }
-
-    fn median(&self, now: Moment, map: &LevelMap) -> Level {
-        self.decayed(self.fresh_median(map.fresh_time), now, &map.scale)
+    fn median(&self, now: Moment, scale: &ImportanceScale) -> Level {
+        self.decayed(self.fresh_median(), now, scale)
     }
 
-    fn level(&self, now: Moment, map: &LevelMap) -> Level {
-        let median = self.fresh_median(map.fresh_time);
+    fn level(&self, now: Moment, scale: &ImportanceScale) -> Level {
+        let median = self.fresh_median();
         let lowest = self.levels.iter().map(|known| known.level).min().unwrap_or_default();
         let clamped = lowest.importance() < median.importance();
         let level = if clamped { median.rounded_down() } else { median };
-        self.decayed(level, now, &map.scale)
+        self.decayed(level, now, scale)
     }
 
-    /// Median of the newest level and those at most `fresh_time` older, or the lower of the two
+    /// Median of the newest level and those at most [`FRESH_TIME`] older, or the lower of the two
     /// middle ones.
-    fn fresh_median(&self, fresh_time: Duration) -> Level {
+    fn fresh_median(&self) -> Level {
         let newest = self.newest();
-        let fresh = self.levels.iter().filter(|known| newest.since(known.set_at) <= fresh_time);
+        let fresh = self.levels.iter().filter(|known| newest.since(known.set_at) <= FRESH_TIME);
         let mut levels: Vec<_> = fresh.map(|known| known.level).collect();
         levels.sort_unstable();
         levels.get(levels.len().saturating_sub(1) / 2).copied().unwrap_or_default()
--- a/core/src/balancer.rs
+++ b/core/src/balancer.rs
@@ -284,16 +284,6 @@
         Some(self.assign(idx))
     }
 
-    /// Chooses the first target among `instances` that is eligible, and counts the call as in flight.
-    /// Meant for a call that each of them has refused without running it.
-    pub fn choose_again(&mut self, now: Moment, instances: &[InstanceId]) -> Option<Choice> {
-        let idx = instances.iter().find_map(|instance| {
-            let idx = self.targets.iter().position(|known| known.info.instance == *instance)?;
-            self.targets[idx].is_eligible(now, &[]).then_some(idx)
-        })?;
-        Some(self.assign(idx))
-    }
-
     /// Records the result of a call for which [`Self::choose`] or [`Self::choose_isolated`] chose
     /// `instance`.
     pub fn observe(&mut self, now: Moment, instance: &InstanceId, observation: Observation) {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -34,7 +34,6 @@
 mod quota;
 mod rate_limit;
 mod read_planner;
-mod refusals;
 mod resend;
 mod roster;
 mod rules;
@@ -110,8 +109,7 @@
     LOCAL_HEARTBEAT, REMOTE_HEARTBEAT, RENEWAL_INTERVAL, ReadPlan, ReadPlanner, Reads,
     SUBSCRIPTION_TTL,
 };
-pub use refusals::RefusalController;
-pub use resend::{ResendBasis, ResendBound, ResendBudget, ResendCause};
+pub use resend::{ResendBound, ResendBudget, ResendCause};
 pub use roster::{Age, Digest, Ranges, Roster, Stage, TargetRecord};
 pub use rules::{CallerLimits, Repeat, RouteIndex, RouteRule, RuleSet, ServiceRule, Share};
 pub use runs::{RunningRequest, RunningRequests};
--- a/core/src/load_controller.rs
+++ b/core/src/load_controller.rs
@@ -118,8 +118,7 @@
 
     /// Smoothed load, by the scarcer of slots and calls.
     fn load(&self) -> f64 {
-        // Negative if refusals are taken back in a later window than their arrivals.
-        self.slot_load.max(self.pace_load).max(0.0)
+        self.slot_load.max(self.pace_load)
     }
 
     /// Updates the smoothed loads with those of a window of length `span`.
@@ -223,27 +222,16 @@
 
     /// Records the arrival of a call of `route`, whether it is then run or refused.
     pub fn record_arrival(&mut self, route: &Name, mix: &ImportanceMix) {
-        self.add_load(route, mix, 1.0, 1.0);
-    }
-
-    /// Adds to the load `runs` times the run time of a call, and `calls` calls.
-    fn add_load(&mut self, route: &Name, mix: &ImportanceMix, runs: f64, calls: f64) {
         let known = self.routes.get(route).copied().unwrap_or(self.overall);
         for (importance, requests) in mix.weights() {
             let above = self.classes.partition_point(|class| class.importance <= importance);
             if let Some(class) = above.checked_sub(1).and_then(|idx| self.classes.get_mut(idx)) {
-                class.work += runs * requests * known.secs;
-                class.calls += calls * requests;
+                class.work += requests * known.secs;
+                class.calls += requests;
             }
         }
     }
 
-    /// Takes back the run time of a call of `route` that the target refused: it used no slot, and it
-    /// arrives again if it is repeated. It still counts against a rate limit.
-    pub fn record_refusal(&mut self, route: &Name, mix: &ImportanceMix) {
-        self.add_load(route, mix, -1.0, 0.0);
-    }
-
     /// Records the run time of a run of `route` that finished.
     pub fn record_run(&mut self, now: Moment, route: &Name, latency: Duration) {
         self.last_finished = now;
--- a/core/tests/heavy_load.rs
+++ b/core/tests/heavy_load.rs
@@ -1,14 +1,13 @@
 //! Policies under heavy load. Each test simulates one load pattern or failure.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use poplar_core::{
     Balancer, CallResult, Importance, ImportanceMix, ImportanceMixSum, ImportanceScale, InstanceId,
     Level, LevelMap, LevelSource, LoadController, Moment, Name, Observation, Occupancy, Rank,
-    RefusalController, RelayedLevel, RequestId, ResendBasis, ResendBound, ResendBudget,
-    ResendCause, RouteBreaker, RouteDependencies, RouteOrigins, RunningRequests, Shortage,
-    TargetInfo, WorkSum,
+    RelayedLevel, RequestId, ResendBound, ResendBudget, ResendCause, RouteBreaker,
+    RouteDependencies, RouteOrigins, RunningRequests, Shortage, TargetInfo, WorkSum,
 };
 
 const RATIO: f64 = 0.2;
@@ -30,12 +29,11 @@
         // re-sends.
         let busy = millis < 20_000 || millis % 100 == 0;
         let (mut requests, mut resends) = (0, 0);
-        let basis = ResendBasis::Present;
         for node in nodes.iter_mut().filter(|_| busy) {
             node.record_first(now, &service);
             requests += 1;
-            resends += u32::from(node.try_spend(now, &service, NODES, ResendCause::Request, basis));
-            resends += u32::from(node.try_spend(now, &service, NODES, ResendCause::Shed, basis));
+            resends += u32::from(node.try_spend(now, &service, NODES, ResendCause::Request));
+            resends += u32::from(node.try_spend(now, &service, NODES, ResendCause::Shed));
         }
         sends.push((millis, requests, resends));
     }
@@ -325,12 +323,9 @@
         let mut budget = ResendBudget::new(bound);
         (0..1_000).for_each(|_| budget.record_first(now, &service));
         (0..repeated).for_each(|_| budget.record_repeat(now, &service));
-        (0..1_000)
-            .filter(|_| budget.try_spend(now, &service, 1, cause, ResendBasis::Present))
-            .count()
+        (0..1_000).filter(|_| budget.try_spend(now, &service, 1, cause)).count()
     };
     assert_eq!(spend(ResendCause::Shed, 0), 160);
-    assert_eq!(spend(ResendCause::ShedCall, 0), 156);
     assert_eq!(spend(ResendCause::Request, 0), 100);
     assert_eq!(spend(ResendCause::Call, 0), 50);
     assert_eq!(spend(ResendCause::Shed, 150), 10);
@@ -753,299 +748,3 @@
     breaker.record(Moment::from_millis(2_200), &route, true);
     assert!(breaker.admits(Moment::from_millis(2_300), &route, 10_000));
 }
-
-/// Linear congruential generator, so that a simulation is the same in each run.
-struct Random(u64);
-
-impl Random {
-    /// Uniformly distributed number from 0 up to 1.
-    fn fraction(&mut self) -> f64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963);
-        (self.0 >> 11) as f64 / (1_u64 << 53) as f64
-    }
-
-    fn below(&mut self, end: usize) -> usize {
-        (self.fraction() * end as f64) as usize
-    }
-}
-
-/// Simulation of a deep service whose targets refuse calls whatever the load: entry nodes, nodes
-/// that make the calls of the admitted trees and repeat refused ones, and the targets.
-struct RefusingService {
-    controllers: Vec<RefusalController>,
-    levels: LevelMap,
-    budgets: Vec<ResendBudget>,
-    /// Calls that are due: when, and of which tree.
-    calls: BTreeMap<(u64, u64), Tree>,
-    /// Whether the rules under test are used: the refusal level, and repeats beyond two sends.
-    improved: bool,
-    /// Fraction of the calls that the targets refuse.
-    refused: f64,
-    random: Random,
-    /// Simulated time in milliseconds.
-    now: u64,
-    next_id: u64,
-    counts: RefusalCounts,
-}
-
-/// Request that makes calls to the refusing service in sequence.
-#[derive(Clone)]
-struct Tree {
-    importance: Importance,
-    mix: ImportanceMix,
-    /// Node that makes the calls.
-    node: usize,
-    /// Calls that are left, including the one that is due.
-    left: u32,
-    /// Sends of the call that is due.
-    sends: u32,
-    /// Whether calls that succeeded were made.
-    done: u32,
-}
-
-#[derive(Debug, Default, Clone, Copy)]
-struct RefusalCounts {
-    /// Requests of low and high importance that entered, were admitted, and completed.
-    entered: [u32; 2],
-    admitted: [u32; 2],
-    completed: [u32; 2],
-    /// Runs of trees that failed later, at the services above.
-    wasted: u32,
-    sends: u32,
-    resends: u32,
-}
-
-impl RefusingService {
-    const TARGETS: usize = 4;
-    const CALLERS: usize = 10;
-    /// Trees per second: 8 calls each of low importance, 4 calls each of high importance.
-    const TREES: [(u64, u32); 2] = [(60, 8), (150, 4)];
-    /// Time that a level needs from a target to the entry nodes, in milliseconds.
-    const LEVEL_DELAY: u64 = 50;
-    /// Time between two calls of a tree, in milliseconds.
-    const CALL_MS: u64 = 45;
-
-    fn new(improved: bool) -> Self {
-        let (start, window) = (Moment::default(), Duration::from_secs(10));
-        let bound = ResendBound { ratio: RATIO, base: 0.0, window };
-        Self {
-            controllers: (0..Self::TARGETS).map(|_| RefusalController::new(start, RATIO)).collect(),
-            levels: LevelMap::with_fresh_time(
-                ImportanceScale::new([LOW, HIGH]),
-                Duration::from_millis(400),
-            ),
-            budgets: (0..Self::CALLERS).map(|_| ResendBudget::new(bound)).collect(),
-            calls: BTreeMap::new(),
-            improved,
-            refused: 0.0,
-            random: Random(7),
-            now: 0,
-            next_id: 0,
-            counts: RefusalCounts::default(),
-        }
-    }
-
-    /// Simulates `millis` milliseconds in which targets refuse the fraction `refused` of the calls,
-    /// and returns what happened meanwhile.
-    fn simulate(&mut self, millis: u64, refused: f64) -> RefusalCounts {
-        self.counts = RefusalCounts::default();
-        self.refused = refused;
-        for _ in 0..millis {
-            self.now += 1;
-            for (idx, (rate, calls)) in Self::TREES.into_iter().enumerate() {
-                if self.now * rate / 1_000 > (self.now - 1) * rate / 1_000 {
-                    self.enter(idx, calls);
-                }
-            }
-            while let Some(entry) = self.calls.first_entry()
-                && entry.key().0 <= self.now
-            {
-                let tree = entry.remove();
-                self.call(tree);
-            }
-        }
-        self.counts
-    }
-
-    fn enter(&mut self, idx: usize, calls: u32) {
-        self.counts.entered[idx] += 1;
-        let importance = [LOW, HIGH][idx];
-        let now = Moment::from_millis(self.now.saturating_sub(Self::LEVEL_DELAY));
-        let level = self.levels.median(now, &Name::new("deep"));
-        if self.improved
-            && !level.admits(Rank::at(importance, (self.random.fraction() * 65_536.0) as u16))
-        {
-            return;
-        }
-        self.counts.admitted[idx] += 1;
-        let mix = ImportanceMix::sampled(importance, level.pass_fraction(importance));
-        let node = self.random.below(Self::CALLERS);
-        self.schedule(60, Tree { importance, mix, node, left: calls, sends: 0, done: 0 });
-    }
-
-    fn schedule(&mut self, delay: u64, tree: Tree) {
-        self.next_id += 1;
-        self.calls.insert((self.now + delay, self.next_id), tree);
-    }
-
-    /// Sends the call of `tree` that is due.
-    fn call(&mut self, mut tree: Tree) {
-        let (now, service) = (Moment::from_millis(self.now), Name::new("deep"));
-        let target = self.random.below(Self::TARGETS);
-        let refused = self.random.fraction() < self.refused;
-        let budget = &mut self.budgets[tree.node];
-        if tree.sends == 0 {
-            budget.record_first(now, &service);
-        }
-        tree.sends += 1;
-        self.counts.sends += 1;
-        let controller = &mut self.controllers[target];
-        controller.record(now, refused, Some(&tree.mix));
-        let instance = InstanceId::from(["t0", "t1", "t2", "t3"][target]);
-        self.levels.record(now, &service, &instance, controller.level(now));
-        if !refused {
-            tree.left -= 1;
-            (tree.done, tree.sends) = (tree.done + 1, 0);
-            let idx = usize::from(tree.importance == HIGH);
-            if tree.left > 0 {
-                self.schedule(Self::CALL_MS, tree);
-            } else {
-                self.counts.completed[idx] += 1;
-            }
-            return;
-        }
-        let refusing = self.levels.was_raised(now, &service);
-        let (sends_max, cause, basis) = match (self.improved, refusing) {
-            (true, true) => (10, ResendCause::ShedCall, ResendBasis::Previous),
-            (true, false) => (10, ResendCause::ShedCall, ResendBasis::Present),
-            (false, _) => (2, ResendCause::Shed, ResendBasis::Present),
-        };
-        if tree.sends < sends_max && budget.try_spend(now, &service, Self::CALLERS, cause, basis) {
-            self.counts.resends += 1;
-            let pause = if tree.sends > 1 { u64::from(10 * (tree.sends - 1)) } else { 2 };
-            self.schedule(pause, tree);
-        } else {
-            // The runs at the services above, and those of the calls that succeeded.
-            self.counts.wasted += 2 + tree.done;
-        }
-    }
-}
-
-/// All targets of a deep service refuse 55% of their calls for 8.5 s, and requests make four or
-/// eight of them in sequence. Entry nodes must admit only what the retry budget carries to success,
-/// so that more requests complete and little work is wasted.
-#[test]
-fn requests_are_admitted_as_far_as_the_budget_carries_their_calls() {
-    let [before, after] = [false, true].map(|improved| {
-        let mut service = RefusingService::new(improved);
-        let calm = service.simulate(25_000, 0.0);
-        assert_eq!(calm.admitted, calm.entered, "a level without refusals");
-        service.simulate(8_500, 0.55)
-    });
-    println!("today: {before:?}\nimproved: {after:?}");
-    let sum = |counts: [u32; 2]| f64::from(counts[0] + counts[1]);
-    assert!(sum(after.completed) > 1.4 * sum(before.completed), "{before:?} {after:?}");
-    assert!(f64::from(after.wasted) < 0.25 * f64::from(before.wasted), "{before:?} {after:?}");
-    // The more important requests get what there is.
-    let fraction = |idx: usize| f64::from(after.admitted[idx]) / f64::from(after.entered[idx]);
-    assert!(fraction(1) > 3.0 * fraction(0), "{after:?}");
-}
-
-/// The targets stop refusing: all requests must be admitted again within a second, and none may be
-/// refused later on.
-#[test]
-fn all_requests_are_admitted_soon_after_targets_stop_refusing() {
-    let mut service = RefusingService::new(true);
-    service.simulate(25_000, 0.0);
-    service.simulate(8_500, 0.55);
-    service.simulate(800, 0.0);
-    let after = service.simulate(5_000, 0.0);
-    assert_eq!(after.admitted, after.entered);
-    let in_progress = f64::from(after.admitted[1]) * 0.05;
-    assert!(f64::from(after.admitted[1] - after.completed[1]) < in_progress, "{after:?}");
-}
-
-/// Targets refuse only a few calls: the budget pays for their repeats, and no request may be
-/// refused for them.
-#[test]
-fn few_refusals_do_not_raise_the_refusal_level() {
-    let mut service = RefusingService::new(true);
-    service.simulate(25_000, 0.0);
-    let counts = service.simulate(8_500, 0.08);
-    assert_eq!(counts.admitted, counts.entered);
-}
-
-/// A target whose calls all stop arriving must not keep its level: nothing else would show that it
-/// no longer refuses.
-#[test]
-fn refusal_level_falls_without_calls() {
-    let mut controller = RefusalController::new(Moment::default(), RATIO);
-    let mix = ImportanceMix::of(HIGH);
-    for millis in 0..5_000 {
-        controller.record(Moment::from_millis(millis), false, Some(&mix));
-    }
-    (5_000..5_200).for_each(|millis| {
-        controller.record(Moment::from_millis(millis), true, Some(&mix));
-    });
-    assert!(controller.level(Moment::from_millis(5_200)) > Level::OPEN);
-    let levels = (5_200..7_500).map(|millis| controller.level(Moment::from_millis(millis)));
-    assert_eq!(levels.last(), Some(Level::OPEN));
-}
-
-/// Random loads, different at each node, of which entry nodes admit a small part while the targets
-/// refuse calls. In every window the nodes together must stay within the shared bound, although
-/// they do not know each other's counts and the requests of calm times pay for the repeats.
-#[test]
-fn repeats_of_refused_calls_stay_within_the_shared_bound_over_random_loads() {
-    const STEP_MS: u64 = 20;
-    let bound = ResendBound { ratio: RATIO, base: BASE, window: Duration::from_secs(10) };
-    let service = Name::new("deep");
-    let mut most_used: f64 = 0.0;
-    for seed in 0..40 {
-        let mut random = Random(seed);
-        let mut nodes: Vec<_> = (0..NODES).map(|_| ResendBudget::new(bound)).collect();
-        let mut rates = [0.0; NODES];
-        let refusing_from = 22_000 + 500 * (seed % 8);
-        let refusing = refusing_from..refusing_from + 4_000 + 1_500 * (seed % 6);
-        let mut steps: Vec<(u32, u32)> = Vec::new();
-        for millis in (0..60_000).step_by(STEP_MS as usize) {
-            let now = Moment::from_millis(millis);
-            let is_refusing = refusing.contains(&millis);
-            let admitted = if is_refusing { 0.15 } else { 1.0 };
-            let basis = match is_refusing {
-                true => ResendBasis::Previous,
-                false => ResendBasis::Present,
-            };
-            let (mut requests, mut resends) = (0, 0);
-            for (node, rate) in nodes.iter_mut().zip(&mut rates) {
-                if random.fraction() < 0.01 {
-                    *rate = 400.0 * random.fraction().powi(2);
-                }
-                let mean = *rate * admitted * STEP_MS as f64 / 1_000.0;
-                for _ in 0..(mean + random.fraction()) as u32 {
-                    node.record_first(now, &service);
-                    requests += 1;
-                }
-                // More attempts than the budget allows, so that the bound decides.
-                for _ in 0..4 {
-                    let cause = ResendCause::ShedCall;
-                    resends += u32::from(node.try_spend(now, &service, NODES, cause, basis));
-                }
-            }
-            steps.push((requests, resends));
-        }
-        let window = 10_000 / STEP_MS as usize;
-        let sum = |from: usize, of: fn(&(u32, u32)) -> u32| -> u32 {
-            steps[from..(from + window).min(steps.len())].iter().map(of).sum()
-        };
-        for from in window..steps.len() {
-            let earlier = [from, from - window, from - window / 2];
-            let requests = earlier.map(|from| sum(from, |step| step.0)).into_iter().max();
-            let allowed = RATIO * f64::from(requests.unwrap_or_default()) + BASE;
-            let used = f64::from(sum(from, |step| step.1));
-            most_used = most_used.max(used / allowed);
-            assert!(used <= allowed, "seed {seed}, window from step {from}: {used} of {allowed}");
-        }
-    }
-    assert!(most_used > 0.7, "the budget is not used: {most_used}");
-}
--- a/node/src/admission.rs
+++ b/node/src/admission.rs
@@ -297,13 +297,6 @@
         }
     }
 
-    /// Records that the target refused a call of `class`, which used no slot.
-    pub(crate) fn record_refusal(&self, class: &Name, mix: &ImportanceMix) {
-        if let Some(load_controller) = self.lock().load_controller.as_mut() {
-            load_controller.record_refusal(class, mix);
-        }
-    }
-
     fn finish(&self, ticket: Ticket, class: &Name, took: Duration) {
         let now = self.clock.now();
         let mut state = self.lock();
--- a/node/src/proxy/callers/dispatch.rs
+++ b/node/src/proxy/callers/dispatch.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use poplar_core::{
     CrashAdmission, ErrorKind, Fingerprint, Importance, InstanceId, Level, Moment, Name,
-    Observation, Outcome, ResendBasis, ResendBudget, ResendCause, RouteRule, WorkSum,
+    Observation, Outcome, ResendBudget, ResendCause, RouteRule, WorkSum,
 };
 use poplar_kernel::Clock;
 
@@ -26,12 +26,6 @@
 /// costs a round trip, and three overloaded nodes are enough evidence that the service is
 /// overloaded.
 const REFUSALS_MAX: u32 = 3;
-/// Largest number of sends of a request that targets refuse. If targets refuse 55% of what they get,
-/// 97% of the requests that need eight calls complete.
-const SENDS_MAX: u32 = 10;
-/// Pause before a target that refused a request is asked again, times the number of times that a
-/// target was asked again before.
-const ASK_AGAIN_PAUSE: Duration = Duration::from_millis(10);
 
 /// Request that a caller sent to this entry node.
 #[derive(Debug)]
@@ -70,12 +64,8 @@
 /// Record of the sends of one request so far.
 #[derive(Debug, Default)]
 pub(crate) struct SendHistory {
-    /// Number of different targets that may have received any of the request.
+    /// Number of targets that may have received any of the request.
     offers: u32,
-    /// Number of sends to targets that had refused the request before.
-    repeats: u32,
-    /// Targets that refused the request without running it, the one that did so last at the end.
-    refused_by: Vec<InstanceId>,
     /// Number of sends that reached no target, because the node refused or could not be reached.
     refusals: u32,
     /// Why it may already have run at some target. A later refusal does not clear this.
@@ -113,20 +103,20 @@
         loop {
             let chosen = match self.crashes.restriction(|| self.fingerprint(route, request)) {
                 CrashAdmission::Unrestricted => {
-                    self.choose(service, route, request, &context, history).await
+                    let bytes = request.body.len();
+                    self.roster.choose(service, context.rank, bytes, &history.tried)
                 }
-                CrashAdmission::Isolated if history.offers < route.attempts => {
-                    let fingerprint = self.fingerprint(route, request);
-                    self.roster.choose_isolated(service, fingerprint, &history.tried)
-                }
-                CrashAdmission::Isolated => None,
+                CrashAdmission::Isolated => self.roster.choose_isolated(
+                    service,
+                    self.fingerprint(route, request),
+                    &history.tried,
+                ),
                 CrashAdmission::Refused(left) => {
                     last = not_run(ErrorKind::CrashSuspect, left);
                     break;
                 }
             };
             let Some(chosen) = chosen else { break };
-            let again = history.tried.contains(&chosen.instance);
             history.tried.push(chosen.instance.clone());
             if history.tried.len() == 1 {
                 self.record_first_send(service, &context);
@@ -136,8 +126,7 @@
             let fingerprint = || self.fingerprint(route, request);
             let answer = self.send(service, &chosen, &context, call, once, fingerprint).await;
             let offered = answer.as_ref().map_or(true, |answer| answer.offered);
-            history.offers += u32::from(offered && !again);
-            history.repeats += u32::from(again);
+            history.offers += u32::from(offered);
             history.refusals += u32::from(!offered);
             last = match answer {
                 Ok(answer) => {
@@ -152,12 +141,8 @@
             if let Outcome::Unknown { kind } = &last {
                 history.unknown_kind = Some(*kind);
             }
-            history.refused_by.retain(|instance| *instance != chosen.instance);
-            if offered && matches!(last, Outcome::NotRun { .. }) {
-                history.refused_by.push(chosen.instance);
-            }
-            let retry = self.may_retry(route, request, history, &last);
-            if !(retry && self.spend_resend_budget(service, &context, history, &last)) {
+            let again = self.may_retry(route, request, history, &last);
+            if !(again && self.spend_resend_budget(service, &context, history, &last)) {
                 break;
             }
         }
@@ -172,31 +157,7 @@
         fingerprint(&route.name, &self.caller, &request.method, &request.path, &request.body)
     }
 
-    /// Chooses the target of the next send: a further one while the route allows more targets, and
-    /// then one that refused the request, after a pause.
-    async fn choose(
-        &self,
-        service: &Name,
-        route: &RouteRule,
-        request: &InboundRequest,
-        context: &RequestContext,
-        history: &SendHistory,
-    ) -> Option<ChosenTarget> {
-        if history.offers < route.attempts
-            && let Some(chosen) =
-                self.roster.choose(service, context.rank, request.body.len(), &history.tried)
-        {
-            return Some(chosen);
-        }
-        let pause = ASK_AGAIN_PAUSE * (history.repeats + 1);
-        if !history.may_ask_again() || request.deadline.since(self.clock.now()) <= pause {
-            return None;
-        }
-        tokio::time::sleep(pause).await;
-        self.roster.choose_again(service, &history.refused_by)
-    }
-
-    /// Whether the request may be sent once more, apart from the resend budget.
+    /// Whether the request may be sent to a further target, apart from the resend budget.
     fn may_retry(
         &self,
         route: &RouteRule,
@@ -213,7 +174,7 @@
         };
         retryable
             && !history.answer_discarded
-            && (history.offers < route.attempts || history.may_ask_again())
+            && history.offers < route.attempts
             && history.refusals < REFUSALS_MAX
             && self.clock.now() < request.deadline
     }
@@ -232,21 +193,11 @@
             return true;
         }
         let cause = match last {
-            Outcome::NotRun { .. } if history.unknown_kind.is_none() => {
-                if context.internal {
-                    ResendCause::ShedCall
-                } else {
-                    ResendCause::Shed
-                }
-            }
+            Outcome::NotRun { .. } if history.unknown_kind.is_none() => ResendCause::Shed,
             _ if context.internal => ResendCause::Call,
             _ => ResendCause::Request,
         };
-        let basis = match self.graph.is_refusing(service) {
-            true => ResendBasis::Previous,
-            false => ResendBasis::Present,
-        };
-        self.resends().try_spend(self.clock.now(), service, self.roster.len(), cause, basis)
+        self.resends().try_spend(self.clock.now(), service, self.roster.len(), cause)
     }
 
     fn record_first_send(&self, service: &Name, context: &RequestContext) {
@@ -359,22 +310,13 @@
             rank: context.rank,
             mix: context.mix.clone(),
             begun: context.internal,
-            repeat: context.repeat || history.unknown_kind.is_some(),
+            repeat: context.repeat || history.offers > 0,
             left: request.deadline.since(self.clock.now()),
             body: request.body.clone(),
         }
     }
 }
 
-impl SendHistory {
-    /// Whether the request may be sent to a target that refused it before: no target may have run
-    /// it, and it was not sent too often yet.
-    fn may_ask_again(&self) -> bool {
-        let sends = self.offers + self.repeats;
-        self.unknown_kind.is_none() && !self.refused_by.is_empty() && sends < SENDS_MAX
-    }
-}
-
 /// Reports to the roster how a send ended; a send whose future is dropped counts as given up.
 struct SendGuard<'a> {
     dispatcher: &'a Dispatcher,
--- a/node/src/proxy/frame.rs
+++ b/node/src/proxy/frame.rs
@@ -246,10 +246,6 @@
     /// Number of calls that run or wait at the target, relative to its concurrency limit; higher
     /// for a target that fails what it gets.
     pub(crate) load: f32,
-    /// Refusal levels of the target and of instances of other services, while any is raised. Not
-    /// encoded if empty, and sent only to nodes that announce the feature.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub(crate) refusals: Vec<RelayedLevel>,
 }
 
 impl CallAnswer {
@@ -263,7 +259,6 @@
             ran: Duration::ZERO,
             work: WorkSum::default(),
             load: 0.0,
-            refusals: Vec::new(),
         }
     }
 
@@ -274,7 +269,6 @@
             outcome: Outcome::Unknown { kind },
             told: self.told.clone(),
             work: self.work.clone(),
-            refusals: self.refusals.clone(),
             ..*self
         }
     }
--- a/node/src/proxy/links/link.rs
+++ b/node/src/proxy/links/link.rs
@@ -88,9 +88,7 @@
     Crashes,
     /// As `Crashes`, with messages about the rate limits of targets.
     Limits,
-    /// As `Limits`, with refusal levels in answers.
-    Refusals,
-    /// As `Refusals`, with messages about the rate limits of workspaces.
+    /// As `Limits`, with messages about the rate limits of workspaces.
     Leases,
 }
 
@@ -134,11 +132,6 @@
         self.version >= ProtocolVersion::Limits
     }
 
-    /// Whether the other end accepts answers with refusal levels.
-    pub(crate) fn supports_refusals(&self) -> bool {
-        self.version >= ProtocolVersion::Refusals
-    }
-
     /// Whether the other end accepts messages about the rate limits of workspaces.
     pub(crate) fn supports_leases(&self) -> bool {
         self.version >= ProtocolVersion::Leases
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -73,9 +73,7 @@
 /// Second value of that header, of nodes that accept messages about the rate limits of targets.
 /// Nodes that do not know it read the first value only.
 const LIMITS_FEATURE: &str = "limits";
-/// Third value of that header, of nodes that accept answers with refusal levels.
-const REFUSALS_FEATURE: &str = "refusals";
-/// Fourth value of that header, of nodes that accept messages about the rate limits of workspaces.
+/// Third value of that header, of nodes that accept messages about the rate limits of workspaces.
 const LEASES_FEATURE: &str = "leases";
 /// Header with the number that identifies the link in claims.
 const LINK_HEADER: &str = "poplar-link";
@@ -410,7 +408,6 @@
         resp.headers_mut().insert(VERSION_HEADER, HeaderValue::from_static(VERSION));
         resp.headers_mut().insert(FEATURES_HEADER, HeaderValue::from_static(CRASHES_FEATURE));
         resp.headers_mut().append(FEATURES_HEADER, HeaderValue::from_static(LIMITS_FEATURE));
-        resp.headers_mut().append(FEATURES_HEADER, HeaderValue::from_static(REFUSALS_FEATURE));
         resp.headers_mut().append(FEATURES_HEADER, HeaderValue::from_static(LEASES_FEATURE));
         resp
     }
@@ -427,10 +424,7 @@
         let run = |call: Box<Call>| {
             let (peers, outbox) = (self.clone(), outbox.clone());
             async move {
-                let mut answer = peers.runner.run(&call).await;
-                if !outbox.supports_refusals() {
-                    answer.refusals.clear();
-                }
+                let answer = peers.runner.run(&call).await;
                 peers.send_crashes(&call, &answer, &outbox);
                 if outbox.supports_limits()
                     && let Some((lifetime, rate)) = peers.refusing_limit(&answer)
@@ -544,7 +538,6 @@
         .header(VERSION_HEADER, VERSION)
         .header(FEATURES_HEADER, CRASHES_FEATURE)
         .header(FEATURES_HEADER, LIMITS_FEATURE)
-        .header(FEATURES_HEADER, REFUSALS_FEATURE)
         .header(FEATURES_HEADER, LEASES_FEATURE)
         .header(LINK_HEADER, id.0)
         .body(Empty::<Bytes>::new())
@@ -571,14 +564,11 @@
     let supports =
         |feature: &str| headers.get_all(FEATURES_HEADER).iter().any(|value| value == feature);
     let (crashes, limits) = (supports(CRASHES_FEATURE), supports(LIMITS_FEATURE));
-    let (refusals, leases) = (supports(REFUSALS_FEATURE), supports(LEASES_FEATURE));
+    let leases = supports(LEASES_FEATURE);
     match headers.get(VERSION_HEADER).map(HeaderValue::as_bytes) {
-        Some(value) if value == VERSION.as_bytes() && crashes && limits && refusals && leases => {
+        Some(value) if value == VERSION.as_bytes() && crashes && limits && leases => {
             ProtocolVersion::Leases
         }
-        Some(value) if value == VERSION.as_bytes() && crashes && limits && refusals => {
-            ProtocolVersion::Refusals
-        }
         Some(value) if value == VERSION.as_bytes() && crashes && limits => ProtocolVersion::Limits,
         Some(value) if value == VERSION.as_bytes() && crashes => ProtocolVersion::Crashes,
         Some(value) if value == VERSION.as_bytes() => ProtocolVersion::Claims,
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -21,7 +21,6 @@
 use crate::proxy::links::traffic::Traffic;
 use crate::proxy::memory::CallerMemory;
 use crate::proxy::state::quotas::Quotas;
-use crate::proxy::state::refusals::RefusedFamily;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
 use crate::proxy::sync::store_sync::StoreHealth;
@@ -126,13 +125,6 @@
         registry.register("read_ahead_limited", help, read_ahead.limited());
     }
 
-    /// Registers the counter of the requests that refusal levels refuse here.
-    pub(crate) fn register_refused(&self, counter: RefusedFamily) {
-        let help = "Requests refused here because a service that they reach refuses its calls";
-        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
-        registry.register("refusal_level_refused", help, counter);
-    }
-
     /// Adds the metrics of the rate limits of workspaces.
     pub(crate) fn register_quotas(&self, quotas: &Quotas) {
         let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -131,8 +131,7 @@
             local_target: own.clone(),
         };
         tokio::spawn(health_check.run());
-        let graph =
-            Arc::new(CallGraph::new(clock, config.service.clone(), config.bounds.resends.ratio));
+        let graph = Arc::new(CallGraph::new(clock, config.service.clone()));
         let decisions = Arc::new(DecisionLog::new(clock, component_logger(root, "request")));
         let runner = Arc::new(Runner::new(
             clock,
@@ -191,7 +190,6 @@
             &health,
             memory.clone(),
         );
-        metrics.register_refused(graph.refused_counter());
         metrics.register_quotas(&quotas);
         let metrics = Arc::new(metrics);
         let read_ahead =
--- a/node/src/proxy/report.rs
+++ b/node/src/proxy/report.rs
@@ -20,8 +20,6 @@
 /// Load reports per report on the links. The link counters are cumulative, so a longer interval
 /// loses nothing.
 const LINK_REPORT_ROUNDS: u32 = 5;
-/// Fraction of refused calls from which it is reported.
-const REPORTED_FRACTION: f64 = 0.1;
 
 /// Writes the reports until the process ends.
 pub(crate) async fn run(
@@ -39,7 +37,6 @@
         log_target(&admission, &logger);
         log_entry(&entry_stats, &logger);
         log_throttled(&graph, &logger);
-        log_refused(&graph, &logger);
         if round.is_multiple_of(LINK_REPORT_ROUNDS) {
             log_links(&traffic, &health, &logger);
             log_choice(&roster, &logger);
@@ -107,19 +104,6 @@
     }
 }
 
-/// Logs the fraction of the calls that the target refuses, if it is considerable, and the requests
-/// refused here because targets refuse their calls, with the admitted fraction of their route.
-fn log_refused(graph: &CallGraph, logger: &Logger) {
-    let (fraction, routes) = graph.take_refused();
-    if fraction >= REPORTED_FRACTION {
-        info!(logger, "load: target refuses calls"; "fraction" => fraction);
-    }
-    for (route, refused) in routes {
-        info!(logger, "load: route refused for target refusals"; "route" => %route,
-            "refused" => refused.refused, "passing" => refused.passing);
-    }
-}
-
 /// Formats the slot time of each service in milliseconds for a log line.
 fn work_millis(work: &WorkSum) -> String {
     let mut text = String::new();
--- a/node/src/proxy/state/graph.rs
+++ b/node/src/proxy/state/graph.rs
@@ -20,7 +20,6 @@
 use xxhash_rust::xxh3::xxh3_128;
 
 use crate::proxy::frame::{Call, CallAnswer};
-use crate::proxy::state::refusals::{RefusalLevels, RefusedFamily, RefusedRoute};
 
 /// Importance of a call by a target that cannot be attributed to a request. It is the highest one,
 /// as work was already done for the request.
@@ -39,7 +38,6 @@
 struct State {
     origins: RouteOrigins,
     levels: LevelMap,
-    refusals: RefusalLevels,
     breaker: RouteBreaker,
     reach: RouteDependencies,
     /// Requests that the local target runs.
@@ -70,13 +68,10 @@
 }
 
 impl CallGraph {
-    /// Empty call graph; `resend_ratio` is the number of repeats per call that the retry budget
-    /// allows.
-    pub(crate) fn new(clock: Clock, own_service: Name, resend_ratio: f64) -> Self {
+    pub(crate) fn new(clock: Clock, own_service: Name) -> Self {
         let state = State {
             origins: RouteOrigins::default(),
             levels: LevelMap::new(ImportanceScale::new([])),
-            refusals: RefusalLevels::new(clock.now(), resend_ratio),
             breaker: RouteBreaker::default(),
             reach: RouteDependencies::default(),
             runs: RunningRequests::default(),
@@ -90,8 +85,7 @@
     /// Applies the importances and the number of services of a new revision of the rules.
     pub(crate) fn update_rules(&self, scale: ImportanceScale, service_count: usize) {
         let mut state = self.lock();
-        state.levels.revise(scale.clone());
-        state.refusals.revise(scale);
+        state.levels.revise(scale);
         state.service_count = service_count;
     }
 
@@ -103,7 +97,7 @@
     /// # Errors
     ///
     /// Time after which the caller may retry, if the request is refused: a service that it may
-    /// reach is overloaded or refuses calls, or nearly all requests of the route fail.
+    /// reach is overloaded, or nearly all requests of the route fail.
     pub(crate) fn admit(
         &self,
         service: &Name,
@@ -125,8 +119,7 @@
             }
             None => {
                 let fresh = Shortage::begin(now);
-                let short = state.short_service(now, service, route, rank);
-                let shortage = state.shortages.entry(short).or_insert(fresh);
+                let shortage = state.shortages.entry(service.clone()).or_insert(fresh);
                 shortage.extend(now);
                 Err(shortage.retry_after(now, rank.tiebreak(), route.objective))
             }
@@ -162,7 +155,6 @@
         for level in &answer.told {
             state.levels.record_relayed(now, level);
         }
-        state.refusals.record_answer(now, service, instance, &answer.refusals);
         let reached = answer.work.iter().map(|(service, _)| service);
         if !context.internal {
             state.reach.record(now, route, reached.filter(|reached| *reached != service));
@@ -190,36 +182,6 @@
         levels
     }
 
-    /// Refusal levels to send with an answer of `instance`, the local target.
-    pub(crate) fn export_refusals(&self, instance: &InstanceId) -> Vec<RelayedLevel> {
-        let now = self.clock.now();
-        self.lock().refusals.export(now, &self.own_service, instance)
-    }
-
-    /// Records whether the local target refused a call that was sent to it.
-    pub(crate) fn record_result(&self, call: &Call, refused: bool) {
-        let now = self.clock.now();
-        self.lock().refusals.record_result(now, call, refused);
-    }
-
-    /// Whether targets of `service` refuse calls, or did so until recently.
-    pub(crate) fn is_refusing(&self, service: &Name) -> bool {
-        let now = self.clock.now();
-        self.lock().refusals.is_refusing(now, service)
-    }
-
-    /// Fraction of the calls sent to the local target that it refused, and the requests that
-    /// refusal levels refused here since the previous call, by route.
-    pub(crate) fn take_refused(&self) -> (f64, HashMap<Name, RefusedRoute>) {
-        let mut state = self.lock();
-        (state.refusals.refused_fraction(), state.refusals.take_refused())
-    }
-
-    /// Counter of the requests that refusal levels refused here.
-    pub(crate) fn refused_counter(&self) -> RefusedFamily {
-        self.lock().refusals.counter()
-    }
-
     /// Records whether a request of `route` that was admitted here completed.
     pub(crate) fn record_outcome(&self, route: &Name, completed: bool) {
         let now = self.clock.now();
@@ -233,18 +195,14 @@
         state.breaker.throttled().map(|(route, passing)| (route.clone(), passing)).collect()
     }
 
-    /// Level that admits the fewest requests of this importance among the known ones of the services
-    /// that a request of `route` reaches, and the fraction of these requests that is admitted.
+    /// Highest known level among the services that a request of `route` reaches, and the fraction
+    /// of the route's requests of this importance that is admitted.
     pub(crate) fn path_level(&self, route: &RouteRule, importance: Importance) -> (PathLevel, f64) {
         let now = self.clock.now();
         let state = self.lock();
-        let levels = [state.path_level(now, route), state.refusal_level(now, route)];
-        let fraction =
-            state.admitted_fraction(route, importance, [levels[0].level, levels[1].level]);
-        let [load, refusal] = levels;
-        let refuses_more =
-            refusal.level.pass_fraction(importance) < load.level.pass_fraction(importance);
-        (if refuses_more { refusal } else { load }, fraction)
+        let path_level = state.path_level(now, route);
+        let fraction = state.admitted_fraction(route, importance, path_level.level);
+        (path_level, fraction)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -278,42 +236,16 @@
     /// Decides whether a request is admitted; returns the fraction of the route's requests that is
     /// admitted, or none if this one is refused.
     fn admit(&mut self, now: Moment, route: &RouteRule, rank: Rank) -> Option<f64> {
-        let levels = [self.path_level(now, route).level, self.refusal_level(now, route).level];
-        let fraction = self.admitted_fraction(route, rank.importance(), levels);
-        if levels[0].admits(rank) && !levels[1].admits(rank) {
-            self.refusals.record_refused(&route.name, fraction);
-        }
-        let admitted = levels.iter().all(|level| level.admits(rank))
-            && self.breaker.admits(now, &route.name, rank.tiebreak());
-        admitted.then_some(fraction)
+        let level = self.path_level(now, route).level;
+        let admitted = level.admits(rank) && self.breaker.admits(now, &route.name, rank.tiebreak());
+        admitted.then(|| self.admitted_fraction(route, rank.importance(), level))
     }
 
-    /// Fraction of the requests of `route` that is admitted. The levels and the breaker all admit
-    /// the requests with the highest tiebreaks, so together they admit the smallest of their
+    /// Fraction of the requests of `route` that is admitted. The level and the breaker both admit
+    /// the requests with the highest tiebreaks, so together they admit the smaller of their
     /// fractions.
-    fn admitted_fraction(
-        &self,
-        route: &RouteRule,
-        importance: Importance,
-        levels: [Level; 2],
-    ) -> f64 {
-        let [load, refusal] = levels.map(|level| level.pass_fraction(importance));
-        load.min(refusal).min(self.breaker.admitted_fraction(&route.name))
-    }
-
-    /// Highest refusal level among the services that a request of `route` reaches through calls. A
-    /// request whose first service refuses it costs no work and can be sent again, so the level of
-    /// that service does not apply to it.
-    fn refusal_level(&self, now: Moment, route: &RouteRule) -> PathLevel {
-        self.refusals.path_level(now, route, &self.reach)
-    }
-
-    /// Service whose shortage a refused request of `route` is counted for: the one that refuses
-    /// calls, if its level refuses the request, and the first service of the request otherwise.
-    fn short_service(&self, now: Moment, first: &Name, route: &RouteRule, rank: Rank) -> Name {
-        let refusal = self.refusal_level(now, route);
-        let refusing = refusal.service.filter(|_| !refusal.level.admits(rank));
-        refusing.unwrap_or_else(|| first.clone())
+    fn admitted_fraction(&self, route: &RouteRule, importance: Importance, level: Level) -> f64 {
+        level.pass_fraction(importance).min(self.breaker.admitted_fraction(&route.name))
     }
 
     fn path_level(&self, now: Moment, route: &RouteRule) -> PathLevel {
@@ -360,10 +292,6 @@
 
     fn dump(&self, now: Moment) -> Value {
         let state = self.lock();
-        json!({
-            "levels": state.levels.export(now),
-            "refusals": state.refusals.dump(now),
-            "reach": state.reach,
-        })
+        json!({ "levels": state.levels.export(now), "reach": state.reach })
     }
 }
--- a/node/src/proxy/state/mod.rs
+++ b/node/src/proxy/state/mod.rs
@@ -6,7 +6,6 @@
 pub(crate) mod crashes;
 pub(crate) mod graph;
 pub(crate) mod quotas;
-pub(crate) mod refusals;
 pub(crate) mod roster;
 pub(crate) mod rules;
 
--- a/node/src/proxy/state/roster.rs
+++ b/node/src/proxy/state/roster.rs
@@ -118,16 +118,6 @@
         self.choose_with(service, |balancer, now| balancer.choose_isolated(now, fingerprint, tried))
     }
 
-    /// Chooses a target among `instances`, each of which has refused the call without running it, and
-    /// counts the call as in flight there.
-    pub(crate) fn choose_again(
-        &self,
-        service: &Name,
-        instances: &[InstanceId],
-    ) -> Option<ChosenTarget> {
-        self.choose_with(service, |balancer, now| balancer.choose_again(now, instances))
-    }
-
     /// Current life of the chosen target; none if another instance has replaced it since.
     pub(crate) fn life(&self, chosen: &ChosenTarget) -> Option<TargetLifetime> {
         let state = self.lock();
--- a/node/src/proxy/target/run.rs
+++ b/node/src/proxy/target/run.rs
@@ -88,8 +88,7 @@
         let answer = self.admit_and_run(call, began).await;
         let (level, load) = self.admission.load_report();
         let told = self.graph.export_levels();
-        let refusals = self.graph.export_refusals(&call.instance);
-        let answer = CallAnswer { level, told, load: load as f32, refusals, ..answer };
+        let answer = CallAnswer { level, told, load: load as f32, ..answer };
         self.decisions.write(&answer.outcome, || Decision {
             request: call.request.clone(),
             route: call.route.clone(),
@@ -145,12 +144,7 @@
         let offered = !matches!(end, TargetResult::NotConnected);
         let outcome = end.outcome(SHED_RETRY);
         if offered {
-            let refused = matches!(outcome, Outcome::NotRun { .. });
             self.admission.record_result(call_result(&outcome));
-            self.graph.record_result(call, refused);
-            if refused {
-                self.admission.record_refusal(&call.route, &call.mix);
-            }
         }
         if matches!(outcome, Outcome::Done(_)) {
             permit.finish();
