Start the bucket of a new owner with a few tokens

Cause: seen in the logs of platform/tests/workspace_limits.rs: after the start of a fleet the first request of a workspace was refused with 429, since a new owner starts empty. The same holds after each change of the owner.

Change: such a bucket starts with 2 + rate / 100 tokens, so that five changes in one window stay within the tolerance. The new test kills and restarts the owner eight times in 8 s; nothing of 5 requests a second is refused. Also the field 'public' in core/tests/rules.rs, which did not compile.

--- a/core/src/quota/bucket.rs
+++ b/core/src/quota/bucket.rs
@@ -11,6 +11,11 @@
 const JITTER_TIME: f64 = 0.05;
 /// Tokens kept in addition to the burst and those of [`JITTER_TIME`].
 const JITTER_TOKENS: f64 = 8.0;
+/// Tokens of a bucket that starts without burst, so that the first requests after a change of the
+/// owner are not refused. Five changes in one window stay within the tolerance of the limit.
+const START_TOKENS: f64 = 2.0;
+/// Time whose tokens such a bucket has in addition.
+const START_TIME: f64 = 0.01;
 /// Longest time in which promised returns are counted. Callers wait only a few seconds.
 const PROMISE_TIME: f64 = 5.0;
 
@@ -29,14 +34,15 @@
 impl Bucket {
     /// Full bucket of an owner.
     pub(crate) fn full(now: Moment, limit: WorkspaceRate) -> Self {
-        let mut bucket = Self::empty(now, limit, true);
+        let mut bucket = Self::fresh(now, limit, true);
         bucket.tokens = bucket.capacity();
         bucket
     }
 
-    /// Empty bucket; `with_burst` determines whether it fills up to the burst.
-    pub(crate) fn empty(now: Moment, limit: WorkspaceRate, with_burst: bool) -> Self {
-        Self { limit, with_burst, tokens: 0.0, promised: 0.0, at: now }
+    /// Nearly empty bucket of a new owner; `with_burst` determines whether it fills up to the burst.
+    pub(crate) fn fresh(now: Moment, limit: WorkspaceRate, with_burst: bool) -> Self {
+        let tokens = START_TOKENS + START_TIME * limit.per_second;
+        Self { limit, with_burst, tokens, promised: 0.0, at: now }
     }
 
     /// Grants up to `wanted` tokens.
--- a/core/src/quota/owner.rs
+++ b/core/src/quota/owner.rs
@@ -110,7 +110,7 @@
         owned.relaying_since = None;
         let bucket = owned.bucket.get_or_insert_with(|| match settled {
             true => Bucket::full(now, limit),
-            false => Bucket::empty(now, limit, is_owner),
+            false => Bucket::fresh(now, limit, is_owner),
         });
         bucket.set_limit(now, limit);
         bucket.grant(now, request.wanted, request.refused)
--- a/core/tests/quota.rs
+++ b/core/tests/quota.rs
@@ -517,6 +517,27 @@
     }
 }
 
+/// Guards against the refusal of the first requests at an owner that may not start full, and against
+/// tokens for each of many restarts.
+#[test]
+fn first_requests_at_a_new_owner_are_served() {
+    for load in [5.0, 1_600.0] {
+        let mut simulation = Simulation::new(LIMIT);
+        let (owner, _) = simulation.ranked();
+        simulation.set_load(load, (0..NODES).filter(|node| *node != owner));
+        for _ in 0..8 {
+            simulation.kill(owner);
+            simulation.run(500);
+            simulation.start(owner);
+            simulation.run(500);
+        }
+        simulation.check_bound(LIMIT);
+        if load < LIMIT.per_second {
+            assert_eq!(simulation.refused.len(), 0);
+        }
+    }
+}
+
 /// Guards against a restarted owner that grants the burst once more.
 #[test]
 fn restart_of_the_owner_keeps_to_the_bound() {
--- a/core/tests/rules.rs
+++ b/core/tests/rules.rs
@@ -21,6 +21,7 @@
         objective: Duration::from_secs(1),
         importance: Importance(1),
         attempts: 2,
+        public: false,
     }
 }
 
