--- a/core/tests/memory_budget.rs
+++ b/core/tests/memory_budget.rs
@@ -162,7 +162,9 @@
 #[test]
 fn burst_of_connections_is_refused_while_others_are_being_closed() {
     let mut budget = MemoryBudget::new(LIMITS);
-    (0..50).for_each(|ms| drop(open(&mut budget, at(ms))));
+    for ms in 0..50 {
+        open(&mut budget, at(ms));
+    }
     let mut replaced = Vec::new();
     while let Accepted::Replaces(_, id) = budget.open(at(100), 50) {
         replaced.push(id);
--- a/node/src/proxy/links/large_frame.rs
+++ b/node/src/proxy/links/large_frame.rs
@@ -15,7 +15,7 @@
 use crate::proxy::memory::AnswerShare;
 
 /// Size from which on a frame is read into a buffer of its own.
-const LARGE_FRAME_BYTES: usize = 24 << 10;
+const LARGE_FRAME_BYTES: usize = 16 << 10;
 /// Bytes at the beginning of a frame that tell which call it answers.
 const PRELUDE_BYTES: usize = 16;
 /// Beginning of the encoding of an answer, up to the number of its call.
--- a/node/src/proxy/memory.rs
+++ b/node/src/proxy/memory.rs
@@ -238,7 +238,7 @@
     }
 
     /// Closes the connections that have taken no byte for too long, and logs what the limits have
-    /// closed or refused since the last check. The descriptors leave room for links to `nodes` nodes
+    /// closed or refused since the last check; updates the gauges. The descriptors leave room for links to `nodes` nodes
     /// and for `target_connections`.
     pub(crate) fn check(&self, nodes: usize, target_connections: usize) {
         let before = self.target_connections.fetch_max(target_connections, Ordering::Relaxed);
@@ -253,13 +253,17 @@
         let trimmed = state.budget.trim(self.connections_max());
         self.counts.replaced.inc_by(trimmed.len() as u64);
         state.close(&trimmed);
+        let usage = state.budget.usage();
         let values = self.counts.values();
         let before = std::mem::replace(&mut state.logged, values);
+        drop(state);
+        self.held.set(usage.held as i64);
+        self.expected.set(usage.expected as i64);
+        self.connections.set(usage.connections as i64);
+        self.stalled.set(usage.stalled as i64);
         if before == values {
             return;
         }
-        let usage = state.budget.usage();
-        drop(state);
         let differences = values.iter().zip(before).filter(|(now, before)| now.1 > before.1);
         let text: Vec<String> = differences
             .map(|((limit, count), (_, before))| format!("{limit}={}", count - before))
@@ -284,15 +288,6 @@
         registry.register("caller_connections_stalled", help, self.stalled.clone());
     }
 
-    /// Updates the gauges.
-    pub(crate) fn update_gauges(&self) {
-        let usage = self.lock().budget.usage();
-        self.held.set(usage.held as i64);
-        self.expected.set(usage.expected as i64);
-        self.connections.set(usage.connections as i64);
-        self.stalled.set(usage.stalled as i64);
-    }
-
     /// Closes the connections that give way; returns whether there is room.
     fn apply(&self, state: &mut State, room: &Room) -> bool {
         match room {
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -18,7 +18,6 @@
 use crate::admission::AdmissionController;
 use crate::proxy::callers::entry_stats::EntryStats;
 use crate::proxy::links::traffic::Traffic;
-use crate::proxy::memory::CallerMemory;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
 use crate::proxy::sync::store_sync::StoreHealth;
@@ -51,7 +50,6 @@
     admission: Arc<AdmissionController>,
     roster: Arc<Roster>,
     rules: Arc<Rules>,
-    memory: Arc<CallerMemory>,
 }
 
 /// Gauges that are updated when the metrics are scraped.
@@ -74,7 +72,6 @@
         stats: &EntryStats,
         traffic: &Traffic,
         health: &StoreHealth,
-        memory: Arc<CallerMemory>,
     ) -> Self {
         let mut registry = Registry::with_prefix("poplar");
         let requests = Family::<AnswerLabels, Counter>::default();
@@ -97,11 +94,17 @@
             Unit::Bytes,
             traffic.unwritten_gauge(),
         );
-        memory.register(&mut registry);
+        let help = "Answers that their link to another node had no room for";
+        registry.register("links_answers_not_sent", help, traffic.not_sent());
         registry.register("store_calls", "Calls to the store", health.calls());
         gauges.register(&mut registry);
         let registry = Mutex::new(registry);
-        Self { registry, requests, latency, gauges, admission, roster, rules, memory }
+        Self { registry, requests, latency, gauges, admission, roster, rules }
+    }
+
+    /// Adds the metrics of another part.
+    pub(crate) fn extend(&self, register: impl FnOnce(&mut Registry)) {
+        register(&mut self.registry.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
     /// Records the final outcome of a request and its latency.
@@ -122,7 +125,6 @@
         self.gauges.level.set(u32::from(load.level.rank()).into());
         self.gauges.targets.set(self.roster.len() as i64);
         self.gauges.revision.set(self.rules.revision().0 as i64);
-        self.memory.update_gauges();
         let mut text = String::new();
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         // Writing to a string cannot fail.
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -178,8 +178,8 @@
             &entry_stats,
             &traffic,
             &health,
-            memory.clone(),
         );
+        metrics.extend(|registry| memory.register(registry));
         let metrics = Arc::new(metrics);
         let dispatcher = Dispatcher {
             clock,
