--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -19,7 +19,6 @@
 use crate::proxy::callers::entry_stats::EntryStats;
 use crate::proxy::callers::read_ahead::ReadAheadTotals;
 use crate::proxy::links::traffic::Traffic;
-use crate::proxy::memory::CallerMemory;
 use crate::proxy::state::quotas::Quotas;
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
@@ -59,7 +58,6 @@
     admission: Arc<AdmissionController>,
     roster: Arc<Roster>,
     rules: Arc<Rules>,
-    memory: Arc<CallerMemory>,
 }
 
 /// Gauges that are updated when the metrics are scraped.
@@ -84,7 +82,6 @@
         stats: &EntryStats,
         traffic: &Traffic,
         health: &StoreHealth,
-        memory: Arc<CallerMemory>,
     ) -> Self {
         let mut registry = Registry::with_prefix("poplar");
         let requests = Family::<AnswerLabels, Counter>::default();
@@ -107,11 +104,17 @@
             Unit::Bytes,
             traffic.unwritten_gauge(),
         );
-        memory.register(&mut registry);
+        let help = "Answers that their link to another node had no room for";
+        registry.register("links_answers_not_sent", help, traffic.not_sent());
         registry.register("store_calls", "Calls to the store", health.calls());
         gauges.register(&mut registry);
         let registry = Mutex::new(registry);
-        Self { registry, requests, latency, gauges, admission, roster, rules, memory }
+        Self { registry, requests, latency, gauges, admission, roster, rules }
+    }
+
+    /// Adds the metrics of another part.
+    pub(crate) fn extend(&self, register: impl FnOnce(&mut Registry)) {
+        register(&mut self.registry.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
     /// Adds the counters of requests that are read ahead.
@@ -159,7 +162,6 @@
             self.gauges.report_age.get_or_create(&labels).set(view.age.as_secs_f64());
             self.gauges.load_peak.get_or_create(&labels).set(view.peak);
         }
-        self.memory.update_gauges();
         let mut text = String::new();
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         // Writing to a string cannot fail.
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -188,9 +188,9 @@
             &entry_stats,
             &traffic,
             &health,
-            memory.clone(),
         );
         metrics.register_quotas(&quotas);
+        metrics.extend(|registry| memory.register(registry));
         let metrics = Arc::new(metrics);
         let read_ahead =
             ReadAheadTotals::new(config.memory_bytes, component_logger(root, "listen"));
