--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -155,7 +155,9 @@
         reached: Reached,
         connection: &Connection,
     ) -> Reply {
-        let _in_flight = InFlightGuard::begin(&self.in_flight);
+        // A request that was started ahead counts itself.
+        let in_flight = reached.answer.is_none();
+        let _in_flight = in_flight.then(|| InFlightGuard::begin(&self.in_flight));
         let mut reply = match reached.answer {
             // An error means that the request panicked; a target may have run it.
             Some(answer) => answer
