--- a/node/src/proxy/callers/dispatch.rs
+++ b/node/src/proxy/callers/dispatch.rs
@@ -103,8 +103,7 @@
         loop {
             let chosen = match self.crashes.restriction(|| self.fingerprint(route, request)) {
                 CrashAdmission::Unrestricted => {
-                    let bytes = request.body.len();
-                    self.roster.choose(service, context.rank, bytes, &history.tried)
+                    self.roster.choose(service, context.rank, &history.tried)
                 }
                 CrashAdmission::Isolated => self.roster.choose_isolated(
                     service,
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -43,12 +43,6 @@
     route: String,
 }
 
-/// Label of the gauges of what is known of a service's targets.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ServiceLabels {
-    service: String,
-}
-
 /// Kernel service that holds the metrics registry.
 pub(crate) struct Metrics {
     registry: Mutex<Registry>,
@@ -69,8 +63,6 @@
     level: Gauge,
     targets: Gauge,
     revision: Gauge,
-    report_age: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
-    load_peak: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
 }
 
 impl Metrics {
@@ -155,13 +147,6 @@
         self.gauges.level.set(u32::from(load.level.rank()).into());
         self.gauges.targets.set(self.roster.len() as i64);
         self.gauges.revision.set(self.rules.revision().0 as i64);
-        self.gauges.report_age.clear();
-        self.gauges.load_peak.clear();
-        for (service, view) in self.roster.load_views() {
-            let labels = ServiceLabels { service: service.to_string() };
-            self.gauges.report_age.get_or_create(&labels).set(view.age.as_secs_f64());
-            self.gauges.load_peak.get_or_create(&labels).set(view.peak);
-        }
         let mut text = String::new();
         let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         // Writing to a string cannot fail.
@@ -179,10 +164,6 @@
         registry.register("level", "Rank below which calls are refused", self.level.clone());
         registry.register("targets", "Targets known", self.targets.clone());
         registry.register("revision", "Revision of the rules in force", self.revision.clone());
-        let help = "Mean age of the reports by which this node chooses targets";
-        registry.register_with_unit("report_age", help, Unit::Seconds, self.report_age.clone());
-        let help = "Highest load that targets reported to this node over the mean";
-        registry.register("load_peak", help, self.load_peak.clone());
     }
 }
 
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -259,7 +259,7 @@
             platform: Arc::new(platform),
             node_config: config.clone(),
             rules: rules.clone(),
-            roster: roster.clone(),
+            roster,
             local_target: own.clone(),
             crashes,
             logger: component_logger(root, "store"),
@@ -276,7 +276,6 @@
             entry_stats.clone(),
             traffic.clone(),
             health,
-            roster,
             component_logger(root, "load"),
         ));
         let listen_logger = component_logger(root, "listen");
--- a/node/src/proxy/report.rs
+++ b/node/src/proxy/report.rs
@@ -12,7 +12,6 @@
 use crate::proxy::frame::MessageKind;
 use crate::proxy::links::traffic::Traffic;
 use crate::proxy::state::graph::CallGraph;
-use crate::proxy::state::roster::Roster;
 use crate::proxy::sync::store_sync::StoreHealth;
 
 /// Interval between two reports; short compared to the length of a surge.
@@ -28,7 +27,6 @@
     entry_stats: Arc<EntryStats>,
     traffic: Arc<Traffic>,
     health: Arc<StoreHealth>,
-    roster: Arc<Roster>,
     logger: Logger,
 ) {
     let mut round: u32 = 0;
@@ -39,7 +37,6 @@
         log_throttled(&graph, &logger);
         if round.is_multiple_of(LINK_REPORT_ROUNDS) {
             log_links(&traffic, &health, &logger);
-            log_choice(&roster, &logger);
         }
         round = round.wrapping_add(1);
     }
@@ -59,15 +56,6 @@
         "store" => health.call_counts());
 }
 
-/// Logs for each service how old the reports are by which its targets are chosen, and the highest
-/// reported load over the mean.
-fn log_choice(roster: &Roster, logger: &Logger) {
-    for (service, view) in roster.load_views() {
-        info!(logger, "load: choice"; "service" => %service,
-            "age_ms" => view.age.as_millis() as u64, "peak" => view.peak);
-    }
-}
-
 /// Logs the current load of the target and what it did since the last report; nothing if it was
 /// idle.
 fn log_target(admission: &AdmissionController, logger: &Logger) {
--- a/node/src/proxy/state/roster.rs
+++ b/node/src/proxy/state/roster.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Balancer, Choice, Digest, Fingerprint, InstanceId, LoadView, Moment, Name, Observation, Ranges,
-    Rank, Rate, Roster as Records, Stage, StatedLimit, TargetInfo, TargetLifetime, TargetRecord,
+    Balancer, Choice, Digest, Fingerprint, InstanceId, Moment, Name, Observation, Ranges, Rank,
+    Rate, Roster as Records, Stage, StatedLimit, TargetInfo, TargetLifetime, TargetRecord,
 };
 use poplar_kernel::{Clock, Service};
 use serde_json::{Value, json};
@@ -92,17 +92,15 @@
         state.records.remove(peer)
     }
 
-    /// Chooses a target of `service` for a call with a body of `bytes` bytes, and counts the call as
-    /// in flight there.
+    /// Chooses a target of `service` and counts the call as in flight there.
     pub(crate) fn choose(
         &self,
         service: &Name,
         rank: Rank,
-        bytes: usize,
         tried: &[InstanceId],
     ) -> Option<ChosenTarget> {
         self.choose_with(service, |balancer, now| {
-            balancer.choose_for_body(now, rank, bytes, fastrand::u64(..), tried)
+            balancer.choose(now, rank, fastrand::u64(..), tried)
         })
     }
 
@@ -211,16 +209,6 @@
         self.lock().records.get(peer).map(|record| record.zone.clone())
     }
 
-    /// What this node knows of the loads of each service that it calls.
-    pub(crate) fn load_views(&self) -> Vec<(Name, LoadView)> {
-        let now = self.clock.now();
-        let state = self.lock();
-        let views = state.balancers.iter();
-        views
-            .filter_map(|(service, known)| Some((service.clone(), known.load_view(now)?)))
-            .collect()
-    }
-
     /// Number of known target records, one for each node.
     pub(crate) fn len(&self) -> usize {
         self.lock().records.iter().count()
@@ -287,7 +275,7 @@
         let balancer = self
             .balancers
             .entry(record.service.clone())
-            .or_insert_with(|| Balancer::with_seed(zone.clone(), fastrand::u64(..)));
+            .or_insert_with(|| Balancer::new(zone.clone()));
         self.peers.insert(record.instance.clone(), record.peer);
         balancer.add_target(TargetInfo {
             instance: record.instance,
@@ -334,9 +322,6 @@
     }
 
     fn dump(&self, _now: Moment) -> Value {
-        let views = self.load_views().into_iter().map(|(service, view)| {
-            json!({ "service": service, "age_ms": view.age.as_millis() as u64, "peak": view.peak })
-        });
-        json!({ "targets": self.records(), "loads": views.collect::<Vec<_>>() })
+        json!({ "targets": self.records() })
     }
 }
