--- a/core/src/balancer.rs
+++ b/core/src/balancer.rs
@@ -6,12 +6,11 @@
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admission::{Level, Rank};
 use crate::ids::{InstanceId, Name};
 use crate::limit::smoothed;
-use crate::load_estimate::{CallRate, LoadEstimate};
 use crate::suspects::Fingerprint;
 use crate::time::Moment;
 
@@ -43,18 +42,6 @@
 const EXTRA_DRAWS: u32 = 3;
 /// Load that is added to a target in another availability zone in a comparison.
 const REMOTE_LOAD: f64 = 0.2;
-/// Most of the capacity that a service has to spare, as a fraction, that [`REMOTE_LOAD`] may be: if
-/// its targets are nearly full, they are compared almost without regard to their zones.
-const SPARE_SHARE: f64 = 0.8;
-/// Size of a body, in bytes, from which a call avoids other availability zones most.
-const LARGE_BODY: usize = 100_000;
-/// Load added to [`REMOTE_LOAD`] and to [`LOCAL_LOAD_MAX`] for the largest bodies.
-const LARGE_BODY_LOAD: f64 = 0.2;
-/// Number of targets of the own availability zone that are drawn and compared.
-const LOCAL_DRAWS: u32 = 3;
-/// Number of targets of other availability zones that are drawn and compared if the own zone has
-/// none.
-const REMOTE_DRAWS: u32 = 2;
 /// Number of calls assumed to run in parallel at a target that has not answered since it was added
 /// or since its last failure.
 const COLD_CALLS: u32 = 1;
@@ -111,12 +98,8 @@
 #[derive(Debug)]
 pub struct Balancer {
     zone: Name,
-    /// Determines the order of the targets, which differs between nodes.
-    seed: u64,
-    /// Targets of the own availability zone first, in an order by hash. A node that makes few calls
-    /// chooses among the first ones of each part, so that their reports are recent.
+    /// Targets of the own availability zone first.
     targets: Vec<Target>,
-    call_rate: CallRate,
     /// Smoothed over all targets: the number of calls in flight reveals a slow target sooner than
     /// its latency does.
     latency: Duration,
@@ -140,31 +123,23 @@
     level_at: Moment,
     backoff: Duration,
     backoff_until: Moment,
-    load: LoadEstimate,
-    /// Position among the targets of the same part.
-    order: u64,
+    report: Option<LoadReport>,
 }
 
-/// What a node knows of the loads of a service.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LoadView {
-    /// Mean age of the last reports of the targets.
-    pub age: Duration,
-    /// Highest reported load over the mean.
-    pub peak: f64,
+/// Load of a target as reported by the node beside it.
+#[derive(Debug, Clone, Copy)]
+struct LoadReport {
+    /// Running and waiting calls of all nodes, as a fraction of the target's limit.
+    load: f64,
+    at: Moment,
+    /// Own calls in flight at the time; later calls are not included in the load.
+    in_flight: u32,
 }
 
 impl Balancer {
     /// Load balancer without targets, for a node in `zone`.
     pub fn new(zone: Name) -> Self {
-        Self::with_seed(zone, 0)
-    }
-
-    /// The same for a node that draws `seed` at random, so that nodes with few calls choose among
-    /// different targets.
-    pub fn with_seed(zone: Name, seed: u64) -> Self {
-        let (targets, call_rate) = (Vec::new(), CallRate::default());
-        Self { zone, seed, targets, call_rate, latency: COLD_LATENCY }
+        Self { zone, targets: Vec::new(), latency: COLD_LATENCY }
     }
 
     /// Adds a target that announced itself. A known target is replaced and loses its history.
@@ -178,12 +153,8 @@
                 None => return,
             }
         }
-        let name = info.instance.0.as_str().as_bytes();
-        let target =
-            Target { order: xxh3_64_with_seed(name, self.seed), ..Target::new(info, local) };
-        let key = |target: &Target| (!target.local, target.order);
-        let position = self.targets.partition_point(|other| key(other) < key(&target));
-        self.targets.insert(position, target);
+        let position = if local { self.local_count() } else { self.targets.len() };
+        self.targets.insert(position, Target::new(info, local));
     }
 
     /// Marks a target as leaving; it gets no further calls.
@@ -211,27 +182,13 @@
     /// The node's own calls in flight say little about a target that many nodes share; see
     /// [choice](../../docs/design/choice.md).
     pub fn record_load(&mut self, now: Moment, instance: &InstanceId, load: f64) {
-        let Some(target) = self.find(instance) else { return };
-        let gap = target.load.record(now, load, target.in_flight.saturating_sub(1));
-        let local = target.local;
-        let others = self.mean_load(now, |other| other.local == local);
-        if let (Some(target), Some(others)) = (self.find(instance), others) {
-            target.load.learn(gap, others);
+        if let Some(target) = self.find(instance) {
+            let in_flight = target.in_flight.saturating_sub(1);
+            target.report = Some(LoadReport { load, at: now, in_flight });
         }
     }
 
-    /// What the node knows of the loads of the service; `None` without recent reports.
-    pub fn load_view(&self, now: Moment) -> Option<LoadView> {
-        let mean = self.mean_load(now, |_| true)?;
-        let recent = |target: &Target| target.load.mean(now);
-        let reports = self.targets.iter().filter(|target| recent(target).is_some());
-        let ages: Vec<Duration> = reports.filter_map(|target| target.load.age(now)).collect();
-        let peak = self.targets.iter().filter_map(recent).fold(0.0, f64::max);
-        let age = ages.iter().sum::<Duration>() / u32::try_from(ages.len().max(1)).unwrap_or(1);
-        Some(LoadView { age, peak: if mean > 0.0 { peak / mean } else { 1.0 } })
-    }
-
-    /// Chooses a target for a call without a large body and counts the call as in flight.
+    /// Chooses a target for a call and counts the call as in flight.
     ///
     /// `random` is a uniformly distributed random number. Targets in `tried` are excluded. Returns
     /// `None` if no target is eligible for a call now.
@@ -242,27 +199,20 @@
         random: u64,
         tried: &[InstanceId],
     ) -> Option<Choice> {
-        self.choose_for_body(now, rank, 0, random, tried)
-    }
-
-    /// Like [`Self::choose`] for a call with a body of `bytes` bytes. The larger the body, the more
-    /// the own availability zone is preferred.
-    pub fn choose_for_body(
-        &mut self,
-        now: Moment,
-        rank: Rank,
-        bytes: usize,
-        random: u64,
-        tried: &[InstanceId],
-    ) -> Option<Choice> {
-        self.call_rate.record(now);
-        let mut best = match self.mean_load(now, |_| true) {
-            Some(mean) => {
-                let locality = Locality::new(mean, bytes);
-                self.choose_by_load(now, rank, locality, random, tried)?
-            }
-            None => self.choose_by_cost(now, rank, random, tried)?,
-        };
+        let (all, roll) = (0..self.targets.len(), random as u32);
+        let local = self.draw(now, 0..self.local_count(), roll, tried, None);
+        let local = local.filter(|idx| self.targets[*idx].level(now) == Level::OPEN);
+        if let Some(idx) = local.filter(|idx| self.targets[*idx].has_capacity(now)) {
+            return Some(self.assign(idx));
+        }
+        let first = local.or_else(|| self.draw(now, all.clone(), roll, tried, None))?;
+        let roll = (random >> 32) as u32;
+        let exclude = self.targets[first].weighted_load(now).map(|_| first);
+        let second = self.draw(now, all, roll, tried, exclude);
+        let mut best = second.map_or(first, |second| self.pick_better(now, rank, first, second));
+        if self.targets[best].is_full(now) {
+            best = self.find_with_capacity(now, roll, tried).unwrap_or(best);
+        }
         if !self.targets[best].level(now).admits(rank) {
             best = self.best_of_all(now, rank, tried)?;
         }
@@ -352,128 +302,34 @@
         self.targets.partition_point(|target| target.local)
     }
 
-    /// Chooses by own observations, if nothing has been reported.
-    fn choose_by_cost(
-        &self,
-        now: Moment,
-        rank: Rank,
-        random: u64,
-        tried: &[InstanceId],
-    ) -> Option<usize> {
-        let (all, roll) = (0..self.targets.len(), random as u32);
-        let local = self.draw(now, 0..self.local_count(), roll, tried);
-        let local = local.filter(|idx| self.targets[*idx].level(now) == Level::OPEN);
-        let first = local.or_else(|| self.draw(now, all.clone(), roll, tried))?;
-        let second = self.draw(now, all, (random >> 32) as u32, tried);
-        Some(second.map_or(first, |second| self.pick_better(now, rank, first, second)))
-    }
-
-    /// Chooses by estimated loads: among a few targets of the own availability zone, and if the best
-    /// of them is loaded, one of the other zones as well.
-    fn choose_by_load(
-        &self,
-        now: Moment,
-        rank: Rank,
-        locality: Locality,
-        random: u64,
-        tried: &[InstanceId],
-    ) -> Option<usize> {
-        let (local, len) = (self.local_count(), self.targets.len());
-        let mut draws = 0;
-        let mut roll = || {
-            draws += 1;
-            rehash(random, draws)
-        };
-        let mut draw_best = |range: std::ops::Range<usize>, count: u32| {
-            let drawn =
-                (0..count).filter_map(|_| self.draw_weighted(now, range.clone(), roll(), tried));
-            drawn.reduce(|one, two| self.pick_less_loaded(now, rank, locality, one, two))
-        };
-        let near = draw_best(0..local, LOCAL_DRAWS);
-        let near = near.filter(|idx| self.targets[*idx].level(now) == Level::OPEN);
-        if let Some(idx) = near.filter(|idx| self.targets[*idx].backoff == Duration::ZERO)
-            && self.targets[idx].estimated_load(now, locality) < locality.local_max
-        {
-            return Some(idx);
-        }
-        let far = draw_best(local..len, if near.is_some() { 1 } else { REMOTE_DRAWS });
-        let best = match (near, far) {
-            (Some(near), Some(far)) => self.pick_less_loaded(now, rank, locality, near, far),
-            (near, far) => near.or(far).or_else(|| self.draw(now, 0..len, random as u32, tried))?,
-        };
-        if !self.targets[best].is_full(now) {
-            return Some(best);
-        }
-        Some(self.find_with_capacity(now, random, tried).unwrap_or(best))
-    }
-
-    /// Mean of the smoothed loads of the targets with recent reports; `None` if there are none.
-    fn mean_load(&self, now: Moment, included: impl Fn(&Target) -> bool) -> Option<f64> {
-        let included = self.targets.iter().filter(|target| included(target));
-        let (sum, count) = included
-            .filter_map(|target| target.load.mean(now))
-            .fold((0.0, 0_u32), |(sum, count), load| (sum + load, count + 1));
-        (count > 0).then(|| sum / f64::from(count))
-    }
-
-    /// Eligible target of the range, drawn by weight among the first ones, or any if none of those
-    /// is eligible.
-    fn draw_weighted(
-        &self,
-        now: Moment,
-        range: std::ops::Range<usize>,
-        random: u32,
-        tried: &[InstanceId],
-    ) -> Option<usize> {
-        let group = range.start..range.end.min(range.start + self.call_rate.group_size());
-        let eligible = |idx: &usize| self.targets[*idx].is_eligible(now, tried);
-        let weight = |idx: usize| self.targets[idx].load.weight();
-        let total: f64 = group.clone().filter(eligible).map(weight).sum();
-        let mut left = total * f64::from(random) / f64::from(u32::MAX);
-        let drawn = group.filter(eligible).find(|idx| {
-            left -= weight(*idx);
-            left <= 0.0
-        });
-        drawn.or_else(|| self.draw(now, range, random, tried))
-    }
-
-    fn pick_less_loaded(
-        &self,
-        now: Moment,
-        rank: Rank,
-        locality: Locality,
-        one: usize,
-        two: usize,
-    ) -> usize {
-        let (a, b) = (&self.targets[one], &self.targets[two]);
-        let (low, high) = (a.level(now), b.level(now));
-        if low != high && !(low.admits(rank) && high.admits(rank)) {
-            return if low < high { one } else { two };
-        }
-        let load = |target: &Target| target.estimated_load(now, locality);
-        if load(b) < load(a) { two } else { one }
-    }
-
     /// First eligible target of the range, starting at a random position.
+    ///
+    /// The target `exclude` is left out: among few targets, a second draw would often return the
+    /// same one, and the call would go there whatever its reported load.
     fn draw(
         &self,
         now: Moment,
         range: std::ops::Range<usize>,
         random: u32,
         tried: &[InstanceId],
+        exclude: Option<usize>,
     ) -> Option<usize> {
-        let len = range.len();
+        let exclude = exclude.filter(|idx| range.contains(idx));
+        let len = range.len() - usize::from(exclude.is_some());
         let start = ((u64::from(random) * len as u64) >> 32) as usize;
-        let indexes = (0..len).map(|step| range.start + (start + step) % len);
+        let indexes = (0..len).map(|step| {
+            let idx = range.start + (start + step) % len;
+            idx + usize::from(exclude.is_some_and(|excluded| idx >= excluded))
+        });
         indexes.into_iter().find(|idx| self.targets[*idx].is_eligible(now, tried))
     }
 
     /// First of [`EXTRA_DRAWS`] further randomly drawn targets that is known not to be full.
-    fn find_with_capacity(&self, now: Moment, random: u64, tried: &[InstanceId]) -> Option<usize> {
+    fn find_with_capacity(&self, now: Moment, roll: u32, tried: &[InstanceId]) -> Option<usize> {
         let all = 0..self.targets.len();
-        let mut rolls = (1..=EXTRA_DRAWS).map(|draw| rehash(!random, draw));
+        let mut rolls = (1..=EXTRA_DRAWS).map(|draw| rehash(roll, draw));
         rolls.find_map(|roll| {
-            let drawn = self.draw(now, all.clone(), roll, tried)?;
+            let drawn = self.draw(now, all.clone(), roll, tried, None)?;
             self.targets[drawn]
                 .load_with_call(now)
                 .is_some_and(|load| load < FULL_LOAD)
@@ -497,6 +353,9 @@
         if !comparable && low != high {
             return if low < high { one } else { two };
         }
+        if let (Some(low), Some(high)) = (a.weighted_load(now), b.weighted_load(now)) {
+            return if high < low { two } else { one };
+        }
         if b.cost(self.latency) < a.cost(self.latency) { two } else { one }
     }
 }
@@ -516,8 +375,7 @@
             level_at: Moment::default(),
             backoff: Duration::ZERO,
             backoff_until: Moment::default(),
-            load: LoadEstimate::default(),
-            order: 0,
+            report: None,
         }
     }
 
@@ -535,30 +393,17 @@
         if now.since(self.level_at) < LEVEL_LIFETIME { self.level } else { Level::OPEN }
     }
 
-    /// Reported load with one more call, as a fraction of the limit; `None` without a valid report.
+    /// Load with one more call, as a fraction of the limit; `None` without a valid report.
     fn load_with_call(&self, now: Moment) -> Option<f64> {
-        let report = self.load.report(now, LOAD_LIFETIME)?;
-        Some(report.load + self.unreported_load(report.in_flight))
-    }
-
-    /// Load of the calls that were sent since a report with `reported` calls in flight, and of one
-    /// more.
-    fn unreported_load(&self, reported: u32) -> f64 {
-        let unreported = self.in_flight.saturating_sub(reported) + 1;
-        f64::from(unreported) / f64::from(self.info.slots.max(1))
+        let report = self.report.filter(|report| now.since(report.at) < LOAD_LIFETIME)?;
+        let unreported = self.in_flight.saturating_sub(report.in_flight) + 1;
+        Some(report.load + f64::from(unreported) / f64::from(self.info.slots.max(1)))
     }
 
-    /// Estimated load with one more call, plus an amount for a target in another availability zone.
-    fn estimated_load(&self, now: Moment, locality: Locality) -> f64 {
-        let remote = if self.local { 0.0 } else { locality.remote_load };
-        let Some(load) = self.load.expected(now, locality.service_load) else {
-            // Nothing is known of a target that has just started, so it gets few calls at first.
-            return locality.service_load
-                + remote
-                + f64::from(self.in_flight) / f64::from(self.call_limit)
-                + self.unreported_load(self.in_flight);
-        };
-        load + remote + self.unreported_load(self.load.reported_in_flight())
+    /// Load with one more call, plus [`REMOTE_LOAD`] if the target is in another availability zone.
+    fn weighted_load(&self, now: Moment) -> Option<f64> {
+        let remote = if self.local { 0.0 } else { REMOTE_LOAD };
+        self.load_with_call(now).map(|load| load + remote)
     }
 
     /// Whether the target reports that it is full or fails its calls.
@@ -566,6 +411,12 @@
         self.load_with_call(now).is_some_and(|load| load >= FULL_LOAD)
     }
 
+    /// Whether the target is known to have free capacity for one more call.
+    fn has_capacity(&self, now: Moment) -> bool {
+        self.backoff == Duration::ZERO
+            && self.weighted_load(now).is_some_and(|load| load < LOCAL_LOAD_MAX)
+    }
+
     /// Expected duration of one more call, including the round trip to another zone, a new
     /// connection and a probe.
     fn cost(&self, latency: Duration) -> Duration {
@@ -601,28 +452,8 @@
     }
 }
 
-/// How much a call prefers the own availability zone.
-#[derive(Debug, Clone, Copy)]
-struct Locality {
-    /// Mean load of the service.
-    service_load: f64,
-    /// Load below which a target of the own zone is chosen without a comparison with other zones.
-    local_max: f64,
-    /// Load that is added to a target of another zone in a comparison.
-    remote_load: f64,
-}
-
-impl Locality {
-    fn new(service_load: f64, bytes: usize) -> Self {
-        let large = LARGE_BODY_LOAD * (bytes.min(LARGE_BODY) as f64 / LARGE_BODY as f64);
-        let spare = (1.0 - service_load).max(0.0);
-        let local_max = LOCAL_LOAD_MAX + large;
-        let remote_load = REMOTE_LOAD.min(SPARE_SHARE * spare) + large;
-        Self { service_load, local_max, remote_load }
-    }
-}
-
-/// Random number derived from `random` and `draw`.
-fn rehash(random: u64, draw: u32) -> u32 {
-    (xxh3_64_with_seed(&draw.to_le_bytes(), random) >> 32) as u32
+/// Random number derived from `roll` and `draw`.
+fn rehash(roll: u32, draw: u32) -> u32 {
+    let seed = u64::from(roll) << 32 | u64::from(draw);
+    (xxh3_64(&seed.to_le_bytes()) >> 32) as u32
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -22,7 +22,6 @@
 mod introductions;
 mod limit;
 mod load_controller;
-mod load_estimate;
 mod log_reader;
 mod membership;
 mod memory_budget;
@@ -50,7 +49,7 @@
     Shedding, Ticket, Verdict as AdmissionVerdict,
 };
 pub use answer::{AnswerError, AnswerHead, Exchange, Expected, Idle, VerifiedAnswer, Waiting};
-pub use balancer::{Balancer, Choice, LoadView, Observation, TargetInfo};
+pub use balancer::{Balancer, Choice, Observation, TargetInfo};
 pub use binding::{
     AttemptLimits, AttemptLog, Binder, BinderAnswer, BinderLimits, Binding, BindingError,
     BindingMode, BoundCall, Handover, HandoverEntry, HandoverError, NotRunProof, Repeatability,
