Issue no more tokens than the limit of a workspace, and corrections of a read-through

A factor of 1.04 on the issued tokens broke the bound that docs/design/workspace-limits.md derives: with leases of 0.4 s, 5.4 times the rate can be spent in a window of 5 s, so that a limit above 71 requests a second without burst could exceed the tolerance of a tenth. The tests did not reach that case. Without the factor the bound follows again.

--- a/core/src/quota/bucket.rs
+++ b/core/src/quota/bucket.rs
@@ -6,10 +6,6 @@
 use crate::time::Moment;
 use crate::workspace::WorkspaceRate;
 
-/// Factor by which more tokens are issued than the limit allows, so that a workspace at its limit is
-/// not refused for tokens that expire unused at entry nodes. It is part of the tolerance of a tenth
-/// within which the limit holds.
-const ISSUE_FACTOR: f64 = 1.04;
 /// Time for which unused tokens are kept in addition to the burst. Without it, a limit with a small
 /// burst would refuse requests below the limit that arrive at random times.
 const JITTER_TIME: f64 = 0.05;
@@ -86,7 +82,7 @@
     }
 
     fn refill(&mut self, now: Moment) {
-        let added = now.since(self.at).as_secs_f64() * self.limit.per_second * ISSUE_FACTOR;
+        let added = now.since(self.at).as_secs_f64() * self.limit.per_second;
         self.at = self.at.max(now);
         self.tokens = (self.tokens + added).min(self.capacity());
         self.promised = (self.promised - added).max(0.0);
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -467,7 +467,8 @@
     }
 
     /// Processes a message that belongs to no call: answers a ping or a request for tokens, applies
-    /// a crash message or granted tokens, and queues any other message, as well as the ping, in `received`.
+    /// a crash message or granted tokens, and queues any other message, as well as the ping, in
+    /// `received`.
     fn receive(self: &Arc<Self>, sender: &LinkPeer, message: Message) {
         let message = match message {
             Message::Lease(number, request) => {
--- a/node/src/proxy/memory.rs
+++ b/node/src/proxy/memory.rs
@@ -237,9 +237,9 @@
         }
     }
 
-    /// Closes the connections that have taken no byte for too long, and logs what the limits have
-    /// closed or refused since the last check; updates the gauges. The descriptors leave room for links to `nodes` nodes
-    /// and for `target_connections`.
+    /// Closes the connections that have taken no byte for too long, logs what the limits have
+    /// closed or refused since the last check, and updates the gauges. The descriptors leave room
+    /// for links to `nodes` nodes and for `target_connections`.
     pub(crate) fn check(&self, nodes: usize, target_connections: usize) {
         let before = self.target_connections.fetch_max(target_connections, Ordering::Relaxed);
         let reserved =
