Callers' connections: an answer is not cut off by what its caller sends behind it

Cause: hyper's task ends when the kernel has taken the last byte of the answer, and the socket was then closed. Bytes that are unread at that time, or arrive later, make the kernel reset the connection and discard what the caller's window had no room for.

Whole and half requests, single bytes and long bodies behind an answer each cut it off, in a stop and in calm (heads and bodies beyond their limits, malformed heads, unknown routes, Connection: close, the idle time); without bytes behind it the same answer arrives in the same stop. That rules out the end of the process and limits for callers.

Change: ClosingStream hands the socket to Closer when hyper drops it. Closer ends the sending side once all is sent, discards what arrives, and closes the socket when the caller has closed its side or core::Linger says so: 2 s after the last byte, 30 s in all; in a stop received bytes do not extend the wait. The connection counts among connections_max until then and gives way first. The stop waits for such connections within the grace time.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -21,6 +21,7 @@
 mod ids;
 mod introductions;
 mod limit;
+mod linger;
 mod load_controller;
 mod log_reader;
 mod membership;
@@ -80,6 +81,7 @@
 };
 pub use introductions::Introductions;
 pub use limit::{ClassLimits, ImportanceScale, RunTimes, TargetLimits, retry_after};
+pub use linger::{Linger, LingerLimits};
 pub use load_controller::{CallResult, LoadController, Occupancy};
 pub use log_reader::{
     APPEND_STAGGER, AppliedRecord, BACKOFF_MAX, BACKOFF_MIN, LONG_POLL_TIME, LogBatch, LogEntry,
@@ -90,7 +92,9 @@
     OutgoingRequest, Peer, ProbeId, Sample, SampleRequest, TICK_TIME, Verdict as MemberVerdict,
     VerdictReport, ViewError,
 };
-pub use memory_budget::{Accepted, ConnectionId, MemoryBudget, MemoryLimits, MemoryUse, Room};
+pub use memory_budget::{
+    Accepted, ConnectionId, LingerTime, MemoryBudget, MemoryLimits, MemoryUse, Room,
+};
 pub use mix::{ImportanceMix, ImportanceMixSum};
 pub use origin::{PeerSightings, RouteOrigins, Sighting};
 pub use outcome::{ErrorKind, ErrorReply, Outcome, SHED_NOT_RUN, TargetResult, is_final_status};
--- a/core/src/memory_budget.rs
+++ b/core/src/memory_budget.rs
@@ -56,6 +56,17 @@
     Refused,
 }
 
+/// How long a connection that will send nothing more may wait for its caller to close it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LingerTime {
+    /// As long as any connection.
+    Full,
+    /// Until its bytes are sent, as another connection needs its descriptor.
+    UntilSent,
+    /// Not at all, as its caller takes no bytes.
+    None,
+}
+
 /// Sums over the connections and answers of a [`MemoryBudget`].
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct MemoryUse {
@@ -67,6 +78,8 @@
     pub connections: usize,
     /// Number of connections that take no bytes although there are some to send.
     pub stalled: usize,
+    /// Number of connections that will send nothing more and wait for their caller to close them.
+    pub lingering: usize,
 }
 
 /// Memory for the answers held for callers, by connection.
@@ -90,10 +103,21 @@
     idle_since: Option<Moment>,
     /// Time since which it takes no bytes although there are some to send.
     stalled_since: Option<Moment>,
+    /// Whether it will send nothing more and waits for its caller to close it.
+    lingering: bool,
     /// Why it is being closed.
     closing: Option<Closing>,
 }
 
+/// Idle connection, in the order in which they give way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Idle {
+    /// Whether a further request may arrive on it.
+    open: bool,
+    since: Moment,
+    id: ConnectionId,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Closing {
     /// To make room for another connection.
@@ -118,8 +142,8 @@
 
     /// Adds a new connection, of which at most `connections_max` may be open.
     ///
-    /// At that limit the connection that has been idle longest gives way, or else the one that has
-    /// stalled longest.
+    /// At that limit a connection that only waits for its caller to close it gives way, or else the
+    /// one that has been idle longest, or else the one that has stalled longest.
     pub fn open(&mut self, now: Moment, connections_max: usize) -> Accepted {
         let open = self.connections.len() - self.replaced;
         let given_up = if open < connections_max {
@@ -128,7 +152,7 @@
             return Accepted::Refused;
         } else {
             let Some(id) =
-                self.idle().min().map(|(_, id)| id).or_else(|| self.longest_stalled(now))
+                self.idle().min().map(|idle| idle.id).or_else(|| self.longest_stalled(now))
             else {
                 return Accepted::Refused;
             };
@@ -139,8 +163,13 @@
         }
         let id = ConnectionId(self.next);
         self.next += 1;
-        let connection =
-            Connection { held: 0, idle_since: Some(now), stalled_since: None, closing: None };
+        let connection = Connection {
+            held: 0,
+            idle_since: Some(now),
+            stalled_since: None,
+            lingering: false,
+            closing: None,
+        };
         self.connections.insert(id, connection);
         given_up.map_or(Accepted::Opened(id), |given_up| Accepted::Replaces(id, given_up))
     }
@@ -150,7 +179,7 @@
         let excess = (self.connections.len() - self.replaced).saturating_sub(connections_max);
         let mut idle: Vec<_> = self.idle().collect();
         idle.sort_unstable();
-        let trimmed: Vec<_> = idle.into_iter().take(excess).map(|(_, id)| id).collect();
+        let trimmed: Vec<_> = idle.into_iter().take(excess).map(|idle| idle.id).collect();
         trimmed.iter().for_each(|id| self.replace(*id));
         trimmed
     }
@@ -177,6 +206,20 @@
         }
     }
 
+    /// Records that nothing more will be sent on a connection, and returns how long it may wait for
+    /// its caller to close it.
+    pub fn begin_linger(&mut self, now: Moment, id: ConnectionId) -> LingerTime {
+        let Some(connection) = self.connections.get_mut(&id) else { return LingerTime::None };
+        connection.lingering = true;
+        connection.stalled_since = None;
+        connection.idle_since.get_or_insert(now);
+        match connection.closing {
+            None => LingerTime::Full,
+            Some(Closing::Replaced) => LingerTime::UntilSent,
+            Some(Closing::Stalled) => LingerTime::None,
+        }
+    }
+
     /// Records that a connection took none of the bytes that there are to send.
     pub fn record_stall(&mut self, now: Moment, id: ConnectionId) {
         if let Some(connection) = self.connections.get_mut(&id) {
@@ -234,11 +277,13 @@
         }
     }
 
-    /// Connections that must be closed now because they have taken no bytes for too long.
+    /// Connections that must be closed now because they have taken no bytes for too long. Those that
+    /// will send nothing more have a time limit of their own.
     pub fn expire(&mut self, now: Moment) -> Vec<ConnectionId> {
         let timeout = self.limits.write_timeout;
         let expired = self.connections.iter_mut().filter(|(_, connection)| {
             connection.closing.is_none()
+                && !connection.lingering
                 && connection.stalled_since.is_some_and(|since| now.since(since) >= timeout)
         });
         let expired = expired.map(|(id, connection)| {
@@ -265,11 +310,13 @@
     /// What is in use now.
     pub fn usage(&self) -> MemoryUse {
         let stalled = self.connections.values().filter(|it| it.stalled_since.is_some()).count();
+        let lingering = self.connections.values().filter(|it| it.lingering).count();
         MemoryUse {
             held: self.held,
             expected: self.expected,
             connections: self.connections.len(),
             stalled,
+            lingering,
         }
     }
 
@@ -322,13 +369,16 @@
         self.stalled(now).min().map(|(_, _, id)| id)
     }
 
-    /// Connections without a request in progress and with nothing to send, with the time since
-    /// which that is so.
-    fn idle(&self) -> impl Iterator<Item = (Moment, ConnectionId)> + '_ {
+    /// Connections without a request in progress and with nothing to send.
+    fn idle(&self) -> impl Iterator<Item = Idle> + '_ {
         self.connections.iter().filter_map(|(id, connection)| {
             let sent = connection.held == 0 && connection.stalled_since.is_none();
             let since = connection.idle_since?;
-            (sent && connection.closing.is_none()).then_some((since, *id))
+            (sent && connection.closing.is_none()).then_some(Idle {
+                open: !connection.lingering,
+                since,
+                id: *id,
+            })
         })
     }
 
--- a/core/tests/memory_budget.rs
+++ b/core/tests/memory_budget.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use poplar_core::{
-    Accepted, ConnectionId, MemoryBudget, MemoryLimits, MemoryUse, Moment, Name, Room,
+    Accepted, ConnectionId, LingerTime, MemoryBudget, MemoryLimits, MemoryUse, Moment, Name, Room,
 };
 use quickcheck::{Gen, QuickCheck};
 
@@ -288,3 +288,48 @@
         .rng(Gen::new(120))
         .quickcheck(holds as fn(Vec<(u8, u8, u16)>) -> bool);
 }
+
+/// Guards against closed connections that keep ordinary callers out, and against the loss of
+/// answers that are still being sent.
+#[test]
+fn lingering_connections_give_way_first_unless_they_still_send() {
+    let mut budget = MemoryBudget::new(LIMITS);
+    let idle = open(&mut budget, at(0));
+    let (sending, sent) = (open(&mut budget, at(1)), open(&mut budget, at(2)));
+    for id in [sending, sent] {
+        budget.begin_request(id);
+        assert_eq!(budget.begin_linger(at(100), id), LingerTime::Full);
+    }
+    budget.record_stall(at(100), sending);
+    assert_eq!(budget.usage().lingering, 2);
+    let replaced = |accepted| match accepted {
+        Accepted::Replaces(_, replaced) => Some(replaced),
+        _ => None,
+    };
+    assert_eq!(replaced(budget.open(at(200), 3)), Some(sent));
+    assert_eq!(replaced(budget.open(at(200), 3)), Some(idle));
+    budget.record_progress(sending);
+    assert_eq!(replaced(budget.open(at(200), 3)), Some(sending));
+}
+
+/// Guards against a slow reader whose answer is cut off at the time limit of callers that take no
+/// bytes; a lingering connection has a limit of its own.
+#[test]
+fn lingering_connection_does_not_expire() {
+    let mut budget = MemoryBudget::new(LIMITS);
+    let id = open(&mut budget, at(0));
+    budget.begin_linger(at(0), id);
+    budget.record_stall(at(0), id);
+    assert_eq!(budget.expire(at(60_000)), []);
+}
+
+#[test]
+fn connection_that_is_being_closed_lingers_no_longer_than_it_sends() {
+    let mut budget = MemoryBudget::new(LIMITS);
+    let idle = open(&mut budget, at(0));
+    assert!(matches!(budget.open(at(10), 1), Accepted::Replaces(_, id) if id == idle));
+    assert_eq!(budget.begin_linger(at(20), idle), LingerTime::UntilSent);
+    let expired = stalled(&mut budget, at(20), 100);
+    assert_eq!(budget.expire(at(20_000)), [expired]);
+    assert_eq!(budget.begin_linger(at(20_000), expired), LingerTime::None);
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod announcer;
 mod attempts;
+mod closing;
 mod contracts;
 mod directory;
 mod entry;
--- a/node/src/proxy/callers/read_ahead.rs
+++ b/node/src/proxy/callers/read_ahead.rs
@@ -30,12 +30,13 @@
 use serde_json::{Value, json};
 use slog::{Logger, warn};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::closing::ClosingStream;
 use crate::proxy::callers::reply::Reply;
 use crate::proxy::callers::serve::{CallerServer, HEADER_FIELDS_MAX};
+use crate::proxy::memory::CallerConnection;
 
 /// Interval at which a connection is checked for its end while a limit stops the reading. Runs are
 /// given up within half a second after the caller disconnects.
@@ -376,22 +377,25 @@
     }
 }
 
+/// Socket of a caller.
+pub(crate) type CallerSocket = ClosingStream<Arc<CallerConnection>>;
+
 /// Socket of a connection that reads ahead, as hyper reads and writes it.
 pub(crate) struct ReadAhead {
-    socket: TcpStream,
+    socket: CallerSocket,
     connection: Arc<Connection>,
     /// Next check for the end of the connection while a limit stops the reading.
     end_check: Option<Pin<Box<Sleep>>>,
 }
 
 impl ReadAhead {
-    pub(crate) fn new(socket: TcpStream, connection: Arc<Connection>) -> Self {
+    pub(crate) fn new(socket: CallerSocket, connection: Arc<Connection>) -> Self {
         Self { socket, connection, end_check: None }
     }
 
     /// Reads the head of a request into the buffer of hyper, and holds what follows it.
     fn poll_head(
-        socket: Pin<&mut TcpStream>,
+        socket: Pin<&mut CallerSocket>,
         now: impl FnOnce() -> Moment,
         state: &mut State,
         cx: &mut Context<'_>,
@@ -458,7 +462,9 @@
         loop {
             ready!(check.as_mut().poll(cx));
             let mut is_ended = false;
-            if let Poll::Ready(readiness) = pin!(self.socket.ready(Interest::READABLE)).poll(cx) {
+            if let Some(socket) = self.socket.socket()
+                && let Poll::Ready(readiness) = pin!(socket.ready(Interest::READABLE)).poll(cx)
+            {
                 is_ended = readiness?.is_read_closed();
             }
             if is_ended {
--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -28,6 +28,7 @@
 use tokio::sync::watch;
 use tokio_util::task::AbortOnDropHandle;
 
+use crate::closing::Closer;
 use crate::proxy::callers::dispatch::{Dispatcher, InboundRequest, SendHistory};
 use crate::proxy::callers::entry_stats::EntryStats;
 use crate::proxy::callers::read_ahead::{Connection, Reached, ReadAhead, ReadAheadTotals};
@@ -89,6 +90,7 @@
     /// What the connections have read ahead.
     pub(crate) read_ahead: Arc<ReadAheadTotals>,
     pub(crate) memory: Arc<CallerMemory>,
+    pub(crate) closer: Arc<Closer>,
     /// Set when the process begins to stop: no request is started ahead any more, and each response
     /// without such requests behind it carries `Connection: close`.
     pub(crate) closing: AtomicBool,
@@ -96,7 +98,7 @@
     pub(crate) refusing: AtomicBool,
     /// Number of requests that have no response yet.
     pub(crate) in_flight: AtomicUsize,
-    /// Number of open connections.
+    /// Number of connections that are served.
     pub(crate) open_connections: AtomicUsize,
     /// Set to shut all connections down gracefully, each after its pending response.
     pub(crate) shutdown: watch::Sender<bool>,
@@ -156,6 +158,7 @@
         });
         let _open = InFlightGuard::begin(&self.open_connections);
         let mut shutdown = self.shutdown.subscribe();
+        let socket = self.closer.registered(socket, caller.clone());
         let stream = ReadAhead::new(socket, connection.clone());
         let stream = TokioIo::new(WatchedStream::new(stream, caller));
         let mut served = pin!(http_builder(limits).serve_connection(stream, service));
@@ -179,7 +182,8 @@
         }
     }
 
-    /// Number of open connections; a connection closes only after its last response is written.
+    /// Number of connections that are served. The last response of each of the others is written,
+    /// and [`Closer`] closes it.
     pub(crate) fn open_connections(&self) -> usize {
         self.open_connections.load(Ordering::Acquire)
     }
--- a/node/src/proxy/memory.rs
+++ b/node/src/proxy/memory.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use poplar_core::{
-    Accepted, ConnectionId, MemoryBudget, MemoryLimits, MemoryUse, Moment, Name, Room,
+    Accepted, ConnectionId, LingerTime, MemoryBudget, MemoryLimits, MemoryUse, Moment, Name, Room,
 };
 use poplar_kernel::{Clock, Service};
 use prometheus_client::encoding::EncodeLabelSet;
@@ -20,6 +20,8 @@
 use slog::{Logger, warn};
 use tokio::sync::{Notify, OwnedSemaphorePermit};
 
+use crate::closing::Registration;
+
 /// Divisor of the memory of the process that gives the memory for answers held for callers. It is
 /// four times the largest answer that a target's node accepts with the same memory.
 const CALLER_MEMORY_DIVISOR: u64 = 4;
@@ -271,7 +273,7 @@
         warn!(self.logger, "caller: limits reached"; "since_last" => text.join(" "),
             "held" => usage.held, "expected" => usage.expected, "limit" => self.bytes,
             "connections" => usage.connections, "connections_max" => self.connections_max(),
-            "stalled" => usage.stalled);
+            "stalled" => usage.stalled, "lingering" => usage.lingering);
     }
 
     /// Registers the metrics of the limits.
@@ -320,7 +322,8 @@
     }
 
     fn dump(&self, _now: Moment) -> Value {
-        let MemoryUse { held, expected, connections, stalled } = self.lock().budget.usage();
+        let MemoryUse { held, expected, connections, stalled, lingering } =
+            self.lock().budget.usage();
         let counts: serde_json::Map<_, _> = self
             .counts
             .values()
@@ -329,7 +332,8 @@
             .collect();
         json!({
             "limit": self.bytes, "held": held, "expected": expected, "connections": connections,
-            "connections_max": self.connections_max(), "stalled": stalled, "since_start": counts,
+            "connections_max": self.connections_max(), "stalled": stalled,
+            "lingering": lingering, "since_start": counts,
         })
     }
 }
@@ -374,6 +378,20 @@
     }
 }
 
+impl Registration for Arc<CallerConnection> {
+    fn begin_linger(&self) -> LingerTime {
+        self.memory.lock().budget.begin_linger(self.memory.clock.now(), self.id)
+    }
+
+    fn record_unsent(&self, unsent: bool) {
+        if unsent { self.record_stall() } else { self.record_progress() }
+    }
+
+    async fn closing(&self) {
+        CallerConnection::closing(self).await;
+    }
+}
+
 impl Drop for CallerConnection {
     fn drop(&mut self) {
         let mut state = self.memory.lock();
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -18,6 +18,7 @@
 use super::ports::{HeaderNames, NodeConfig, Platform};
 use super::report;
 use crate::admission::AdmissionController;
+use crate::closing::Closer;
 use crate::proxy::callers::dispatch::Dispatcher;
 use crate::proxy::callers::entry_stats::EntryStats;
 use crate::proxy::callers::read_ahead::ReadAheadTotals;
@@ -70,6 +71,7 @@
     local_target: Arc<LocalTarget>,
     rules: Arc<Rules>,
     callers: Arc<CallerServer>,
+    closer: Arc<Closer>,
     runner: Arc<Runner>,
     traffic: Arc<Traffic>,
     targets_read: watch::Receiver<bool>,
@@ -151,6 +153,8 @@
             traffic.not_sent(),
         );
         let memory = Arc::new(memory);
+        let closer = Closer::new(clock, component_logger(root, "listen"));
+        tokio::spawn(closer.clone().report());
         tokio::spawn(check_memory(memory.clone(), roster.clone(), admission.clone()));
         let (received, received_messages) = mpsc::channel(RECEIVED_MAX);
         let quotas = Arc::new(Quotas::new(
@@ -191,6 +195,7 @@
         );
         metrics.register_quotas(&quotas);
         metrics.extend(|registry| memory.register(registry));
+        metrics.extend(|registry| closer.register(registry));
         let metrics = Arc::new(metrics);
         let read_ahead =
             ReadAheadTotals::new(config.memory_bytes, component_logger(root, "listen"));
@@ -217,6 +222,7 @@
             body_reader: CallerServer::body_reader(config.memory_bytes),
             read_ahead: read_ahead.clone(),
             memory: memory.clone(),
+            closer: closer.clone(),
             closing: AtomicBool::new(false),
             refusing: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -234,6 +240,7 @@
         registry.register(crashes.clone());
         registry.register(read_ahead);
         registry.register(memory.clone());
+        registry.register(closer.clone());
         registry.register(quotas.clone());
         let (plan, plan_receiver) = watch::channel(ReadPlan::default());
         registry.register(Arc::new(PlanView(plan_receiver.clone())));
@@ -298,6 +305,7 @@
             local_target: own,
             rules,
             callers,
+            closer,
             runner,
             traffic,
             targets_read,
@@ -324,7 +332,15 @@
     /// calls and waits for those in flight. Returns when the process may exit.
     pub async fn stop(self) {
         let Self {
-            clock, node_config: config, logger, lifecycle, callers, runner, traffic, ..
+            clock,
+            node_config: config,
+            logger,
+            lifecycle,
+            callers,
+            closer,
+            runner,
+            traffic,
+            ..
         } = self;
         let in_flight = || callers.in_flight() + runner.in_flight();
         let began = clock.now();
@@ -338,19 +354,22 @@
             .await;
         callers.refusing.store(true, Ordering::Release);
         callers.shutdown.send_replace(true);
+        closer.stop();
         // An answer counts as sent only once it has been written to its socket.
         let unsent = || callers.open_connections() + usize::from(traffic.unwritten() > 0);
+        // Callers whose connections are being closed may still read.
+        let left = || in_flight() + unsent() + closer.waiting();
         let after = |fraction| began + config.bounds.grace.mul_f64(fraction);
-        wait_until(clock, after(GIVE_UP_FRACTION), || in_flight() + unsent() == 0).await;
+        wait_until(clock, after(GIVE_UP_FRACTION), || left() == 0).await;
         if callers.in_flight() > 0 {
             warn!(logger, "process: requests given up at the end of the grace time";
                 "requests" => callers.in_flight());
             callers.given_up.send_replace(true);
         }
-        wait_until(clock, after(GRACE_FRACTION), || in_flight() + unsent() == 0).await;
-        if in_flight() + unsent() > 0 {
+        wait_until(clock, after(GRACE_FRACTION), || left() == 0).await;
+        if left() > 0 {
             warn!(logger, "process: calls cut off by the end of the grace time";
-                "calls" => in_flight(), "unsent" => unsent());
+                "calls" => in_flight(), "unsent" => unsent(), "closing" => closer.waiting());
         }
         lifecycle.stop();
         info!(logger, "process: stopped");
