Links: answers for other nodes arrive although more calls follow them

What callers saw: an answer that a stopping node had written to a link was lost when the process ended while calls of the other node were unread; that caller got 502 for a request that had run.

At the end of the process, and when a link is closed for another reason, its socket was closed with unread bytes, and the kernel discarded what it had not delivered.

Change: Closer closes the sockets of links too, with 0.5 s after the last byte and 5 s in all, as other nodes close their side once they have read everything. A stopping node closes its links last and waits for the other nodes within the grace time. Requests on the peer port that are no links end the same way.

--- a/node/src/closing.rs
+++ b/node/src/closing.rs
@@ -36,6 +36,9 @@
 /// what the kernel holds unsent for it.
 const CLIENT_LIMITS: LingerLimits =
     LingerLimits { total: Duration::from_secs(30), quiet: Duration::from_secs(2) };
+/// Time limits for connections between nodes, which close their side as soon as they have read all.
+const PEER_LIMITS: LingerLimits =
+    LingerLimits { total: Duration::from_secs(5), quiet: Duration::from_millis(500) };
 /// Longest time that a connection whose descriptor is needed for another one may take to send.
 const SEND_LIMIT: Duration = Duration::from_secs(1);
 /// Interval between checks whether all bytes are sent.
@@ -88,6 +91,19 @@
     fn closing(&self) -> impl Future<Output = ()> + Send;
 }
 
+/// For connections of which there are few.
+impl Registration for () {
+    fn begin_linger(&self) -> LingerTime {
+        LingerTime::Full
+    }
+
+    fn record_unsent(&self, _unsent: bool) {}
+
+    async fn closing(&self) {
+        std::future::pending().await
+    }
+}
+
 /// Kernel service that closes connections.
 pub(crate) struct Closer {
     clock: Clock,
@@ -134,6 +150,16 @@
         self.wrap(socket, CLIENT_LIMITS, registration)
     }
 
+    /// Wraps the socket of another node.
+    pub(crate) fn peer(self: &Arc<Self>, socket: TcpStream) -> ClosingStream {
+        self.wrap(socket, PEER_LIMITS, ())
+    }
+
+    /// Closes the socket of another node to which bytes were just written.
+    pub(crate) fn close_peer(self: &Arc<Self>, socket: TcpStream) {
+        self.close(Open { socket, registration: () }, PEER_LIMITS, self.clock.now());
+    }
+
     fn wrap<R: Registration>(
         self: &Arc<Self>,
         socket: TcpStream,
@@ -327,7 +353,7 @@
 
 /// Socket of a server. When it is dropped, the connection is closed without the loss of what was
 /// written to it.
-pub(crate) struct ClosingStream<R: Registration> {
+pub(crate) struct ClosingStream<R: Registration = ()> {
     /// None once it was taken out.
     open: Option<Open<R>>,
     closer: Arc<Closer>,
@@ -344,6 +370,11 @@
         self.open.as_ref().map(|open| &open.socket)
     }
 
+    /// Takes the socket out, which is then closed like any other.
+    pub(crate) fn into_socket(mut self) -> Option<TcpStream> {
+        self.open.take().map(|open| open.socket)
+    }
+
     /// The socket as a stream; an error if it was taken out.
     fn stream(&mut self) -> Result<Pin<&mut TcpStream>> {
         let open = self.open.as_mut().ok_or(ErrorKind::NotConnected)?;
--- a/node/src/proxy/links/link.rs
+++ b/node/src/proxy/links/link.rs
@@ -18,8 +18,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 
+use crate::closing::Closer;
 use crate::proxy::frame::{self, Call, CallAnswer, CallNumber, FrameError, Message, StateSummary};
 use crate::proxy::links::backlog::{Backlog, NotQueued};
 use crate::proxy::links::large_frame::{Intake, LargeFrame, LargeFrames};
@@ -183,7 +184,7 @@
         self.closed.load(Ordering::Acquire)
     }
 
-    async fn write_all(&self, mut socket: OwnedWriteHalf) {
+    async fn write_all(&self, socket: &mut OwnedWriteHalf) {
         while !self.is_closed() {
             let next = lock(&self.backlog).pop();
             let Some(pending) = next else {
@@ -224,6 +225,14 @@
     }
 }
 
+/// End of the links when the process stops, and the close of their sockets.
+#[derive(Clone)]
+pub(crate) struct LinkEnd {
+    pub(crate) closer: Arc<Closer>,
+    /// Set to end all links.
+    pub(crate) shutdown: watch::Receiver<bool>,
+}
+
 /// Runs a link until it closes: writes the queued frames of `outbox` to the socket and passes each
 /// received message to `handle`, large ones only if `intake` admits them.
 ///
@@ -232,22 +241,29 @@
     socket: TcpStream,
     unread: &[u8],
     outbox: &Outbox,
+    mut end: LinkEnd,
     mut intake: impl LargeFrames,
     mut handle: impl FnMut(Message),
 ) {
-    let (reader, writer) = socket.into_split();
+    let (mut reader, mut writer) = socket.into_split();
+    let mut has_ended = false;
     tokio::select! {
-        () = outbox.write_all(writer) => {}
+        () = outbox.write_all(&mut writer) => {}
         // Any error closes the link, and the calls on it fail with `LinkError::Broken`.
-        _ = read_all(reader, unread, &mut intake, &mut handle) => {}
+        read = read_all(&mut reader, unread, &mut intake, &mut handle) => has_ended = read.is_ok(),
         () = outbox.close_signal.notified() => {}
+        _ = end.shutdown.wait_for(|shutdown| *shutdown) => {}
     }
     outbox.close();
     outbox.discard();
+    // What was written reaches the other end, also if it has sent more.
+    if !has_ended && let Ok(socket) = reader.reunite(writer) {
+        end.closer.close_peer(socket);
+    }
 }
 
 async fn read_all(
-    mut socket: OwnedReadHalf,
+    socket: &mut OwnedReadHalf,
     unread: &[u8],
     intake: &mut impl LargeFrames,
     handle: &mut impl FnMut(Message),
@@ -261,7 +277,7 @@
         }
         let mut longest_pause = Duration::ZERO;
         if let Some(large) = LargeFrame::begin(&buffer)? {
-            let Some(read) = large.read(&mut socket, &mut buffer, intake).await? else {
+            let Some(read) = large.read(socket, &mut buffer, intake).await? else {
                 return Ok(());
             };
             read.message.into_iter().for_each(&mut *handle);
@@ -278,7 +294,7 @@
         // dropped; other messages, such as answers, are still valid.
         let paused = last.elapsed().max(longest_pause) > SUSPEND_THRESHOLD;
         last = Instant::now();
-        if paused && has_ended(&socket, &mut buffer) {
+        if paused && has_ended(socket, &mut buffer) {
             while let Some(message) = frame::decode(&mut buffer)? {
                 if !matches!(message, Message::Call(..) | Message::HeldCall(..)) {
                     handle(message);
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::io::ErrorKind;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -19,13 +20,15 @@
 use slog::{Logger, info, warn};
 use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
+use crate::closing::{Closer, ClosingStream};
 use crate::proxy::frame::{Call, CallAnswer, Message, StateSummary, TargetResponse};
+use crate::proxy::in_flight::InFlightGuard;
 use crate::proxy::links::large_frame::AdmitAll;
 use crate::proxy::links::leases;
 use crate::proxy::links::link::{
-    AnswerIntake, Link, LinkError, Outbox, ProtocolVersion, drive, lock,
+    AnswerIntake, Link, LinkEnd, LinkError, Outbox, ProtocolVersion, drive, lock,
 };
 use crate::proxy::links::runs::RunTable;
 use crate::proxy::links::traffic::Traffic;
@@ -100,6 +103,11 @@
     pub(crate) logger: Logger,
     pub(crate) links: PeerLinks,
     pub(crate) runs: RunTable,
+    pub(crate) closer: Arc<Closer>,
+    /// Number of links that are open, in either direction.
+    pub(crate) open_links: AtomicUsize,
+    /// Set to close all links.
+    pub(crate) shutdown: watch::Sender<bool>,
 }
 
 /// Links by the address of the other node.
@@ -362,7 +370,8 @@
             }
         };
         let intake = AnswerIntake { link: &link, memory: &self.memory, clock: self.clock };
-        drive(socket, &unread, &link.outbox, intake, handle).await;
+        let _open = InFlightGuard::begin(&self.open_links);
+        drive(socket, &unread, &link.outbox, self.link_end(), intake, handle).await;
         info!(self.logger, "link: lost"; "peer" => %peer, "calls" => link.waiting());
         link.abandon();
     }
@@ -377,7 +386,7 @@
         });
         // Errors are ignored: they come only from connections that did not become a link.
         let _ = hyper::server::conn::http1::Builder::new()
-            .serve_connection(TokioIo::new(socket), service)
+            .serve_connection(TokioIo::new(self.closer.peer(socket)), service)
             .with_upgrades()
             .await;
     }
@@ -397,7 +406,7 @@
         let link = LinkId(number.unwrap_or_else(|| fastrand::u64(..)));
         tokio::spawn(async move {
             if let Ok(upgraded) = hyper::upgrade::on(req).await
-                && let Some((socket, unread)) = into_socket(upgraded)
+                && let Some((socket, unread)) = into_accepted(upgraded)
             {
                 peers.drive_incoming(socket, unread, sender, link).await;
             }
@@ -443,7 +452,8 @@
             Message::StatedLimit(lifetime, rate) => self.local_target.adopt_limit(lifetime, rate),
             other => self.receive(&sender, other),
         };
-        drive(socket, &unread, &outbox, AdmitAll, handle).await;
+        let _open = InFlightGuard::begin(&self.open_links);
+        drive(socket, &unread, &outbox, self.link_end(), AdmitAll, handle).await;
         runs.close(self.clock.now());
     }
 
@@ -493,6 +503,15 @@
         }
     }
 
+    fn link_end(&self) -> LinkEnd {
+        LinkEnd { closer: self.closer.clone(), shutdown: self.shutdown.subscribe() }
+    }
+
+    /// Number of links that are open, in either direction.
+    pub(crate) fn open_links(&self) -> usize {
+        self.open_links.load(Ordering::Acquire)
+    }
+
     fn state_summary(&self) -> StateSummary {
         StateSummary { revision: self.rules.revision(), targets: self.roster.checksum() }
     }
@@ -578,6 +597,12 @@
     }
 }
 
+/// Socket of a link that another node has requested, with the bytes read behind the request.
+fn into_accepted(upgraded: Upgraded) -> Option<(TcpStream, Bytes)> {
+    let parts = upgraded.downcast::<TokioIo<ClosingStream>>().ok()?;
+    Some((parts.io.into_inner().into_socket()?, parts.read_buf))
+}
+
 fn into_socket(upgraded: Upgraded) -> Option<(TcpStream, Bytes)> {
     let parts = upgraded.downcast::<TokioIo<TcpStream>>().ok()?;
     Some((parts.io.into_inner(), parts.read_buf))
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -51,6 +51,9 @@
 /// Fraction of the grace time after which a stopping node closes the connections on which an answer
 /// is still unsent. The rest is left for the process to exit on a slow machine.
 const GRACE_FRACTION: f64 = 0.88;
+/// Longest time for which a stopping node that has used up [`GRACE_FRACTION`] waits for the other
+/// nodes to close their links.
+const LINK_CLOSE_TIME: Duration = Duration::from_millis(100);
 /// Interval at which the calls in flight are checked while draining.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -71,6 +74,7 @@
     local_target: Arc<LocalTarget>,
     rules: Arc<Rules>,
     callers: Arc<CallerServer>,
+    peers: Arc<Peers>,
     closer: Arc<Closer>,
     runner: Arc<Runner>,
     traffic: Arc<Traffic>,
@@ -181,6 +185,9 @@
             logger: component_logger(root, "link"),
             links: PeerLinks::default(),
             runs: RunTable::new(config.memory_bytes),
+            closer: closer.clone(),
+            open_links: AtomicUsize::new(0),
+            shutdown: watch::Sender::new(false),
         });
         let entry_stats = Arc::new(EntryStats::default());
         let health = Arc::new(StoreHealth::default());
@@ -286,7 +293,7 @@
             component_logger(root, "load"),
         ));
         let listen_logger = component_logger(root, "listen");
-        tokio::spawn(accept(peer_listener, peers, Peers::serve, listen_logger.clone()));
+        tokio::spawn(accept(peer_listener, peers.clone(), Peers::serve, listen_logger.clone()));
         tokio::spawn(accept(
             outbound_listener,
             callers.clone(),
@@ -305,6 +312,7 @@
             local_target: own,
             rules,
             callers,
+            peers,
             closer,
             runner,
             traffic,
@@ -337,6 +345,7 @@
             logger,
             lifecycle,
             callers,
+            peers,
             closer,
             runner,
             traffic,
@@ -371,6 +380,9 @@
             warn!(logger, "process: calls cut off by the end of the grace time";
                 "calls" => in_flight(), "unsent" => unsent(), "closing" => closer.waiting());
         }
+        peers.shutdown.send_replace(true);
+        let open = || peers.open_links() + closer.waiting();
+        wait_until(clock, after(GRACE_FRACTION) + LINK_CLOSE_TIME, || open() == 0).await;
         lifecycle.stop();
         info!(logger, "process: stopped");
     }
