Control and ready ports: answers arrive at the end of the process

What callers saw: an answer on these ports was cut off by a reset if the process ended while further bytes of the same caller were unread.

Cause: as for callers' connections; these were dropped with the process.

Change: Closer closes them as well.

--- a/node/src/closing.rs
+++ b/node/src/closing.rs
@@ -105,7 +105,7 @@
 }
 
 /// Kernel service that closes connections.
-pub(crate) struct Closer {
+pub struct Closer {
     clock: Clock,
     logger: Logger,
     /// Number of connections that wait for their other end.
@@ -119,7 +119,7 @@
 
 impl Closer {
     /// Closer without connections.
-    pub(crate) fn new(clock: Clock, logger: Logger) -> Arc<Self> {
+    pub fn new(clock: Clock, logger: Logger) -> Arc<Self> {
         Arc::new(Self {
             clock,
             logger,
@@ -132,16 +132,24 @@
     }
 
     /// Number of connections that wait for their other end to close them.
-    pub(crate) fn waiting(&self) -> usize {
+    pub fn waiting(&self) -> usize {
         self.waiting.load(Ordering::Acquire)
     }
 
     /// Shortens the wait from now on, as the process is stopping.
-    pub(crate) fn stop(&self) {
+    pub fn stop(&self) {
         self.stopping.send_replace(true);
     }
 
     /// Wraps the socket of a client.
+    pub fn client(
+        self: &Arc<Self>,
+        socket: TcpStream,
+    ) -> impl AsyncRead + AsyncWrite + Send + Unpin + use<> {
+        self.wrap(socket, CLIENT_LIMITS, ())
+    }
+
+    /// Wraps the socket of a client that is registered elsewhere.
     pub(crate) fn registered<R: Registration>(
         self: &Arc<Self>,
         socket: TcpStream,
@@ -206,7 +214,7 @@
     }
 
     /// Logs regularly how many connections the other end did not close in time.
-    pub(crate) async fn report(self: Arc<Self>) {
+    pub async fn report(self: Arc<Self>) {
         let mut logged = 0;
         loop {
             tokio::time::sleep(REPORT_INTERVAL).await;
--- a/node/src/proxy/mod.rs
+++ b/node/src/proxy/mod.rs
@@ -36,3 +36,5 @@
 pub use ports::{Bounds, HeaderNames, NodeConfig, Page, Platform, StoreError, StoreRecord, Stream};
 pub use process::{Proxy, StartError};
 pub use target::local_target::{Announcement, AnnouncementOutcome, LocalTarget};
+
+pub use crate::closing::Closer;
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -336,6 +336,11 @@
         }
     }
 
+    /// Closer of the node's connections, for further servers beside it.
+    pub fn closer(&self) -> Arc<Closer> {
+        self.closer.clone()
+    }
+
     /// Drains the node: reports that it is not ready, serves until callers have left, refuses new
     /// calls and waits for those in flight. Returns when the process may exit.
     pub async fn stop(self) {
