Own data plane: answers are not cut off by what follows them

What callers saw: a call with a body beyond the limit, a malformed head, or a call with Connection: close with bytes behind it got a reset, often in place of its answer. Connections of other nodes ended in the same way.

Cause: as on the platform's data plane; sockets were closed with unread bytes.

Change: both servers hand their sockets to Closer. The metrics and the state dump have the connections that wait.

--- a/node/src/metrics.rs
+++ b/node/src/metrics.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 
 use crate::admission::AdmissionController;
+use crate::closing::Closer;
 use crate::contracts::Contracts;
 use crate::directory::Directory;
 use crate::executor::Executor;
@@ -65,6 +66,7 @@
         registry.register("calls", "Calls that got their final answer here", answers.clone());
         registry.register("resends", "Sends beyond the first of each call", resends.clone());
         gauges.register(&mut registry);
+        services.find::<Closer>("closing")?.register(&mut registry);
         Ok(Self {
             registry,
             answers,
--- a/node/src/process.rs
+++ b/node/src/process.rs
@@ -17,6 +17,7 @@
 use crate::admission::AdmissionController;
 use crate::announcer::{Announcer, Identity};
 use crate::attempts::Attempts;
+use crate::closing::Closer;
 use crate::contracts::Contracts;
 use crate::directory::Directory;
 use crate::entry::Entry;
@@ -40,6 +41,8 @@
 
 /// Longest time that a graceful stop waits for calls in flight.
 const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+/// Longest time that a graceful stop waits, after the last answer, for clients that still read.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
 /// Interval between checks of the calls in flight while draining.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Least time for which a draining node stays up and refuses calls, so that the members stop
@@ -73,6 +76,7 @@
 /// Services that this module uses itself.
 struct Services {
     registry: Arc<Registry>,
+    closer: Arc<Closer>,
     entry: Arc<Entry>,
     executor: Arc<Executor>,
     announcer: Arc<Announcer>,
@@ -103,7 +107,9 @@
     let sockets = bind(&settings).await?;
     let clock = Clock::start();
     let (records, appends) = mpsc::unbounded_channel();
-    let (services, hints) = build_services(clock, &settings, &sockets, records)?;
+    let closer = Closer::new(clock, component_logger(&root, "listen"));
+    tokio::spawn(closer.clone().report());
+    let (services, hints) = build_services(clock, &settings, &sockets, records, closer)?;
     spawn_log_tasks(clock, &settings, &services, LogChannels { hints, appends }, &root)?;
     print_ready(&sockets)?;
     let lifecycle = lifecycle.serve();
@@ -113,11 +119,16 @@
     terminate.recv().await;
     info!(logger, "process: draining");
     let lifecycle = drain(lifecycle.drain(), &services, clock, &logger).await;
+    services.closer.stop();
     let _stopped = lifecycle.stop();
     for server in servers {
         // A server task that was cancelled needs no handling: the process ends.
         let _ = server.await;
     }
+    let limit = clock.now() + CLOSE_LIMIT;
+    while services.closer.waiting() > 0 && clock.now() < limit {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
     info!(logger, "process: stopped");
     Ok(())
 }
@@ -135,6 +146,7 @@
     settings: &Settings,
     sockets: &Sockets,
     records: mpsc::UnboundedSender<MemberRecord>,
+    closer: Arc<Closer>,
 ) -> Result<(Services, mpsc::Receiver<String>), StartError> {
     let incarnation = new_incarnation();
     let instance = settings.instance.clone();
@@ -149,6 +161,7 @@
     let (contracts, hints) = Contracts::new(clock, instance.clone(), retention);
     let registry = Arc::new(Registry::default());
     registry.register(settings.values.clone());
+    registry.register(closer.clone());
     registry.register(Arc::new(contracts));
     registry.register(Arc::new(Directory::default()));
     registry.register(Arc::new(DownstreamLevels::new(clock, &registry)?));
@@ -171,7 +184,7 @@
     let announcer = Arc::new(Announcer::new(clock, identity, &registry, records)?);
     registry.register(announcer.clone());
     let handover_sender = HandoverSender::new(instance, &registry)?;
-    Ok((Services { registry, entry, executor, announcer, handover_sender }, hints))
+    Ok((Services { registry, closer, entry, executor, announcer, handover_sender }, hints))
 }
 
 /// Incarnation of a new process, from the wall clock, because an instance stores nothing.
@@ -219,8 +232,9 @@
 ) -> Result<Vec<tokio::task::JoinHandle<()>>, StartError> {
     let entry = services.entry.clone();
     let body_reader = BodyReader::new(caller::BODY_MEMORY_BYTES);
+    let closer = services.closer.clone();
     let callers = listener::accept(sockets.caller, lifecycle.watch(), move |socket, graceful| {
-        caller::serve_connection(socket, graceful, entry.clone(), body_reader.clone())
+        caller::serve_connection(socket, &closer, graceful, entry.clone(), body_reader.clone())
     });
     let peer_services = Arc::new(peer::PeerServices {
         executor: services.executor.clone(),
@@ -232,8 +246,9 @@
     });
     tokio::spawn(peer_services.members.clone().run());
     tokio::spawn(services.announcer.clone().watch_lease());
+    let closer = services.closer.clone();
     let peers = listener::accept(sockets.peer, lifecycle.watch(), move |socket, graceful| {
-        peer::serve_connection(socket, graceful, peer_services.clone())
+        peer::serve_connection(socket, &closer, graceful, peer_services.clone())
     });
     let admin = admin::Admin {
         clock,
--- a/node/src/servers/caller.rs
+++ b/node/src/servers/caller.rs
@@ -15,6 +15,7 @@
 use poplar_wire::{format_binding, header, parse_binding};
 use tokio::net::TcpStream;
 
+use crate::closing::Closer;
 use crate::entry::{CallResponse, Entry, InboundCall};
 use crate::servers::body_reader::{BodyError, BodyReader};
 
@@ -35,6 +36,7 @@
 /// Serves one connection until it closes or `graceful` shuts it down.
 pub(crate) fn serve_connection(
     socket: TcpStream,
+    closer: &Arc<Closer>,
     graceful: &GracefulShutdown,
     entry: Arc<Entry>,
     body_reader: BodyReader,
@@ -47,7 +49,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(HEAD_LIMIT_BYTES)
-        .serve_connection(TokioIo::new(socket), service);
+        .serve_connection(TokioIo::new(closer.client(socket)), service);
     let connection = graceful.watch(connection);
     async move {
         // An error comes from the caller: it closed the connection or did not send valid HTTP.
--- a/node/src/servers/peer.rs
+++ b/node/src/servers/peer.rs
@@ -18,6 +18,7 @@
 };
 use tokio::net::TcpStream;
 
+use crate::closing::Closer;
 use crate::contracts::Contracts;
 use crate::directory::Directory;
 use crate::executor::Executor;
@@ -59,6 +60,7 @@
 /// Serves one connection until it closes or `graceful` shuts it down.
 pub(crate) fn serve_connection(
     socket: TcpStream,
+    closer: &Arc<Closer>,
     graceful: &GracefulShutdown,
     services: Arc<PeerServices>,
 ) -> impl Future<Output = ()> + Send + use<> {
@@ -72,7 +74,7 @@
         .initial_stream_window_size(WINDOW_BYTES)
         .initial_connection_window_size(WINDOW_BYTES)
         .keep_alive_interval(PING_INTERVAL)
-        .serve_connection(TokioIo::new(socket), service);
+        .serve_connection(TokioIo::new(closer.peer(socket)), service);
     let connection = graceful.watch(connection);
     async move {
         // An error comes from the peer: it closed the connection or did not send valid HTTP/2.
