Callers' connections: the end of the sending side does not cut off an answer that has begun

What callers saw: a caller that ended its sending side while it read a long answer got only a part of it.

Cause: hyper takes the end of the input for the end of the connection as long as an answer is not written, and drops the rest of it.

Change: once an answer is ready, the stream reports the end of the input only when the answer has been written. A caller that leaves before its answer is ready is given up as before.

--- a/node/src/proxy/callers/read_ahead.rs
+++ b/node/src/proxy/callers/read_ahead.rs
@@ -137,6 +137,11 @@
     passed_last: bool,
     next: NextHead,
     started: VecDeque<Started>,
+    /// Whether an answer is ready and not yet written. hyper would break it off at the end of the
+    /// caller's sending side.
+    is_writing: bool,
+    /// Whether the caller's sending side has ended while an answer was written.
+    is_ended: bool,
     /// Whether a limit was reached since hyper reached the last request.
     is_limited: bool,
 }
@@ -192,6 +197,8 @@
             passed_last: false,
             next: NextHead::default(),
             started: VecDeque::new(),
+            is_writing: false,
+            is_ended: false,
             is_limited: false,
         };
         Self { server, state: Mutex::new(state) }
@@ -236,6 +243,7 @@
     pub(crate) fn finish(&self) -> bool {
         let mut state = self.state();
         let is_aligned = matches!(state.phase, Phase::Answer { aligned: true });
+        state.is_writing = true;
         state.phase = Phase::Head { end: is_aligned.then(HeadEnd::default) };
         state.pipeline.may_close(self.is_stopping())
     }
@@ -493,7 +501,14 @@
             return Poll::Ready(Ok(()));
         }
         let clock = connection.server.clock;
-        Self::poll_head(Pin::new(&mut this.socket), || clock.now(), &mut state, cx, buf)
+        if !state.is_ended {
+            let before = buf.filled().len();
+            let socket = Pin::new(&mut this.socket);
+            ready!(Self::poll_head(socket, || clock.now(), &mut state, cx, buf))?;
+            state.is_ended = buf.filled().len() == before;
+        }
+        // hyper reads again when it has written the answer.
+        if state.is_ended && state.is_writing { Poll::Pending } else { Poll::Ready(Ok(())) }
     }
 }
 
@@ -518,7 +533,9 @@
         self.socket.is_write_vectored()
     }
 
+    /// hyper flushes the stream once it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        self.connection.state().is_writing = false;
         Pin::new(&mut self.socket).poll_flush(cx)
     }
 
