Bodies of requests count against the memory until they are written

Cause: the part of the memory for bodies that a body holds was returned when its caller left, while the body itself stayed queued on a link, in front of the cancellation.

Change: the body holds its part itself, until its last copy is dropped.

--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -269,7 +269,8 @@
         }
         let wait = deadline.since(began).min(BODY_TIMEOUT);
         let body = match self.body_reader.read(body, active.rules.limits.body, wait).await {
-            Ok(body) => body,
+            // A body may stay queued on a link after its caller has left.
+            Ok(body) => body.into_shared(),
             Err(error) => return body_error_reply(error),
         };
         let Some(_expected) = self.memory.expect(&route.name) else {
@@ -290,7 +291,7 @@
             }
             _ => None,
         };
-        let request = self.inbound_request(head, request, body.body.clone(), deadline, origin);
+        let request = self.inbound_request(head, request, body, deadline, origin);
         let outcome = self.forward(began, active.rules.revision, route, &request).await;
         if let (Outcome::NotRun { .. }, Some((workspace, token))) = (&outcome, token) {
             self.dispatcher.peers.quotas.put_back(workspace, token);
--- a/node/src/servers/body_reader.rs
+++ b/node/src/servers/body_reader.rs
@@ -31,6 +31,18 @@
     pub(crate) fn into_parts(self) -> (Bytes, Option<OwnedSemaphorePermit>) {
         (self.body, self.permit)
     }
+
+    /// The body, which holds its part of the shared memory until its last copy is dropped, such as
+    /// when it was written to another node.
+    pub(crate) fn into_shared(self) -> Bytes {
+        if self.permit.is_none() { self.body } else { Bytes::from_owner(self) }
+    }
+}
+
+impl AsRef<[u8]> for ReceivedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
 }
 
 /// Why a body was not received; a call whose own body was not received is not run.
--- a/node/src/servers/caller.rs
+++ b/node/src/servers/caller.rs
@@ -84,7 +84,7 @@
         Ok(received) => received,
         Err(error) => return body_refusal(error),
     };
-    match parse_call(&head.headers, received.body.clone()) {
+    match parse_call(&head.headers, received.into_shared()) {
         Ok(call) => outcome_response(entry.serve(call).await),
         Err(name) => {
             let text = format!("header {name} is not usable\n");
