Unfinished requests on all connections do not lock ordinary callers out

Cause: only idle and stalled connections gave way to new ones. One whose request has begun but is not whole is neither.

Change: a connection records while the body of its request is coming in. If no other connection can give way, the one whose request has been incomplete longest does, from 1 s on.

--- a/core/src/memory_budget.rs
+++ b/core/src/memory_budget.rs
@@ -24,7 +24,8 @@
 pub struct MemoryLimits {
     /// Bytes of answers that may be held for callers.
     pub bytes: u64,
-    /// Time without progress after which a connection may be closed in favour of other answers.
+    /// Time without progress after which a connection may be closed in favour of other answers, and
+    /// age of an incomplete request from which its connection may be closed in favour of another.
     pub yield_after: Duration,
     /// Time without progress after which a connection is closed in any case.
     pub write_timeout: Duration,
@@ -101,6 +102,8 @@
     held: u64,
     /// Time since which it has no request in progress; none if it has one.
     idle_since: Option<Moment>,
+    /// Time since which the body of its request is coming in.
+    receiving_since: Option<Moment>,
     /// Time since which it takes no bytes although there are some to send.
     stalled_since: Option<Moment>,
     /// Whether it will send nothing more and waits for its caller to close it.
@@ -143,7 +146,8 @@
     /// Adds a new connection, of which at most `connections_max` may be open.
     ///
     /// At that limit a connection that only waits for its caller to close it gives way, or else the
-    /// one that has been idle longest, or else the one that has stalled longest.
+    /// one that has been idle longest, or else the one that has stalled longest, or else the one whose
+    /// request has been incomplete longest.
     pub fn open(&mut self, now: Moment, connections_max: usize) -> Accepted {
         let open = self.connections.len() - self.replaced;
         let given_up = if open < connections_max {
@@ -151,8 +155,9 @@
         } else if self.replaced >= REPLACED_MAX {
             return Accepted::Refused;
         } else {
+            let idle = self.idle().min().map(|idle| idle.id);
             let Some(id) =
-                self.idle().min().map(|idle| idle.id).or_else(|| self.longest_stalled(now))
+                idle.or_else(|| self.longest_stalled(now)).or_else(|| self.longest_receiving(now))
             else {
                 return Accepted::Refused;
             };
@@ -166,6 +171,7 @@
         let connection = Connection {
             held: 0,
             idle_since: Some(now),
+            receiving_since: None,
             stalled_since: None,
             lingering: false,
             closing: None,
@@ -199,6 +205,20 @@
         }
     }
 
+    /// Records that the body of the request on a connection is coming in.
+    pub fn begin_receiving(&mut self, now: Moment, id: ConnectionId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.receiving_since = Some(now);
+        }
+    }
+
+    /// Records that the body of the request on a connection is complete, or is not read any more.
+    pub fn end_receiving(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.receiving_since = None;
+        }
+    }
+
     /// Records that the request on a connection has its answer.
     pub fn end_request(&mut self, now: Moment, id: ConnectionId) {
         if let Some(connection) = self.connections.get_mut(&id) {
@@ -369,6 +389,16 @@
         self.stalled(now).min().map(|(_, _, id)| id)
     }
 
+    /// Connection whose request has been incomplete longest, and for long enough to give way.
+    fn longest_receiving(&self, now: Moment) -> Option<ConnectionId> {
+        let receiving = self.connections.iter().filter_map(|(id, connection)| {
+            let since = connection.receiving_since?;
+            let gives_way = now.since(since) >= self.limits.yield_after;
+            (gives_way && connection.closing.is_none()).then_some((since, *id))
+        });
+        receiving.min().map(|(_, id)| id)
+    }
+
     /// Connections without a request in progress and with nothing to send.
     fn idle(&self) -> impl Iterator<Item = Idle> + '_ {
         self.connections.iter().filter_map(|(id, connection)| {
--- a/core/tests/memory_budget.rs
+++ b/core/tests/memory_budget.rs
@@ -333,3 +333,23 @@
     assert_eq!(budget.expire(at(20_000)), [expired]);
     assert_eq!(budget.begin_linger(at(20_000), expired), LingerTime::None);
 }
+
+/// Guards against a crowd of unfinished requests that holds all connections and keeps ordinary
+/// callers out.
+#[test]
+fn connection_with_the_longest_incomplete_request_gives_way_last() {
+    let mut budget = MemoryBudget::new(LIMITS);
+    let (first, second, whole) =
+        (open(&mut budget, at(0)), open(&mut budget, at(0)), open(&mut budget, at(0)));
+    for id in [first, second, whole] {
+        budget.begin_request(id);
+    }
+    budget.begin_receiving(at(100), first);
+    budget.begin_receiving(at(200), second);
+    assert_eq!(budget.open(at(1_099), 3), Accepted::Refused);
+    let Accepted::Replaces(fourth, replaced) = budget.open(at(1_100), 3) else { panic!() };
+    assert_eq!(replaced, first);
+    budget.begin_request(fourth);
+    budget.end_receiving(second);
+    assert_eq!(budget.open(at(9_000), 3), Accepted::Refused);
+}
--- a/node/src/proxy/callers/mod.rs
+++ b/node/src/proxy/callers/mod.rs
@@ -4,5 +4,6 @@
 pub(crate) mod entry_stats;
 pub(crate) mod read_ahead;
 pub(crate) mod reply;
+pub(crate) mod request_body;
 pub(crate) mod serve;
 pub(crate) mod watched_stream;
--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -14,7 +14,7 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, Request, StatusCode, Uri};
 use http_body_util::Empty;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -33,6 +33,7 @@
 use crate::proxy::callers::entry_stats::EntryStats;
 use crate::proxy::callers::read_ahead::{Connection, Reached, ReadAhead, ReadAheadTotals};
 use crate::proxy::callers::reply::{self, Reply};
+use crate::proxy::callers::request_body::RequestBody;
 use crate::proxy::callers::watched_stream::WatchedStream;
 use crate::proxy::decisions::{Decision, DecisionLog};
 use crate::proxy::fields;
@@ -148,6 +149,7 @@
                 let (callers, connection, caller) =
                     (callers.clone(), connection.clone(), caller.clone());
                 let reached = connection.reach(&req);
+                let req = req.map(|body| RequestBody::new(body, &caller));
                 async move {
                     caller.begin_request();
                     let mut reply = callers.answer(req, reached, &connection).await;
@@ -191,7 +193,7 @@
     /// Answers a request that the server has reached.
     async fn answer(
         &self,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
         reached: Reached,
         connection: &Connection,
     ) -> Reply {
--- a/node/src/proxy/memory.rs
+++ b/node/src/proxy/memory.rs
@@ -356,6 +356,16 @@
         self.memory.lock().budget.begin_request(self.id);
     }
 
+    /// Records that the body of a request is coming in.
+    pub(crate) fn begin_receiving(&self) {
+        self.memory.lock().budget.begin_receiving(self.memory.clock.now(), self.id);
+    }
+
+    /// Records that the body of the request is complete, or is not read any more.
+    pub(crate) fn end_receiving(&self) {
+        self.memory.lock().budget.end_receiving(self.id);
+    }
+
     /// Records that the request has its answer, which is sent on this connection from now on.
     pub(crate) fn end_request(&self, share: Option<&AnswerShare>) {
         let mut state = self.memory.lock();
