Stalled connections that give way to new ones are closed at once

What callers saw: nothing yet. A connection that was replaced because its caller takes no bytes waited up to 1 s for the rest to be sent, in one of eight places; a crowd that does not read would have let in only eight new connections a second.

Measured: stalled_connection_that_gives_way_does_not_linger fails without the condition and passes with it.

--- a/core/src/memory_budget.rs
+++ b/core/src/memory_budget.rs
@@ -231,12 +231,12 @@
     pub fn begin_linger(&mut self, now: Moment, id: ConnectionId) -> LingerTime {
         let Some(connection) = self.connections.get_mut(&id) else { return LingerTime::None };
         connection.lingering = true;
-        connection.stalled_since = None;
         connection.idle_since.get_or_insert(now);
+        let is_stalled = connection.stalled_since.take().is_some();
         match connection.closing {
             None => LingerTime::Full,
-            Some(Closing::Replaced) => LingerTime::UntilSent,
-            Some(Closing::Stalled) => LingerTime::None,
+            Some(Closing::Replaced) if !is_stalled => LingerTime::UntilSent,
+            Some(Closing::Replaced | Closing::Stalled) => LingerTime::None,
         }
     }
 
--- a/core/tests/memory_budget.rs
+++ b/core/tests/memory_budget.rs
@@ -334,6 +334,15 @@
     assert_eq!(budget.begin_linger(at(20_000), expired), LingerTime::None);
 }
 
+/// Guards against callers that do not read and delay the connections that need their descriptors.
+#[test]
+fn stalled_connection_that_gives_way_does_not_linger() {
+    let mut budget = MemoryBudget::new(LIMITS);
+    let id = stalled(&mut budget, at(0), 100);
+    assert!(matches!(budget.open(at(2_000), 1), Accepted::Replaces(_, replaced) if replaced == id));
+    assert_eq!(budget.begin_linger(at(2_000), id), LingerTime::None);
+}
+
 /// Guards against a crowd of unfinished requests that holds all connections and keeps ordinary
 /// callers out.
 #[test]
