Log how callers' connections end, and what the process needs memory for

The logs could not tell a request whose connection the node closed from one whose caller left: the end of a connection was not logged, nor was a request whose future is dropped, and a process that is killed for its memory left nothing that says what it was used for.

Now a line names each connection that ended with requests unanswered: which end closed it, why, and the requests; request: unknown with the reason cancelled has the targets to which each was passed on. load: memory says every second how large the process is and what it holds. The lines are bounded, with a share of their own for connections that the node closed.

--- a/core/src/memory_budget.rs
+++ b/core/src/memory_budget.rs
@@ -35,6 +35,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ConnectionId(u64);
 
+impl ConnectionId {
+    /// The number, as it appears in logs.
+    pub fn number(self) -> u64 {
+        self.0
+    }
+}
+
 /// Whether there is room for an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Room {
--- a/node/src/proxy/callers/mod.rs
+++ b/node/src/proxy/callers/mod.rs
@@ -1,6 +1,7 @@
 //! The caller-facing side: the HTTP/1.1 server, and dispatch of requests to targets with retries.
 
 pub(crate) mod dispatch;
+pub(crate) mod end_cause;
 pub(crate) mod entry_stats;
 pub(crate) mod read_ahead;
 pub(crate) mod reply;
--- a/node/src/proxy/callers/read_ahead.rs
+++ b/node/src/proxy/callers/read_ahead.rs
@@ -34,6 +34,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::closing::ClosingStream;
+use crate::proxy::callers::end_cause::EndCause;
 use crate::proxy::callers::reply::Reply;
 use crate::proxy::callers::serve::{CallerServer, HEADER_FIELDS_MAX};
 use crate::proxy::memory::CallerConnection;
@@ -137,6 +138,14 @@
     passed_last: bool,
     next: NextHead,
     started: VecDeque<Started>,
+    /// Identifier of the request that hyper reached last, until its answer is ready.
+    current: Option<RequestLabel>,
+    /// Identifiers of the requests whose answers are ready and not written yet.
+    unsent: Vec<RequestLabel>,
+    /// Number of answers that were written.
+    answered: u64,
+    /// How the socket ended, if it did.
+    socket_end: Option<EndCause>,
     /// Whether an answer is ready and not yet written. hyper would break it off at the end of the
     /// caller's sending side.
     is_writing: bool,
@@ -146,6 +155,31 @@
     is_limited: bool,
 }
 
+/// Identifier that a caller assigned to a request; none if it sent none.
+type RequestLabel = Option<HeaderValue>;
+
+/// Requests of a connection that have no answer, for the log.
+#[derive(Debug)]
+pub(crate) struct Unanswered {
+    /// How the socket ended, if it did.
+    pub(crate) socket_end: Option<EndCause>,
+    /// Identifiers of the requests that were begun and have no answer, separated by spaces.
+    pub(crate) begun: String,
+    /// Identifiers of the requests whose answers were not written whole, separated by spaces.
+    pub(crate) unsent: String,
+    /// Bytes that were read and not passed to the server.
+    pub(crate) held: usize,
+    /// Answers that were written.
+    pub(crate) answered: u64,
+}
+
+impl Unanswered {
+    /// Whether every request that was begun has its whole answer.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.begun.is_empty() && self.unsent.is_empty()
+    }
+}
+
 /// What hyper does with the bytes that it asks for.
 #[derive(Debug)]
 enum Phase {
@@ -197,6 +231,10 @@
             passed_last: false,
             next: NextHead::default(),
             started: VecDeque::new(),
+            current: None,
+            unsent: Vec::new(),
+            answered: 0,
+            socket_end: None,
             is_writing: false,
             is_ended: false,
             is_limited: false,
@@ -209,6 +247,7 @@
         let mut state = self.state();
         let state = &mut *state;
         state.is_limited = false;
+        state.current = Some(req.headers().get(&self.server.header_names.request_id).cloned());
         let passed = std::mem::take(&mut state.passed_since);
         let read_at = if state.passed_last { state.read_time(state.passed) } else { None };
         let id = req.headers().get(&self.server.header_names.request_id);
@@ -244,6 +283,8 @@
         let mut state = self.state();
         let is_aligned = matches!(state.phase, Phase::Answer { aligned: true });
         state.is_writing = true;
+        let answered = state.current.take();
+        state.unsent.extend(answered);
         state.phase = Phase::Head { end: is_aligned.then(HeadEnd::default) };
         state.pipeline.may_close(self.is_stopping())
     }
@@ -253,6 +294,19 @@
         self.state().pipeline.started()
     }
 
+    /// What has no answer yet.
+    pub(crate) fn unanswered(&self) -> Unanswered {
+        let state = self.state();
+        let begun = state.current.iter().chain(state.started.iter().map(|started| &started.id));
+        Unanswered {
+            socket_end: state.socket_end,
+            begun: join_labels(begun),
+            unsent: join_labels(&state.unsent),
+            held: state.held.len(),
+            answered: state.answered,
+        }
+    }
+
     /// Starts the complete heads among the held bytes that may be started now.
     fn start_heads(&self, state: &mut State) {
         while state.pipeline.is_open() {
@@ -344,6 +398,13 @@
         self.reads.iter().find(|(end, _)| *end >= offset).map(|(_, time)| *time)
     }
 
+    /// Records that all answers that are ready were written.
+    fn record_written(&mut self) {
+        self.is_writing = false;
+        self.answered += self.unsent.len() as u64;
+        self.unsent.clear();
+    }
+
     fn cancel_started(&mut self) {
         self.totals.cancelled.inc_by(self.started.len() as u64);
         self.started.clear();
@@ -492,19 +553,39 @@
         let this = self.get_mut();
         let connection = this.connection.clone();
         let mut state = connection.state();
+        let before = buf.filled().len();
+        let read = this.poll_read_state(&mut state, cx, buf);
+        match &read {
+            Poll::Ready(Err(_)) => state.socket_end = Some(EndCause::Reset),
+            Poll::Ready(Ok(())) if buf.filled().len() == before => {
+                state.socket_end.get_or_insert(EndCause::Closed);
+            }
+            Poll::Ready(Ok(())) | Poll::Pending => {}
+        }
+        read
+    }
+}
+
+impl ReadAhead {
+    fn poll_read_state(
+        &mut self,
+        state: &mut State,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
         if let Phase::Answer { aligned } = &mut state.phase {
             *aligned = true;
-            return this.poll_ahead(&mut state, cx, buf);
+            return self.poll_ahead(state, cx, buf);
         }
         if !state.held.is_empty() {
             state.pass_held(buf);
             return Poll::Ready(Ok(()));
         }
-        let clock = connection.server.clock;
+        let clock = self.connection.server.clock;
         if !state.is_ended {
             let before = buf.filled().len();
-            let socket = Pin::new(&mut this.socket);
-            ready!(Self::poll_head(socket, || clock.now(), &mut state, cx, buf))?;
+            let socket = Pin::new(&mut self.socket);
+            ready!(Self::poll_head(socket, || clock.now(), state, cx, buf))?;
             state.is_ended = buf.filled().len() == before;
         }
         // hyper reads again when it has written the answer.
@@ -535,7 +616,7 @@
 
     /// hyper flushes the stream once it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        self.connection.state().is_writing = false;
+        self.connection.state().record_written();
         Pin::new(&mut self.socket).poll_flush(cx)
     }
 
@@ -544,6 +625,15 @@
     }
 }
 
+/// Identifiers of requests, separated by spaces.
+fn join_labels<'a>(labels: impl IntoIterator<Item = &'a RequestLabel>) -> String {
+    let texts = labels.into_iter().map(|label| match label {
+        Some(label) => String::from_utf8_lossy(label.as_bytes()),
+        None => "-".into(),
+    });
+    texts.collect::<Vec<_>>().join(" ")
+}
+
 /// Parses a complete head with the parser and the conversions that hyper uses; none if it is not
 /// exactly one head.
 fn parse(head: &[u8]) -> Option<Parts> {
--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -30,12 +30,15 @@
 
 use crate::closing::Closer;
 use crate::proxy::callers::dispatch::{Dispatcher, InboundRequest, SendHistory};
+use crate::proxy::callers::end_cause::EndCause;
 use crate::proxy::callers::entry_stats::EntryStats;
-use crate::proxy::callers::read_ahead::{Connection, Reached, ReadAhead, ReadAheadTotals};
+use crate::proxy::callers::read_ahead::{
+    Connection, Reached, ReadAhead, ReadAheadTotals, Unanswered,
+};
 use crate::proxy::callers::reply::{self, Reply};
 use crate::proxy::callers::request_body::RequestBody;
 use crate::proxy::callers::watched_stream::WatchedStream;
-use crate::proxy::decisions::{Decision, DecisionLog};
+use crate::proxy::decisions::{ConnectionEnd, Decision, DecisionLog};
 use crate::proxy::fields;
 use crate::proxy::frame::{Field, TargetResponse};
 use crate::proxy::in_flight::InFlightGuard;
@@ -130,19 +133,27 @@
             let Some((connection, socket)) = open else { return };
             // An error is ignored because without this option stalls are only noticed later.
             let _ = SockRef::from(&socket).set_tcp_notsent_lowat(UNSENT_BYTES);
-            tokio::select! {
-                () = self.serve_open(socket, connection.clone()) => {}
-                () = connection.closing() => {}
+            let active = self.rules.current();
+            let limits = active.as_ref().map(|active| active.rules.limits);
+            // A connection's limits are set once, so one opened without the operator's limits is
+            // closed after its first response.
+            let state = Arc::new(Connection::new(self.clone(), limits.as_ref()));
+            let mut end = ConnectionGuard::new(&self, connection.clone(), state.clone());
+            end.cause = tokio::select! {
+                cause = self.clone().serve_open(socket, limits, connection.clone(), state) => cause,
+                () = connection.closing() => EndCause::Limit,
             }
         }
     }
 
-    async fn serve_open(self: Arc<Self>, socket: TcpStream, caller: Arc<CallerConnection>) {
-        let active = self.rules.current();
-        let limits = active.as_ref().map(|active| active.rules.limits);
-        // A connection's limits are set once, so one opened without the operator's limits is closed
-        // after its first response.
-        let connection = Arc::new(Connection::new(self.clone(), limits.as_ref()));
+    /// Serves an open connection until it ends; returns why it did.
+    async fn serve_open(
+        self: Arc<Self>,
+        socket: TcpStream,
+        limits: Option<CallerLimits>,
+        caller: Arc<CallerConnection>,
+        connection: Arc<Connection>,
+    ) -> EndCause {
         let service = service_fn({
             let (callers, connection, caller) = (self.clone(), connection.clone(), caller.clone());
             move |req| {
@@ -164,24 +175,27 @@
         let stream = ReadAhead::new(socket, connection.clone());
         let stream = TokioIo::new(WatchedStream::new(stream, caller));
         let mut served = pin!(http_builder(limits).serve_connection(stream, service));
-        // Connection errors are ignored: if the connection ends, hyper drops the pending request's
-        // future, which cancels it, and those that were started ahead are cancelled with
-        // `connection`.
+        // If the connection ends, hyper drops the pending request's future, which cancels it, and
+        // those that were started ahead are cancelled with `connection`.
         tokio::select! {
-            _ = served.as_mut() => return,
+            served = served.as_mut() => return end_cause(&served, EndCause::LastAnswer),
             _ = shutdown.wait_for(|shutdown| *shutdown) => {}
         }
         // hyper closes the connection after its pending response, so it must have reached all
         // requests that were started.
         let ended = poll_fn(|cx| match served.as_mut().poll(cx) {
-            Poll::Ready(_) => Poll::Ready(true),
-            Poll::Pending if connection.started() == 0 => Poll::Ready(false),
+            Poll::Ready(served) => Poll::Ready(Some(served)),
+            Poll::Pending if connection.started() == 0 => Poll::Ready(None),
             Poll::Pending => Poll::Pending,
         });
-        if !ended.await {
-            served.as_mut().graceful_shutdown();
-            let _ = served.await;
-        }
+        let served = match ended.await {
+            Some(served) => served,
+            None => {
+                served.as_mut().graceful_shutdown();
+                served.await
+            }
+        };
+        end_cause(&served, EndCause::Stop)
     }
 
     /// Number of connections that are served. The last response of each of the others is written,
@@ -338,8 +352,16 @@
         request: &InboundRequest,
     ) -> Outcome<TargetResponse> {
         let left = request.deadline.since(self.clock.now());
-        let mut history = SendHistory::default();
-        let dispatched = self.dispatcher.dispatch(route, request, &mut history);
+        let mut forwarding = Forwarding {
+            server: self,
+            began,
+            revision,
+            route,
+            request,
+            history: SendHistory::default(),
+            is_recorded: false,
+        };
+        let dispatched = self.dispatcher.dispatch(route, request, &mut forwarding.history);
         let mut given_up = self.given_up.subscribe();
         let outcome = tokio::select! {
             // An answer that is ready is delivered, also at the end of the grace time.
@@ -351,27 +373,7 @@
                 Outcome::Unknown { kind: ErrorKind::Draining }
             }
         };
-        let took = self.clock.now().since(began);
-        self.metrics.record_answer(&route.name, &outcome, took);
-        if !history.internal {
-            self.stats.record(&outcome, &history.work);
-            self.record_result(route, &outcome);
-        }
-        self.decisions.write(&outcome, || {
-            let (path_level, passing) = self.dispatcher.graph.path_level(route, request.importance);
-            Decision {
-                request: request.id.clone(),
-                route: route.name.clone(),
-                workspace: request.workspace.clone(),
-                fingerprint: Some(self.dispatcher.fingerprint(route, request)),
-                place: "entry",
-                revision: revision.0,
-                tried: history.tried.iter().map(ToString::to_string).collect::<Vec<_>>().join(" "),
-                path_level,
-                passing,
-                took,
-            }
-        });
+        forwarding.record(&outcome);
         outcome
     }
 
@@ -452,6 +454,110 @@
     }
 }
 
+/// Why the HTTP server ended a connection; `graceful` if it ended without an error.
+fn end_cause(served: &hyper::Result<()>, graceful: EndCause) -> EndCause {
+    served.as_ref().err().map_or(graceful, EndCause::of_error)
+}
+
+/// Connection that is being served. When it ends with requests unanswered, for whatever reason, the
+/// log says which, and which end closed it.
+struct ConnectionGuard {
+    server: Arc<CallerServer>,
+    caller: Arc<CallerConnection>,
+    connection: Arc<Connection>,
+    opened: Moment,
+    cause: EndCause,
+}
+
+impl ConnectionGuard {
+    fn new(
+        server: &Arc<CallerServer>,
+        caller: Arc<CallerConnection>,
+        connection: Arc<Connection>,
+    ) -> Self {
+        let (server, opened) = (server.clone(), server.clock.now());
+        Self { server, caller, connection, opened, cause: EndCause::Dropped }
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        let unanswered = self.connection.unanswered();
+        if unanswered.is_empty() {
+            return;
+        }
+        let Unanswered { socket_end, begun, unsent, held, answered } = unanswered;
+        // What the socket reported goes first, since the server may end for this reason without an
+        // error.
+        let cause = socket_end.unwrap_or(self.cause);
+        self.server.metrics.record_connection_end(cause);
+        self.server.decisions.write_end(&ConnectionEnd {
+            connection: self.caller.number(),
+            cause,
+            unanswered: begun,
+            unsent,
+            held,
+            answered,
+            stopping: self.server.closing.load(Ordering::Acquire),
+            open: self.server.clock.now().since(self.opened),
+        });
+    }
+}
+
+/// Request that is sent to targets. If its future is dropped before it has an outcome, the log says
+/// so, with the targets that were tried.
+struct Forwarding<'a> {
+    server: &'a CallerServer,
+    began: Moment,
+    revision: Revision,
+    route: &'a RouteRule,
+    request: &'a InboundRequest,
+    history: SendHistory,
+    is_recorded: bool,
+}
+
+impl Forwarding<'_> {
+    /// Records the outcome of the request.
+    fn record(&mut self, outcome: &Outcome<TargetResponse>) {
+        self.is_recorded = true;
+        let Self { server, began, route, history, .. } = self;
+        server.metrics.record_answer(&route.name, outcome, server.clock.now().since(*began));
+        if !history.internal {
+            server.stats.record(outcome, &history.work);
+            server.record_result(route, outcome);
+        }
+        self.log(outcome);
+    }
+
+    fn log(&self, outcome: &Outcome<TargetResponse>) {
+        let Self { server, began, revision, route, request, history, .. } = self;
+        server.decisions.write(outcome, || {
+            let (path_level, passing) =
+                server.dispatcher.graph.path_level(route, request.importance);
+            Decision {
+                request: request.id.clone(),
+                route: route.name.clone(),
+                workspace: request.workspace.clone(),
+                fingerprint: Some(server.dispatcher.fingerprint(route, request)),
+                place: "entry",
+                revision: revision.0,
+                tried: history.tried.iter().map(ToString::to_string).collect::<Vec<_>>().join(" "),
+                path_level,
+                passing,
+                took: server.clock.now().since(*began),
+            }
+        });
+    }
+}
+
+impl Drop for Forwarding<'_> {
+    fn drop(&mut self) {
+        if !self.is_recorded {
+            self.log(&Outcome::Unknown { kind: ErrorKind::Cancelled });
+        }
+    }
+}
+
 /// Who sent a request, as proved by its key.
 struct Origin {
     /// Whether the rules define workspaces, so that the headers that name them belong to the node.
--- a/node/src/proxy/decisions.rs
+++ b/node/src/proxy/decisions.rs
@@ -13,6 +13,7 @@
 use prometheus_client::metrics::counter::Counter;
 use slog::{Logger, info, warn};
 
+use crate::proxy::callers::end_cause::{ClosedBy, EndCause};
 use crate::proxy::frame::TargetResponse;
 
 /// Largest number of lines per second about refused or failed requests; enough to find examples of
@@ -20,6 +21,10 @@
 const FAULT_LINES: u32 = 100;
 /// Largest number of lines per second about served requests.
 const SERVED_LINES: u32 = 10;
+/// Largest number of lines per second about callers' connections that ended with requests
+/// unanswered, for each end that may have closed them: callers that leave in a crowd must not hide
+/// the connections that this node closed.
+const END_LINES: u32 = 25;
 /// Time window over which lines are counted.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -50,6 +55,27 @@
     pub(crate) took: Duration,
 }
 
+/// End of a caller's connection on which requests were read and not answered.
+#[derive(Debug)]
+pub(crate) struct ConnectionEnd {
+    /// Number of the connection in this process.
+    pub(crate) connection: u64,
+    /// Why it ended.
+    pub(crate) cause: EndCause,
+    /// Identifiers of the requests that had no answer, in their order, separated by spaces.
+    pub(crate) unanswered: String,
+    /// Identifiers of the requests whose answer was ready and not written whole.
+    pub(crate) unsent: String,
+    /// Bytes that were read and belong to requests that were not begun.
+    pub(crate) held: usize,
+    /// Answers that were written.
+    pub(crate) answered: u64,
+    /// Whether the process is stopping.
+    pub(crate) stopping: bool,
+    /// Time since the connection was accepted.
+    pub(crate) open: Duration,
+}
+
 /// Rate-limited log of decisions.
 #[derive(Debug)]
 pub(crate) struct DecisionLog {
@@ -64,6 +90,10 @@
     opened: Moment,
     faults: u32,
     served: u32,
+    /// Connections that callers ended.
+    left: u32,
+    /// Connections that this node ended.
+    closed: u32,
     dropped: u64,
 }
 
@@ -87,12 +117,35 @@
             Outcome::Done(response) => response.is_failure(),
             Outcome::NotRun { .. } | Outcome::Unknown { .. } => true,
         };
-        if self.reserve_line(failed) {
+        let reserved = if failed {
+            self.reserve_line(FAULT_LINES, |window| &mut window.faults)
+        } else {
+            self.reserve_line(SERVED_LINES, |window| &mut window.served)
+        };
+        if reserved {
             self.write_line(outcome, &describe());
         }
     }
 
-    fn reserve_line(&self, failed: bool) -> bool {
+    /// Writes the line for the end of a connection, unless the limit of the current window is
+    /// reached.
+    pub(crate) fn write_end(&self, end: &ConnectionEnd) {
+        let count: fn(&mut Window) -> &mut u32 = match end.cause.by() {
+            ClosedBy::Caller => |window| &mut window.left,
+            ClosedBy::Node => |window| &mut window.closed,
+        };
+        if !self.reserve_line(END_LINES, count) {
+            return;
+        }
+        info!(self.logger, "request: connection ended with requests unanswered";
+            "connection" => end.connection, "by" => end.cause.by().label(),
+            "cause" => end.cause.label(), "unanswered" => &end.unanswered,
+            "unsent" => &end.unsent, "held" => end.held, "answered" => end.answered,
+            "stopping" => end.stopping, "open_ms" => end.open.as_millis() as u64);
+    }
+
+    /// Reserves one of `limit` lines in the current window, counted by `count`.
+    fn reserve_line(&self, limit: u32, count: impl Fn(&mut Window) -> &mut u32) -> bool {
         let now = self.clock.now();
         let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
         if now.since(window.opened) >= WINDOW {
@@ -102,11 +155,7 @@
             }
             *window = Window { opened: now, ..Window::default() };
         }
-        let (count, limit) = if failed {
-            (&mut window.faults, FAULT_LINES)
-        } else {
-            (&mut window.served, SERVED_LINES)
-        };
+        let count = count(&mut window);
         if *count < limit {
             *count += 1;
             return true;
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -512,6 +512,11 @@
         self.open_links.load(Ordering::Acquire)
     }
 
+    /// Number of received messages that wait to be processed.
+    pub(crate) fn received_queued(&self) -> usize {
+        self.received.max_capacity() - self.received.capacity()
+    }
+
     fn state_summary(&self) -> StateSummary {
         StateSummary { revision: self.rules.revision(), targets: self.roster.checksum() }
     }
--- a/node/src/proxy/memory.rs
+++ b/node/src/proxy/memory.rs
@@ -346,6 +346,11 @@
 }
 
 impl CallerConnection {
+    /// Number of the connection in its process.
+    pub(crate) fn number(&self) -> u64 {
+        self.id.number()
+    }
+
     /// Waits until the connection must be closed.
     pub(crate) async fn closing(&self) {
         self.closer.notified().await;
--- a/node/src/proxy/metrics.rs
+++ b/node/src/proxy/metrics.rs
@@ -16,6 +16,7 @@
 
 use super::decisions::DecisionLog;
 use crate::admission::AdmissionController;
+use crate::proxy::callers::end_cause::{EndCause, EndLabels};
 use crate::proxy::callers::entry_stats::EntryStats;
 use crate::proxy::callers::read_ahead::ReadAheadTotals;
 use crate::proxy::links::traffic::Traffic;
@@ -48,6 +49,7 @@
     registry: Mutex<Registry>,
     requests: Family<AnswerLabels, Counter>,
     latency: Family<RouteLabels, Histogram, fn() -> Histogram>,
+    unanswered: Family<EndLabels, Counter>,
     gauges: Gauges,
     admission: Arc<AdmissionController>,
     roster: Arc<Roster>,
@@ -83,6 +85,9 @@
         registry.register("requests", "Requests answered here", requests.clone());
         let help = "Time from the head of a request to its answer";
         registry.register_with_unit("request", help, Unit::Seconds, latency.clone());
+        let unanswered = Family::<EndLabels, Counter>::default();
+        let help = "Connections of callers that ended with requests unanswered, by who closed them";
+        registry.register("unanswered_connections", help, unanswered.clone());
         let help = "Log lines about requests that the bound left out";
         registry.register("log_lines_dropped", help, decisions.dropped());
         let help = "Slot time of requests that ended here, with that of their calls";
@@ -101,7 +106,7 @@
         registry.register("store_calls", "Calls to the store", health.calls());
         gauges.register(&mut registry);
         let registry = Mutex::new(registry);
-        Self { registry, requests, latency, gauges, admission, roster, rules }
+        Self { registry, requests, latency, unanswered, gauges, admission, roster, rules }
     }
 
     /// Adds the metrics of another part.
@@ -138,6 +143,11 @@
         self.latency.get_or_create(&labels).observe(took.as_secs_f64());
     }
 
+    /// Records that a caller's connection ended with requests unanswered.
+    pub(crate) fn record_connection_end(&self, cause: EndCause) {
+        self.unanswered.get_or_create(&cause.labels()).inc();
+    }
+
     /// Updates the gauges and renders all metrics.
     pub(crate) fn render(&self) -> String {
         let load = self.admission.load();
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -290,6 +290,8 @@
             entry_stats.clone(),
             traffic.clone(),
             health,
+            peers.clone(),
+            callers.clone(),
             component_logger(root, "load"),
         ));
         let listen_logger = component_logger(root, "listen");
--- a/node/src/proxy/report.rs
+++ b/node/src/proxy/report.rs
@@ -6,10 +6,13 @@
 
 use poplar_core::{Level, WorkSum};
 use slog::{Logger, info};
+use tokio::runtime::Handle;
 
 use crate::admission::AdmissionController;
 use crate::proxy::callers::entry_stats::EntryStats;
+use crate::proxy::callers::serve::CallerServer;
 use crate::proxy::frame::MessageKind;
+use crate::proxy::links::peers::Peers;
 use crate::proxy::links::traffic::Traffic;
 use crate::proxy::state::graph::CallGraph;
 use crate::proxy::sync::store_sync::StoreHealth;
@@ -20,6 +23,9 @@
 /// loses nothing.
 const LINK_REPORT_ROUNDS: u32 = 5;
 
+/// Size of a page of memory in KB.
+const PAGE_KILOBYTES: u64 = 4;
+
 /// Writes the reports until the process ends.
 pub(crate) async fn run(
     admission: Arc<AdmissionController>,
@@ -27,6 +33,8 @@
     entry_stats: Arc<EntryStats>,
     traffic: Arc<Traffic>,
     health: Arc<StoreHealth>,
+    peers: Arc<Peers>,
+    callers: Arc<CallerServer>,
     logger: Logger,
 ) {
     let mut round: u32 = 0;
@@ -35,6 +43,7 @@
         log_target(&admission, &logger);
         log_entry(&entry_stats, &logger);
         log_throttled(&graph, &logger);
+        log_memory(&peers, &callers, &logger);
         if round.is_multiple_of(LINK_REPORT_ROUNDS) {
             log_links(&traffic, &health, &logger);
         }
@@ -56,6 +65,22 @@
         "store" => health.call_counts());
 }
 
+/// Logs the memory of the process and what it consists of.
+fn log_memory(peers: &Peers, callers: &CallerServer, logger: &Logger) {
+    let tasks = Handle::try_current().map_or(0, |runtime| runtime.metrics().num_alive_tasks());
+    info!(logger, "load: memory"; "resident_kb" => resident_kilobytes(), "tasks" => tasks,
+        "requests" => callers.in_flight(), "connections" => callers.open_connections(),
+        "runs" => peers.runner.in_flight(), "links" => peers.open_links(),
+        "unwritten" => peers.traffic.unwritten(), "received" => peers.received_queued());
+}
+
+/// Resident memory of the process in KB; none if the system does not tell.
+fn resident_kilobytes() -> Option<u64> {
+    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = text.split(' ').nth(1)?.parse().ok()?;
+    Some(pages * PAGE_KILOBYTES)
+}
+
 /// Logs the current load of the target and what it did since the last report; nothing if it was
 /// idle.
 fn log_target(admission: &AdmissionController, logger: &Logger) {
