Nodes pass on each crash report once

Cause: a node passed on each report of a crash that was new to its history. Nodes passed such reports to each other without end, each time to all neighbours, faster than the links carried them. The queues of the links grew to 117 MB in a process.

Without the storm all else stays: calls, answers and records were a few MB. The three new tests of core/tests/crashes.rs fail without the change: six nodes exceed one copy of each report from each node to each other, and have more to send.

Change: a node remembers which reports of others it has passed on, apart from its history, by what they are about and not by their times, and passes on each once. What it observes itself it always reports. The number is bounded, so the sum over all links is, too.

--- a/core/src/crashes.rs
+++ b/core/src/crashes.rs
@@ -16,6 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::ids::InstanceId;
+use crate::relayed_reports::{RelayedReport, RelayedReports};
 use crate::suspects::Fingerprint;
 use crate::time::Moment;
 
@@ -38,6 +39,9 @@
 /// Time after a crash for which a new peer is informed of it even if the request has only one mark.
 /// Subscriptions are renewed within this time after a start or a lost connection.
 const RECENT_CRASH_TIME: Duration = Duration::from_secs(10);
+/// Number of reports that a node passes on within the time for which it remembers them, per request
+/// that its history holds: a request has a few marks and successes in that time.
+const RELAYED_PER_REQUEST: usize = 4;
 /// Maximum number of marks per request; more would not change any decision.
 const MAX_MARKS: usize = 8;
 /// Time by which two nodes may differ about the order of two events, due to message delays.
@@ -153,6 +157,15 @@
     seen_locally: bool,
 }
 
+/// Who observed what is merged into a [`CrashHistory`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ReportSource {
+    /// This node, which tells others of each crash.
+    Own,
+    /// Another node; what it reports is passed on once.
+    Other,
+}
+
 /// Marks and successes of requests, as known to one node.
 ///
 /// Holds at most `capacity` requests of up to about 300 bytes each; those with the fewest counted
@@ -162,12 +175,14 @@
     capacity: usize,
     records: HashMap<Fingerprint, Record>,
     recent: RecentSuccesses,
+    relayed: RelayedReports,
 }
 
 impl CrashHistory {
     /// Creates an empty history.
     pub fn new(capacity: usize) -> Self {
-        Self { capacity, records: HashMap::new(), recent: RecentSuccesses::default() }
+        let relayed = RelayedReports::new(RELAYED_PER_REQUEST * capacity);
+        Self { capacity, records: HashMap::new(), recent: RecentSuccesses::default(), relayed }
     }
 
     /// Whether and how a request may run at `now`.
@@ -213,15 +228,17 @@
         }
     }
 
-    /// Merges marks and successes that this node observed or received from another. Returns those
-    /// that were new, and known successes that contradict the merged marks.
+    /// Merges marks and successes that this node received from another. Returns those that were new
+    /// and have not been passed on before, and known successes that contradict the merged marks.
     pub fn merge(&mut self, now: Moment, received: &CrashNews) -> CrashNews {
+        self.merge_from(now, received, ReportSource::Other)
+    }
+
+    fn merge_from(&mut self, now: Moment, received: &CrashNews, source: ReportSource) -> CrashNews {
         let at = |age: Duration| micros(now) - age.min(AGE_MAX).as_micros() as Micros;
         let mut news = CrashNews::default();
         for success in &received.successes {
-            if self.apply_success(at(success.age), success.print) {
-                news.successes.push(*success);
-            }
+            self.merge_success(now, at(success.age), *success, &mut news);
         }
         for reported in &received.marks {
             let mark =
@@ -229,28 +246,51 @@
             if let Some(success) =
                 self.recent.last(reported.print).filter(|last| *last > mark.began)
             {
-                if self.apply_success(success, reported.print) {
-                    news.successes.push(success_report(now, reported.print, success));
-                }
+                let report = success_report(now, reported.print, success);
+                self.merge_success(now, success, report, &mut news);
                 continue;
             }
             if self.apply_mark(reported.print, mark) {
-                news.marks.push(*reported);
+                let report = RelayedReport::Crash(reported.print, reported.life);
+                let urgent = self.count(reported.print) >= ISOLATION_MARKS;
+                let is_admitted = self.relayed.admit(now, report, urgent);
+                if is_admitted || source == ReportSource::Own {
+                    news.marks.push(*reported);
+                }
             }
             // Other nodes must learn of a recent success even if crashes followed it.
-            if let Some(success) = self.recent.last(reported.print)
-                && self.apply_success(success, reported.print)
-            {
-                news.successes.push(success_report(now, reported.print, success));
+            if let Some(success) = self.recent.last(reported.print) {
+                let report = success_report(now, reported.print, success);
+                self.merge_success(now, success, report, &mut news);
             }
         }
         self.evict();
         news
     }
 
+    /// Applies a success at `time`, and adds `report` to `news` if it was new.
+    fn merge_success(
+        &mut self,
+        now: Moment,
+        time: Micros,
+        report: SuccessReport,
+        news: &mut CrashNews,
+    ) {
+        let print = report.print;
+        let urgent = self.count(print) >= ISOLATION_MARKS;
+        let last = |record: &Record| record.marks.iter().rfind(|mark| mark.began <= time).copied();
+        let cleared = self.records.get(&print).and_then(last).map(|mark| mark.life);
+        if self.apply_success(time, print)
+            && self.relayed.admit(now, RelayedReport::Success(print, cleared), urgent)
+        {
+            news.successes.push(report);
+        }
+    }
+
     /// Records a crash that this node observed; returns the news for other nodes.
     pub fn record_local(&mut self, now: Moment, mark: CrashMark) -> CrashNews {
-        let news = self.merge(now, &CrashNews { marks: vec![mark], ..CrashNews::default() });
+        let observed = CrashNews { marks: vec![mark], ..CrashNews::default() };
+        let news = self.merge_from(now, &observed, ReportSource::Own);
         if let Some(record) = self.records.get_mut(&mark.print) {
             record.seen_locally = true;
         }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -34,6 +34,7 @@
 mod quota;
 mod rate_limit;
 mod read_planner;
+mod relayed_reports;
 mod resend;
 mod roster;
 mod rules;
--- a/core/tests/crashes.rs
+++ b/core/tests/crashes.rs
@@ -3,7 +3,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use poplar_core::{
@@ -218,6 +218,67 @@
     }
 }
 
+/// Number of nodes that pass reports on to each other.
+const NODES: usize = 6;
+
+/// Reports to one of several nodes, each of which sends what is new to it to all others, where it
+/// arrives after `delay`. Checks that each node passes on each report once at most.
+fn check_circulation(delay: Duration, reports: CrashNews) {
+    let began = at(100_000);
+    let mut nodes: Vec<_> = (0..NODES).map(|_| CrashHistory::new(CAPACITY)).collect();
+    let limit = NODES * NODES * (reports.marks.len() + reports.successes.len());
+    let mut sent = 0;
+    let mut queue = VecDeque::from([(began, 0, reports)]);
+    while let Some((now, to, received)) = queue.pop_front() {
+        let news = nodes[to].merge(now, &received);
+        nodes[to].verify().unwrap();
+        if news.is_empty() {
+            continue;
+        }
+        for other in (0..NODES).filter(|other| *other != to) {
+            sent += news.marks.len() + news.successes.len();
+            queue.push_back((now + delay, other, news.clone()));
+        }
+        assert!(sent <= limit, "{sent} reports were sent, and more are to be sent at {now:?}");
+    }
+}
+
+/// Guards against reports that nodes pass on to each other without end, until the messages exceed
+/// their memory, because they are of more requests than a node keeps.
+#[test]
+fn reports_of_more_requests_than_are_kept_do_not_circulate() {
+    let numbers = 0..2 * CAPACITY as u64;
+    let reported = numbers.map(|number| mark(100, Fingerprint(100 + number), number % 3, 80, 90));
+    check_circulation(Duration::from_millis(5), marks(reported.collect()));
+}
+
+/// As above, because they arrive late, so that they seem to be of later events.
+#[test]
+fn reports_that_arrive_late_do_not_circulate() {
+    let reported = (0..20).map(|number| mark(100, Fingerprint(100 + number), number % 3, 80, 90));
+    let successes =
+        (200..220).map(|number| SuccessReport { print: Fingerprint(number), age: Duration::ZERO });
+    let reports = CrashNews { marks: reported.collect(), successes: successes.collect() };
+    for delay in [500, 1_500, 5_000, 20_000] {
+        check_circulation(Duration::from_millis(delay), reports.clone());
+    }
+}
+
+/// As above, because crashes and successes of the same requests circulate beside each other.
+#[test]
+fn late_reports_of_crashes_and_successes_do_not_circulate() {
+    let requests = || (100..120).map(Fingerprint);
+    let reported = requests().flat_map(|print| {
+        (0..3).map(move |life| mark(3_000, print, life, 900 * life, 900 * life + 500))
+    });
+    let age = Duration::from_millis(1_600);
+    let successes = requests().map(|print| SuccessReport { print, age });
+    let reports = CrashNews { marks: reported.collect(), successes: successes.collect() };
+    for delay in [500, 1_500, 5_000, 20_000] {
+        check_circulation(Duration::from_millis(delay), reports.clone());
+    }
+}
+
 /// A peer that connects shortly after a crash, such as one that starts, must count it as the others
 /// do. A peer that connects later does not receive single marks, most of which belong to
 /// bystanders.
