A run that is waited for is not stopped when its link broke 6 s ago

Callers saw 504 at their deadline, and a target whose run was broken off, for a once-only request that lasted more than 6 s beyond the break of the link between its nodes.

Cause: HeldRuns::expire stopped every run of a connection that had closed 6 s ago, also one whose call was claimed: a claim waits for the end of the run and does not renew its retention. The waiting claim was not told either.

Ruled out: the entry giving up; its claim was pending until the deadline.

Change: a claim records its time at the run, and a run is stopped 6 s after its connection closed and its call was last claimed. A claim that waits is renewed every 2 s. Answers of closed connections stay until they are evicted by age or size, as those of open ones.

--- a/core/src/held.rs
+++ b/core/src/held.rs
@@ -29,8 +29,8 @@
 /// Bounds of [`HeldRuns`].
 #[derive(Debug, Clone, Copy)]
 pub struct HeldLimits {
-    /// Time for which an answer is kept after its run finished, and for which the runs of a
-    /// connection are kept after it closed.
+    /// Time for which an answer is kept after its run finished, and for which a run is kept after
+    /// its connection closed and its call was last claimed.
     pub retention: Duration,
     /// Maximum size in bytes of all kept answers.
     pub bytes: usize,
@@ -39,7 +39,8 @@
 /// Status of a call at the target's node, returned to a caller that claims it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ClaimResult<A> {
-    /// The call is running; claim it again after a run has ended.
+    /// The call is running; claim it again after a run has ended, and within the retention time
+    /// meanwhile.
     Running,
     /// The call ran; this is its answer.
     Done(A),
@@ -71,10 +72,17 @@
 
 #[derive(Debug)]
 enum Run<A, H> {
-    Running(H),
+    Running(ActiveRun<H>),
     Done(A),
 }
 
+#[derive(Debug)]
+struct ActiveRun<H> {
+    handle: H,
+    /// When the call was last claimed.
+    claimed_at: Option<Moment>,
+}
+
 /// Entry in the queue of kept answers, which is ordered by time of finish.
 #[derive(Debug)]
 struct KeptAnswer {
@@ -107,7 +115,8 @@
     /// Adds the run of a call that arrived.
     pub fn insert(&mut self, call: CallId, handle: H) {
         if let Some(link) = self.links.get_mut(&call.link) {
-            link.runs.insert(call.number, Run::Running(handle));
+            let run = ActiveRun { handle, claimed_at: None };
+            link.runs.insert(call.number, Run::Running(run));
         }
     }
 
@@ -124,7 +133,7 @@
     /// Removes a call whose caller left, and returns the handle of its run if it is still running.
     pub fn cancel(&mut self, call: CallId) -> Option<H> {
         match self.links.get_mut(&call.link)?.runs.remove(&call.number)? {
-            Run::Running(handle) => Some(handle),
+            Run::Running(run) => Some(run.handle),
             Run::Done(_) => None,
         }
     }
@@ -143,30 +152,37 @@
     pub fn claim(&mut self, now: Moment, call: CallId) -> ClaimResult<A> {
         let Some(link) = self.links.get_mut(&call.link) else { return ClaimResult::Unknown };
         link.closed_at.get_or_insert(now);
-        match link.runs.get(&call.number) {
-            Some(Run::Running(_)) => ClaimResult::Running,
+        match link.runs.get_mut(&call.number) {
+            Some(Run::Running(run)) => {
+                run.claimed_at = Some(now);
+                ClaimResult::Running
+            }
             Some(Run::Done(answer)) => ClaimResult::Done(answer.clone()),
             None if link.highest_number < Some(call.number) => ClaimResult::NotRun,
             None => ClaimResult::Unknown,
         }
     }
 
-    /// Removes answers and connections whose retention time is over, and returns the handles of
-    /// the runs among them that are still running.
+    /// Removes answers, runs and connections whose retention time is over, and returns the handles
+    /// of the runs among them. A run whose caller still claims it continues.
     pub fn expire(&mut self, now: Moment) -> Vec<H> {
         self.evict_answers(now);
-        let retention = self.limits.retention;
+        let is_over = |since: Moment| now.since(since) >= self.limits.retention;
         let mut stopped = Vec::new();
         self.links.retain(|_, link| {
-            let expired = link.closed_at.is_some_and(|closed| now.since(closed) >= retention);
-            if expired {
-                let runs = link.runs.drain().map(|(_, run)| run);
-                stopped.extend(runs.filter_map(|run| match run {
-                    Run::Running(handle) => Some(handle),
-                    Run::Done(_) => None,
-                }));
+            if link.closed_at.is_none_or(|closed| !is_over(closed)) {
+                return true;
             }
-            !expired
+            // Answers are removed when they are evicted.
+            let expired = link.runs.extract_if(|_, run| match run {
+                Run::Running(run) => run.claimed_at.is_none_or(is_over),
+                Run::Done(_) => false,
+            });
+            stopped.extend(expired.filter_map(|(_, run)| match run {
+                Run::Running(run) => Some(run.handle),
+                Run::Done(_) => None,
+            }));
+            !link.runs.is_empty()
         });
         stopped
     }
--- a/core/tests/held.rs
+++ b/core/tests/held.rs
@@ -82,6 +82,41 @@
     assert_eq!(held.links(), 0);
 }
 
+/// Guards against a run that is stopped although its caller waits for its answer.
+#[test]
+fn a_run_that_is_claimed_again_and_again_continues_and_is_answered() {
+    let mut held = held();
+    for number in [0, 1] {
+        assert!(held.record_arrival(call(number)));
+        held.insert(call(number), number);
+    }
+    held.close_link(at(1_000), LINK);
+    for now in (2_000..22_000).step_by(2_000) {
+        assert_eq!(held.claim(at(now), call(0)), ClaimResult::Running);
+        // Only the other run, which nobody claims, is stopped.
+        let expected = if now == 8_000 { vec![1] } else { vec![] };
+        assert_eq!(held.expire(at(now)), expected, "at {now} ms");
+    }
+    held.finish(at(22_000), call(0), "answer", 6);
+    // The last claim is longer ago than runs are kept, the answer is not.
+    assert_eq!(held.expire(at(27_000)), Vec::<u32>::new());
+    assert_eq!(held.claim(at(27_000), call(0)), ClaimResult::Done("answer"));
+    assert_eq!(held.expire(at(28_000)), Vec::<u32>::new());
+    assert_eq!((held.links(), held.bytes()), (0, 0));
+}
+
+#[test]
+fn a_run_whose_claims_end_is_stopped_after_the_retention_time() {
+    let mut held = held();
+    assert!(held.record_arrival(call(0)));
+    held.insert(call(0), 10);
+    held.close_link(at(1_000), LINK);
+    assert_eq!(held.claim(at(5_000), call(0)), ClaimResult::Running);
+    assert_eq!(held.expire(at(10_999)), Vec::<u32>::new());
+    assert_eq!(held.expire(at(11_000)), vec![10]);
+    assert_eq!(held.links(), 0);
+}
+
 #[test]
 fn cancelling_a_call_stops_its_run() {
     let mut held = held();
--- a/node/src/proxy/links/runs.rs
+++ b/node/src/proxy/links/runs.rs
@@ -12,10 +12,13 @@
 use crate::proxy::frame::{CallAnswer, CallNumber, Message};
 use crate::proxy::links::link::{Outbox, lock};
 
-/// Time for which a held run continues without its link, and for which its answer is kept. It
-/// exceeds the time for which a caller claims the call, as the two ends detect a broken link at
+/// Time for which a held run continues without its link and without a claim, and for which its
+/// answer is kept. It exceeds the time for which a caller claims the call, as the two ends detect a broken link at
 /// different times.
 const HELD_TIMEOUT: Duration = Duration::from_secs(6);
+/// Interval at which a claim that waits for its run is renewed; a fraction of [`HELD_TIMEOUT`], so
+/// that the run is not stopped meanwhile.
+const CLAIM_RENEWAL: Duration = Duration::from_secs(2);
 /// Largest total size of the answers kept for claims, in bytes.
 const HELD_BYTES: usize = 8 << 20;
 /// Divisor of the memory of the process that gives that size, if it is smaller: an eighth of the
@@ -126,7 +129,10 @@
                 run_ended.as_mut().enable();
                 let claim = lock(&runs.held).claim(clock.now(), call);
                 match claim {
-                    ClaimResult::Running => run_ended.await,
+                    ClaimResult::Running => {
+                        // Claimed again in any case.
+                        let _ = tokio::time::timeout(CLAIM_RENEWAL, run_ended).await;
+                    }
                     ClaimResult::Done(answer) => return answer,
                     ClaimResult::NotRun => {
                         return CallAnswer::refused(ErrorKind::Connection, LOST_RETRY);
