A call that is claimed survives a second break of its link

Callers saw 502 in place of the answer of a once-only run that went on, when the link between its nodes broke again more than 3 s after the first time.

Cause: the 3 s for which the other node may be out of reach counted from the first break, also through the time in which a claim waited for the run.

Change: they count from the last moment at which a claim had been sent.

--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -46,9 +46,9 @@
 /// Time for which sent bytes may stay unacknowledged before the kernel closes the connection
 /// (`TCP_USER_TIMEOUT`).
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time for which a call whose link broke is claimed from the other node. Together with the time
-/// until a silent link is closed, this covers a pause of the other process of 4 s without the loss
-/// of a run.
+/// Time for which a call whose link broke is claimed from the other node, from the last moment at
+/// which that node could be reached. Together with the time until a silent link is closed, this
+/// covers a pause of the other process of 4 s without the loss of a run.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Pause between two claims of the same call.
 const CLAIM_INTERVAL: Duration = Duration::from_millis(100);
@@ -213,7 +213,8 @@
     }
 
     /// Claims the answer of a call whose link broke from the node at `peer`, until the node
-    /// answers, its process is gone, or `CLAIM_TIMEOUT` or the deadline has passed.
+    /// answers, its process is gone, it was out of reach for `CLAIM_TIMEOUT`, or the deadline has
+    /// passed.
     pub(crate) async fn claim(
         self: &Arc<Self>,
         peer: &Name,
@@ -233,11 +234,17 @@
         call: CallId,
         deadline: Moment,
     ) -> Result<CallAnswer, LinkError> {
-        let limit = deadline.min(self.clock.now() + CLAIM_TIMEOUT);
-        while self.clock.now() < limit {
+        let limit = || deadline.min(self.clock.now() + CLAIM_TIMEOUT);
+        let mut claim_until = limit();
+        while self.clock.now() < claim_until {
             let result = match self.get_or_connect(peer).await {
                 Ok(link) if link.outbox.supports_claims() => match link.claim(call) {
-                    Ok(pending) => pending.answer().await,
+                    Ok(pending) => {
+                        let answer = pending.answer().await;
+                        // This link may have broken long after the first one did.
+                        claim_until = limit();
+                        answer
+                    }
                     Err(error) => Err(error),
                 },
                 // A process of an earlier version has replaced the one that held the run.
