A run that is broken off is logged at the node beside its target

Operators saw nothing at the node beside a target of a request whose run was broken off, because its caller left or its link ended: the decision was written only if the run came to its end.

Change: as at the entry, a guard writes 'request: unknown' with the reason 'cancelled' and the place 'target' when the run's future is dropped.

--- a/node/src/proxy/target/run.rs
+++ b/node/src/proxy/target/run.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use poplar_core::{
-    CallResult, ErrorKind, Fingerprint, InstanceId, Moment, Outcome, PathLevel, TargetLifetime,
-    TargetResult,
+    CallResult, ErrorKind, Fingerprint, InstanceId, Level, Moment, Outcome, PathLevel,
+    TargetLifetime, TargetResult,
 };
 use poplar_kernel::Clock;
 
@@ -85,22 +85,12 @@
     pub(crate) async fn run(&self, call: &Call) -> CallAnswer {
         let _in_flight = InFlightGuard::begin(&self.in_flight);
         let began = self.clock.now();
+        let mut log = RunLog { runner: self, call, began, is_written: false };
         let answer = self.admit_and_run(call, began).await;
         let (level, load) = self.admission.load_report();
         let told = self.graph.export_levels();
         let answer = CallAnswer { level, told, load: load as f32, ..answer };
-        self.decisions.write(&answer.outcome, || Decision {
-            request: call.request.clone(),
-            route: call.route.clone(),
-            workspace: None,
-            fingerprint: Some(call.fingerprint()),
-            place: "target",
-            revision: self.rules.revision().0,
-            tried: call.instance.to_string(),
-            path_level: PathLevel { service: None, level, age: Some(Duration::ZERO) },
-            passing: 1.0,
-            took: self.clock.now().since(began),
-        });
+        log.write(&answer.outcome, level);
         answer
     }
 
@@ -173,6 +163,44 @@
     }
 }
 
+/// Log line of a call. If its future is dropped before it has an outcome, because its caller
+/// cancelled or its link ended, the log says so.
+struct RunLog<'a> {
+    runner: &'a Runner,
+    call: &'a Call,
+    began: Moment,
+    is_written: bool,
+}
+
+impl RunLog<'_> {
+    /// Writes the line for `outcome`, at the admission level `level`.
+    fn write(&mut self, outcome: &Outcome<TargetResponse>, level: Level) {
+        self.is_written = true;
+        let Self { runner, call, began, .. } = self;
+        runner.decisions.write(outcome, || Decision {
+            request: call.request.clone(),
+            route: call.route.clone(),
+            workspace: None,
+            fingerprint: Some(call.fingerprint()),
+            place: "target",
+            revision: runner.rules.revision().0,
+            tried: call.instance.to_string(),
+            path_level: PathLevel { service: None, level, age: Some(Duration::ZERO) },
+            passing: 1.0,
+            took: runner.clock.now().since(*began),
+        });
+    }
+}
+
+impl Drop for RunLog<'_> {
+    fn drop(&mut self) {
+        if !self.is_written {
+            let (level, _) = self.runner.admission.load_report();
+            self.write(&Outcome::Unknown { kind: ErrorKind::Cancelled }, level);
+        }
+    }
+}
+
 /// Reports how a run ended to the local target and the crash records, even if the run's future is
 /// dropped because the caller cancelled.
 struct RunGuard<'a> {
