A link that carries a long body slowly is not taken for a silent one

Callers saw 502 for requests that a working target was running, when a long request body went over the same link for more than about 1.3 s and the other node had nothing else to say: all calls on the link broke at once.

Cause: the ping waits behind the body, and its answer came later than PONG_TIMEOUT. Reading a large answer counted as a sign of life, sending a large call did not, since the sender cannot tell what has arrived.

Change: a node that reads a large call from a link sends a Pong on it, at most every 300 ms.

Not covered: many small calls whose bytes take as long, while no answer comes back.

--- a/node/src/proxy/links/large_frame.rs
+++ b/node/src/proxy/links/large_frame.rs
@@ -37,16 +37,7 @@
     fn admit(&mut self, answered: Option<CallNumber>, len: usize) -> Intake;
 
     /// Records that part of a frame has arrived.
-    fn record_progress(&mut self) {}
-}
-
-/// Takes in all frames.
-pub(crate) struct AdmitAll;
-
-impl LargeFrames for AdmitAll {
-    fn admit(&mut self, _answered: Option<CallNumber>, _len: usize) -> Intake {
-        Intake::Read(None)
-    }
+    fn record_progress(&mut self);
 }
 
 /// Large frame whose beginning has been read.
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -23,9 +23,9 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::closing::{Closer, ClosingStream};
-use crate::proxy::frame::{Call, CallAnswer, Message, StateSummary, TargetResponse};
+use crate::proxy::frame::{Call, CallAnswer, CallNumber, Message, StateSummary, TargetResponse};
 use crate::proxy::in_flight::InFlightGuard;
-use crate::proxy::links::large_frame::AdmitAll;
+use crate::proxy::links::large_frame::{Intake, LargeFrames};
 use crate::proxy::links::leases;
 use crate::proxy::links::link::{
     AnswerIntake, Link, LinkEnd, LinkError, Outbox, ProtocolVersion, drive, lock,
@@ -55,6 +55,9 @@
 /// Interval between checks of all links; about a third of the time after which a quiet link is
 /// pinged.
 pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(150);
+/// Shortest interval at which a node tells the sender of large calls that they arrive; a fraction
+/// of the time within which a ping must be answered.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(300);
 /// Name of the link protocol in the `Upgrade` field.
 const PROTOCOL: &str = "poplar-link";
 /// Header with the availability zone of the node that requests a link.
@@ -460,7 +463,8 @@
             other => self.receive(&sender, other),
         };
         let _open = InFlightGuard::begin(&self.open_links);
-        drive(socket, &unread, &outbox, self.link_end(), AdmitAll, handle).await;
+        let intake = CallIntake { peers: &self, outbox: &outbox, reported_at: self.clock.now() };
+        drive(socket, &unread, &outbox, self.link_end(), intake, handle).await;
         runs.close(self.clock.now());
     }
 
@@ -529,6 +533,28 @@
     }
 }
 
+/// Takes in large calls. While they arrive, it tells their sender so: a ping of that node waits
+/// behind them, and it would take a long transfer for silence.
+struct CallIntake<'a> {
+    peers: &'a Peers,
+    outbox: &'a Outbox,
+    reported_at: Moment,
+}
+
+impl LargeFrames for CallIntake<'_> {
+    fn admit(&mut self, _answered: Option<CallNumber>, _len: usize) -> Intake {
+        Intake::Read(None)
+    }
+
+    fn record_progress(&mut self) {
+        let now = self.peers.clock.now();
+        if now.since(self.reported_at) >= PROGRESS_INTERVAL {
+            self.reported_at = now;
+            self.outbox.push(&Message::Pong(self.peers.state_summary()));
+        }
+    }
+}
+
 impl Service for Peers {
     fn name(&self) -> &'static str {
         "links"
