Stopping nodes refuse calls that outlast them

Cause: a stopping node took calls of other nodes until 2.2 s after its signal, whatever their time limit, and ends what still runs at 0.88 of its grace time.

Change: from the signal on it takes a call of another node only if the call's time limit ends before that (core::StopPlan), and refuses any other as not run, so that its entry sends it to another target. Requests of its own callers are taken as before.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -40,6 +40,7 @@
 mod rules;
 mod runs;
 mod shortage;
+mod stop;
 mod stream_cursor;
 mod suspects;
 mod time;
@@ -118,6 +119,7 @@
 pub use rules::{CallerLimits, Repeat, RouteIndex, RouteRule, RuleSet, ServiceRule, Share};
 pub use runs::{RunningRequest, RunningRequests};
 pub use shortage::Shortage;
+pub use stop::StopPlan;
 pub use stream_cursor::{Position, ReadCall, StreamCursor};
 pub use suspects::{
     Fingerprint, Permit, SuspectRefusal, SuspectReport, SuspectTable, SuspectTableError,
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -39,7 +39,7 @@
 use crate::proxy::state::roster::Roster;
 use crate::proxy::state::rules::Rules;
 use crate::proxy::target::local_target::LocalTarget;
-use crate::proxy::target::run::Runner;
+use crate::proxy::target::run::{CallSender, Runner};
 
 /// Timeout for establishing a link; allows for a few round trips between availability zones.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -183,7 +183,7 @@
         once: bool,
     ) -> Result<CallAnswer, LinkError> {
         if *peer == self.address {
-            let answer = self.runner.run(&call).await;
+            let answer = self.runner.run(&call, CallSender::Own).await;
             if let Some((lifetime, rate)) = self.refusing_limit(&answer) {
                 self.roster.adopt_limit(peer, lifetime, rate);
             }
@@ -443,7 +443,7 @@
         let run = |call: Box<Call>| {
             let (peers, outbox) = (self.clone(), outbox.clone());
             async move {
-                let answer = peers.runner.run(&call).await;
+                let answer = peers.runner.run(&call, CallSender::Peer).await;
                 peers.send_crashes(&call, &answer, &outbox);
                 if outbox.supports_limits()
                     && let Some((lifetime, rate)) = peers.refusing_limit(&answer)
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use poplar_core::{ErrorKind, Moment, ReadPlan, ReadPlanner, ResendBudget};
+use poplar_core::{ErrorKind, Moment, ReadPlan, ReadPlanner, ResendBudget, StopPlan};
 use poplar_kernel::{Clock, Lifecycle, Registry, Serving, component_logger};
 use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
@@ -48,11 +48,8 @@
 /// Fraction of the grace time after which a stopping node gives up the requests that are still in
 /// flight, and answers their callers that the outcome is unknown.
 const GIVE_UP_FRACTION: f64 = 0.85;
-/// Fraction of the grace time after which a stopping node closes the connections on which an answer
-/// is still unsent. The rest is left for the process to exit on a slow machine.
-const GRACE_FRACTION: f64 = 0.88;
-/// Longest time for which a stopping node that has used up [`GRACE_FRACTION`] waits for the other
-/// nodes to close their links.
+/// Longest time for which a stopping node waits for the other nodes to close their links, counted
+/// from [`StopPlan::run_end`].
 const LINK_CLOSE_TIME: Duration = Duration::from_millis(100);
 /// Interval at which the calls in flight are checked while draining.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
@@ -362,6 +359,8 @@
         let began = clock.now();
         info!(logger, "process: stopping"; "in_flight" => in_flight());
         callers.closing.store(true, Ordering::Release);
+        let plan = StopPlan::new(began, config.bounds.grace);
+        runner.begin_stop(plan);
         let lifecycle = lifecycle.drain();
         tokio::time::sleep(READINESS_DELAY).await;
         runner.refuse_calls(ErrorKind::Draining);
@@ -375,21 +374,22 @@
         let unsent = || callers.open_connections() + usize::from(traffic.unwritten() > 0);
         // Callers whose connections are being closed may still read.
         let left = || in_flight() + unsent() + closer.waiting();
-        let after = |fraction| began + config.bounds.grace.mul_f64(fraction);
-        wait_until(clock, after(GIVE_UP_FRACTION), || left() == 0).await;
+        let give_up = began + config.bounds.grace.mul_f64(GIVE_UP_FRACTION);
+        wait_until(clock, give_up, || left() == 0).await;
         if callers.in_flight() > 0 {
             warn!(logger, "process: requests given up at the end of the grace time";
                 "requests" => callers.in_flight());
             callers.given_up.send_replace(true);
         }
-        wait_until(clock, after(GRACE_FRACTION), || left() == 0).await;
+        // Connections on which an answer is still unsent are closed then, too.
+        wait_until(clock, plan.run_end(), || left() == 0).await;
         if left() > 0 {
             warn!(logger, "process: calls cut off by the end of the grace time";
                 "calls" => in_flight(), "unsent" => unsent(), "closing" => closer.waiting());
         }
         peers.shutdown.send_replace(true);
         let open = || peers.open_links() + closer.waiting();
-        wait_until(clock, after(GRACE_FRACTION) + LINK_CLOSE_TIME, || open() == 0).await;
+        wait_until(clock, plan.run_end() + LINK_CLOSE_TIME, || open() == 0).await;
         lifecycle.stop();
         info!(logger, "process: stopped");
     }
--- a/node/src/proxy/target/run.rs
+++ b/node/src/proxy/target/run.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use poplar_core::{
-    CallResult, ErrorKind, Fingerprint, InstanceId, Level, Moment, Outcome, PathLevel,
+    CallResult, ErrorKind, Fingerprint, InstanceId, Level, Moment, Outcome, PathLevel, StopPlan,
     TargetLifetime, TargetResult,
 };
 use poplar_kernel::Clock;
@@ -30,6 +30,15 @@
 /// deadline has passed.
 const DEADLINE_GRACE: Duration = Duration::from_millis(50);
 
+/// Node that sends a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallSender {
+    /// This node, which stops at the same time as the run.
+    Own,
+    /// Another node, which may answer its caller later than this one can run the call.
+    Peer,
+}
+
 /// Admits calls to the target beside this node and runs them there.
 pub(crate) struct Runner {
     clock: Clock,
@@ -42,6 +51,8 @@
     decisions: Arc<DecisionLog>,
     /// Error kind with which all further calls are refused, once set.
     refusal: OnceLock<ErrorKind>,
+    /// Set when the process begins to stop.
+    stop: OnceLock<StopPlan>,
     in_flight: AtomicUsize,
 }
 
@@ -56,7 +67,7 @@
         decisions: Arc<DecisionLog>,
     ) -> Self {
         let SharedState { rules, crashes, .. } = shared;
-        let (refusal, in_flight) = (OnceLock::new(), AtomicUsize::new(0));
+        let (refusal, stop, in_flight) = (OnceLock::new(), OnceLock::new(), AtomicUsize::new(0));
         Self {
             clock,
             admission,
@@ -67,6 +78,7 @@
             crashes,
             decisions,
             refusal,
+            stop,
             in_flight,
         }
     }
@@ -76,17 +88,28 @@
         self.refusal.get_or_init(|| kind);
     }
 
+    /// Takes further calls of other nodes only as far as `plan` allows; only the first use has an
+    /// effect.
+    pub(crate) fn begin_stop(&self, plan: StopPlan) {
+        self.stop.get_or_init(|| plan);
+    }
+
     /// Number of calls that have no outcome yet.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Acquire)
     }
 
     /// Runs a call; dropping the future cancels the run.
-    pub(crate) async fn run(&self, call: &Call) -> CallAnswer {
+    pub(crate) async fn run(&self, call: &Call, sender: CallSender) -> CallAnswer {
         let _in_flight = InFlightGuard::begin(&self.in_flight);
         let began = self.clock.now();
         let mut log = RunLog { runner: self, call, began, is_written: false };
-        let answer = self.admit_and_run(call, began).await;
+        let answer = match self.stop.get() {
+            Some(plan) if sender == CallSender::Peer && !plan.takes_call(began, call.left) => {
+                CallAnswer::refused(ErrorKind::Draining, LEAVING_RETRY)
+            }
+            _ => self.admit_and_run(call, began).await,
+        };
         let (level, load) = self.admission.load_report();
         let told = self.graph.export_levels();
         let answer = CallAnswer { level, told, load: load as f32, ..answer };
