A request on an idle connection that is closed stays unread

What callers saw: a request that had just arrived when the node closed its connection, for a stop or the idle timeout, was read and discarded, and the connection ended in order. Its caller could not tell that from a request that was run, so it could not send again what must not run twice.

Change: a connection that does not wait is closed as it is. The kernel then resets it, and the caller knows that the request was not read.

Measured: request_on_an_idle_connection_that_is_closed_stays_unread fails without the change and passes with it; the other tests of both files closing.rs pass.

--- a/node/src/closing.rs
+++ b/node/src/closing.rs
@@ -197,11 +197,18 @@
         let _ = SockRef::from(&open.socket).set_tcp_notsent_lowat(1);
         let now = self.clock.now();
         let mut linger = Linger::new(limits, now, written);
-        open.check_sent(&mut linger, now);
-        let has_ended = linger.is_sent() && open.discard_received(&self.discarded);
-        if has_ended || now >= linger.deadline(self.is_stopping()) {
+        let is_sent = open.check_sent(&mut linger, now);
+        // Without a wait nothing is read and the sending side is not ended first, so that a reset
+        // tells the other end that what it has sent was not read.
+        if now >= linger.deadline(self.is_stopping()) {
             return;
         }
+        if is_sent {
+            open.end_sending();
+            if open.discard_received(&self.discarded) {
+                return;
+            }
+        }
         // Without a runtime the process is about to exit.
         if let Ok(runtime) = Handle::try_current() {
             let waiting = Waiting::begin(self.clone());
@@ -276,6 +283,7 @@
         let end = loop {
             let now = clock.now();
             if !linger.is_sent() && open.check_sent(&mut linger, now) {
+                open.end_sending();
                 open.registration.record_unsent(false);
             }
             let is_stopping = *stopping.borrow_and_update();
@@ -329,7 +337,7 @@
 }
 
 impl<R> Open<R> {
-    /// Ends the sending side if the kernel has sent all bytes; returns whether it has.
+    /// Records whether the kernel has sent all bytes; returns whether it has.
     fn check_sent(&self, linger: &mut Linger, now: Moment) -> bool {
         // With a limit of one unsent byte a socket is writable when there is none. That holds only
         // while the sending side is open.
@@ -337,12 +345,16 @@
         let is_sent = poll(&mut writable, PollTimeout::ZERO).is_ok_and(|count| count > 0);
         if is_sent {
             linger.record_sent(now);
-            // This fails only if the connection has ended already.
-            let _ = SockRef::from(&self.socket).shutdown(Shutdown::Write);
         }
         is_sent
     }
 
+    /// Ends the sending side.
+    fn end_sending(&self) {
+        // This fails only if the connection has ended already.
+        let _ = SockRef::from(&self.socket).shutdown(Shutdown::Write);
+    }
+
     /// Discards the bytes that have arrived so far, up to [`DISCARD_BYTES`]; returns whether the
     /// connection ends after them.
     fn discard_received(&self, discarded: &Counter) -> bool {
--- a/node/tests/closing.rs
+++ b/node/tests/closing.rs
@@ -2,14 +2,19 @@
 
 mod support;
 
+use std::io::ErrorKind;
 use std::time::{Duration, Instant};
 
+use poplar_kernel::Clock;
+use poplar_node::proxy::Closer;
 use support::{Deployment, Node};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// More than the kernel buffers of both ends hold, and than the limit on bodies.
 const LONG_BYTES: usize = 8 << 20;
+/// Time after the last answer from which a connection counts as idle, with some slack.
+const IDLE_TIME: Duration = Duration::from_millis(2_200);
 /// Longest time for which a stopping node waits for clients that have received everything, in
 /// addition to the 0.7 s for which it refuses calls and to a second for a machine under load.
 const STOP_LIMIT: Duration = Duration::from_millis(2_000 + 700 + 1_000);
@@ -71,6 +76,28 @@
     exchange(&peer, &vec![b'x'; LONG_BYTES]).await.expect("the connection is not reset");
 }
 
+/// Guards against a request that arrives on an idle connection while the server closes it, and that
+/// is read and discarded: its client cannot tell it from one that was run.
+#[tokio::test]
+async fn request_on_an_idle_connection_that_is_closed_stays_unread() {
+    let logger = slog::Logger::root(slog::Discard, slog::o!());
+    let closer = Closer::new(Clock::start(), logger);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    let mut client = TcpStream::connect(address).await.expect("the listener accepts");
+    let (socket, _) = listener.accept().await.expect("the client connects");
+    let mut server = closer.client(socket);
+    server.write_all(b"answer").await.expect("the client reads");
+    let mut answer = [0; 6];
+    client.read_exact(&mut answer).await.expect("the answer arrives");
+    tokio::time::sleep(IDLE_TIME).await;
+    client.write_all(b"request").await.expect("the connection is open");
+    drop(server);
+    let end = client.read(&mut answer).await;
+    let kind = end.expect_err("the client learns that its request was not read").kind();
+    assert_eq!(kind, ErrorKind::ConnectionReset);
+}
+
 /// Guards against clients that never close their connections and hold up a stop.
 #[tokio::test]
 async fn clients_that_never_close_do_not_hold_up_a_stop() {
