Stopping entries refuse requests whose body ends too late

Cause: whether a stopping entry takes a request was decided when its head was read, and a body may end seconds later.

Change: it is decided again once the body is whole. Such a request is refused as not run, and the refusal is logged.

Measured: the test red in its only run before, green in 3 of 3 runs after; stop (4 tests), pipelining (14) and closing (26) green in one run each.

--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -289,6 +289,11 @@
             Ok(body) => body.into_shared(),
             Err(error) => return body_error_reply(error),
         };
+        // The process may have begun to refuse requests while the body came in.
+        if self.refusing.load(Ordering::Acquire) {
+            let refusal = Refusal { kind: ErrorKind::Draining, retry_after: STOPPED_RETRY };
+            return self.refuse(began, &active, route, request, origin.name, refusal);
+        }
         let Some(_expected) = self.memory.expect(&route.name) else {
             let retry_after = ANSWER_MEMORY_RETRY.mul_f64(0.5 + fastrand::f64());
             let refusal = Refusal { kind: ErrorKind::Overload, retry_after };
