A connection with requests in progress is not idle

Cause: a connection counted as idle from each answer until hyper reaches the next request. Both are mostly in one poll, but hyper yields after 16 rounds of its loop, that is after 16 answers that were ready at once. If connections are accepted at that moment and no other one is idle, it gives way to one of them.

Change: the end of a request makes its connection idle only if none was started behind it.

--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -164,7 +164,8 @@
                 async move {
                     caller.begin_request();
                     let mut reply = callers.answer(req, reached, &connection).await;
-                    caller.end_request(reply::take_share(&mut reply).as_deref());
+                    let share = reply::take_share(&mut reply);
+                    caller.end_request(share.as_deref(), connection.started());
                     Ok::<_, Infallible>(reply)
                 }
             }
--- a/node/src/proxy/memory.rs
+++ b/node/src/proxy/memory.rs
@@ -371,10 +371,13 @@
         self.memory.lock().budget.end_receiving(self.id);
     }
 
-    /// Records that the request has its answer, which is sent on this connection from now on.
-    pub(crate) fn end_request(&self, share: Option<&AnswerShare>) {
+    /// Records that the request has its answer, which is sent on this connection from now on, and
+    /// that `started` requests behind it are in progress. The connection is idle if there are none.
+    pub(crate) fn end_request(&self, share: Option<&AnswerShare>, started: usize) {
         let mut state = self.memory.lock();
-        state.budget.end_request(self.memory.clock.now(), self.id);
+        if started == 0 {
+            state.budget.end_request(self.memory.clock.now(), self.id);
+        }
         if let Some(AnswerShare::Caller(share)) = share
             && share.connection.set(self.id).is_ok()
         {
