A node that was without processor time does not close its links

Callers saw 502 for repeatable requests that a working target was running, when their entry had not run for about a second while a ping was in flight.

Cause: Link::check compares the time of the ping with the present time. After a pause of its own process it closed the link although the answer had arrived and was unread.

Change: the part of the time since the last check that exceeds two intervals is added to the time of the ping, so that only time in which this process ran counts. A process that is short of processor time all along still finds a silent link, later.

Ruled out: the other node; in the test it answers each ping at once.

--- a/node/src/proxy/links/link.rs
+++ b/node/src/proxy/links/link.rs
@@ -411,8 +411,12 @@
 
     /// Pings the peer if calls wait and it has sent nothing for a while. Closes the link if the
     /// peer does not react to a ping, or if the link has been idle without waiting calls.
-    pub(crate) fn check(&self, now: Moment, summary: StateSummary) {
+    ///
+    /// `stalled` is the time since the last check for which this process did not run. It does not
+    /// count as silence of the peer, whose messages may have arrived in it and be unread.
+    pub(crate) fn check(&self, now: Moment, stalled: Duration, summary: StateSummary) {
         let mut liveness = lock(&self.liveness);
+        liveness.ping_sent = liveness.ping_sent.map(|sent| now.min(sent + stalled));
         if let Some(ping_sent) = liveness.ping_sent {
             if now.since(ping_sent) > PONG_TIMEOUT {
                 drop(liveness);
--- a/node/src/proxy/links/peers.rs
+++ b/node/src/proxy/links/peers.rs
@@ -105,6 +105,8 @@
     pub(crate) received: mpsc::Sender<ReceivedMessage>,
     pub(crate) logger: Logger,
     pub(crate) links: PeerLinks,
+    /// Time of the last [`Peers::check`].
+    pub(crate) last_check: Mutex<Moment>,
     pub(crate) runs: RunTable,
     pub(crate) closer: Arc<Closer>,
     /// Number of links that are open, in either direction.
@@ -268,6 +270,8 @@
     /// Checks all links once; called every [`CHECK_INTERVAL`].
     pub(crate) fn check(&self) {
         let now = self.clock.now();
+        let last_check = std::mem::replace(&mut *lock(&self.last_check), now);
+        let stalled = now.since(last_check).saturating_sub(CHECK_INTERVAL * 2);
         self.runs.expire(now);
         let summary = self.state_summary();
         lock(&self.links).retain(|_, peer_link| {
@@ -275,7 +279,7 @@
             let Ok(state) = peer_link.state.try_lock() else { return true };
             match state.usable() {
                 Some(link) => {
-                    link.check(now, summary);
+                    link.check(now, stalled, summary);
                     true
                 }
                 None => Arc::strong_count(peer_link) > 1,
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -181,6 +181,7 @@
             received,
             logger: component_logger(root, "link"),
             links: PeerLinks::default(),
+            last_check: Mutex::new(clock.now()),
             runs: RunTable::new(config.memory_bytes),
             closer: closer.clone(),
             open_links: AtomicUsize::new(0),
