Tests: a target that announces no slots

Callers saw: a connection that ends without an answer, and with it all requests in progress on it.

No site announces zero slots, so that this is not known to be the incident.

--- a/core/tests/balancer.rs
+++ b/core/tests/balancer.rs
@@ -184,3 +184,13 @@
     let counts = spread(&mut balancer, 2_000, &loads);
     assert!(counts[0] <= 300, "{} of 2000 calls went to one of 40 targets", counts[0]);
 }
+
+/// A target that announces no slots was divided by, once it had answered.
+#[test]
+fn a_target_without_slots_is_compared_with_others() {
+    let mut balancer = Balancer::new(Name::new("rennes"));
+    for name in ["a", "b"] {
+        balancer.add_target(TargetInfo { slots: 0, ..target(name, "rennes") });
+    }
+    share(&mut balancer, Moment::default(), "a", DONE);
+}
