A target without slots counts as one with one slot

Cause: each answer limits the calls assumed to run in parallel at a target to its announced slots; at zero the estimate of the duration of a call divides by it. That is reached when no valid report of load is known of one of two targets. The request panics in the task of its connection.

Change: the number is at least one, as in TargetLimits.

--- a/core/src/balancer.rs
+++ b/core/src/balancer.rs
@@ -242,7 +242,9 @@
         match observation {
             Observation::Done { latency, level } => {
                 target.record_level(now, level);
-                target.call_limit = target.info.slots.min(target.call_limit + 1);
+                // At least one, because a target requests work by announcing itself.
+                let slots = target.info.slots.max(1);
+                target.call_limit = slots.min(target.call_limit.saturating_add(1));
                 self.latency = smoothed(self.latency, latency);
             }
             Observation::Refused { level } => target.record_level(now, level),
