A connection that must be closed begins no further request

Cause: select polls its branches in random order. If a request arrives together with the connection in whose favour its own gives way, it may be begun and is then dropped.

Change: the signal to close comes first.

--- a/node/src/proxy/callers/serve.rs
+++ b/node/src/proxy/callers/serve.rs
@@ -140,8 +140,10 @@
             let state = Arc::new(Connection::new(self.clone(), limits.as_ref()));
             let mut end = ConnectionGuard::new(&self, connection.clone(), state.clone());
             end.cause = tokio::select! {
-                cause = self.clone().serve_open(socket, limits, connection.clone(), state) => cause,
+                // A connection that must be closed begins no further request.
+                biased;
                 () = connection.closing() => EndCause::Limit,
+                cause = self.clone().serve_open(socket, limits, connection.clone(), state) => cause,
             }
         }
     }
