Crash reports: a success answers each mark that it contradicts; report takes fewer arguments

Review of the mend: a success that a node tells because a mark contradicts it was passed on once a minute for each request, so a node with another mark of it might not have been told.

--- a/core/src/crashes.rs
+++ b/core/src/crashes.rs
@@ -238,7 +238,9 @@
         let at = |age: Duration| micros(now) - age.min(AGE_MAX).as_micros() as Micros;
         let mut news = CrashNews::default();
         for success in &received.successes {
-            self.merge_success(now, at(success.age), *success, &mut news);
+            let time = at(success.age);
+            let cleared = self.last_cleared(time, success.print);
+            self.merge_success(now, time, *success, cleared, &mut news);
         }
         for reported in &received.marks {
             let mark =
@@ -247,7 +249,7 @@
                 self.recent.last(reported.print).filter(|last| *last > mark.began)
             {
                 let report = success_report(now, reported.print, success);
-                self.merge_success(now, success, report, &mut news);
+                self.merge_success(now, success, report, Some(reported.life), &mut news);
                 continue;
             }
             if self.apply_mark(reported.print, mark) {
@@ -261,25 +263,31 @@
             // Other nodes must learn of a recent success even if crashes followed it.
             if let Some(success) = self.recent.last(reported.print) {
                 let report = success_report(now, reported.print, success);
-                self.merge_success(now, success, report, &mut news);
+                self.merge_success(now, success, report, Some(reported.life), &mut news);
             }
         }
         self.evict();
         news
     }
 
-    /// Applies a success at `time`, and adds `report` to `news` if it was new.
+    /// Lifetime of the target whose crash is the last one that a success at `time` clears.
+    fn last_cleared(&self, time: Micros, print: Fingerprint) -> Option<TargetLifetime> {
+        let record = self.records.get(&print)?;
+        record.marks.iter().rfind(|mark| mark.began <= time).map(|mark| mark.life)
+    }
+
+    /// Applies a success at `time`, and adds `report` to `news` if it was new. Nodes that know of
+    /// the crash in the lifetime `cleared` must learn of it.
     fn merge_success(
         &mut self,
         now: Moment,
         time: Micros,
         report: SuccessReport,
+        cleared: Option<TargetLifetime>,
         news: &mut CrashNews,
     ) {
         let print = report.print;
         let urgent = self.count(print) >= ISOLATION_MARKS;
-        let last = |record: &Record| record.marks.iter().rfind(|mark| mark.began <= time).copied();
-        let cleared = self.records.get(&print).and_then(last).map(|mark| mark.life);
         if self.apply_success(time, print)
             && self.relayed.admit(now, RelayedReport::Success(print, cleared), urgent)
         {
--- a/core/src/relayed_reports.rs
+++ b/core/src/relayed_reports.rs
@@ -22,7 +22,7 @@
 pub(crate) enum RelayedReport {
     /// Crash of a target during a run of the request.
     Crash(Fingerprint, TargetLifetime),
-    /// Success of the request, with the last crash that it cleared.
+    /// Success of the request, with the last crash that it clears, if any is known.
     Success(Fingerprint, Option<TargetLifetime>),
 }
 
--- a/node/src/proxy/process.rs
+++ b/node/src/proxy/process.rs
@@ -286,7 +286,6 @@
             admission.clone(),
             graph.clone(),
             entry_stats.clone(),
-            traffic.clone(),
             health,
             peers.clone(),
             callers.clone(),
--- a/node/src/proxy/report.rs
+++ b/node/src/proxy/report.rs
@@ -31,7 +31,6 @@
     admission: Arc<AdmissionController>,
     graph: Arc<CallGraph>,
     entry_stats: Arc<EntryStats>,
-    traffic: Arc<Traffic>,
     health: Arc<StoreHealth>,
     peers: Arc<Peers>,
     callers: Arc<CallerServer>,
@@ -45,7 +44,7 @@
         log_throttled(&graph, &logger);
         log_memory(&peers, &callers, &logger);
         if round.is_multiple_of(LINK_REPORT_ROUNDS) {
-            log_links(&traffic, &health, &logger);
+            log_links(&peers.traffic, &health, &logger);
         }
         round = round.wrapping_add(1);
     }
